Add the design page, the workspace and the base, config and peer packages

Cause: the other packages need fixed types and interfaces before they can be written side by side. Change: docs/design.md; CMake workspace with one library target per package; base (identifiers, verdicts, boot clock, hashes, shards), config (strict parsers of the published configuration and the instance list), peer (messages and the authenticated datagram codec); scripts for packages, build, test, format, lint. Conclusion: decision packages can now be built against these headers.

--- /dev/null
+++ b/cmake/quetzal_package.cmake
@@ -0,0 +1,42 @@
+# Declares the library `quetzal_<name>` of the package in the current folder from its sources,
+# and one test or benchmark executable per *_test.cpp and *_benchmark.cpp beside them.
+#
+#   quetzal_package(<name> [DEPENDS <package or target>...])
+#
+# Sources are all src/*.cpp; a package without sources becomes a header-only library.
+function(quetzal_package name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+    set(tests ${sources})
+    list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+    set(benchmarks ${sources})
+    list(FILTER benchmarks INCLUDE REGEX "_benchmark\\.cpp$")
+    list(FILTER sources EXCLUDE REGEX "_(test|benchmark|fuzz)\\.cpp$")
+    set(target quetzal_${name})
+    if(sources)
+        add_library(${target} STATIC ${sources})
+        set(scope PUBLIC)
+    else()
+        add_library(${target} INTERFACE)
+        set(scope INTERFACE)
+    endif()
+    target_include_directories(${target} ${scope} include)
+    target_link_libraries(${target} ${scope} ${ARG_DEPENDS} Threads::Threads)
+    foreach(file ${tests})
+        quetzal_test(${file} ${target})
+    endforeach()
+    foreach(file ${benchmarks})
+        get_filename_component(executable ${file} NAME_WE)
+        add_executable(${executable} ${file})
+        target_link_libraries(${executable} PRIVATE ${target} benchmark::benchmark)
+    endforeach()
+endfunction()
+
+# Adds the Criterion test executable for one source file and registers it with CTest.
+function(quetzal_test file)
+    get_filename_component(executable ${file} NAME_WE)
+    add_executable(${executable} ${file})
+    target_link_libraries(${executable} PRIVATE ${ARGN} criterion)
+    add_test(NAME ${executable} COMMAND ${executable} --jobs=2)
+    set_tests_properties(${executable} PROPERTIES TIMEOUT 240)
+endfunction()
--- /dev/null
+++ b/libs/base/include/quetzal/base/digest.hpp
@@ -0,0 +1,43 @@
+#ifndef QUETZAL_BASE_DIGEST_HPP
+#define QUETZAL_BASE_DIGEST_HPP
+
+// Cryptographic digests (OpenSSL) for customer keys, request identities and datagrams.
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace quetzal {
+
+inline constexpr std::size_t digest_size = 32; // bytes, SHA-256
+inline constexpr std::size_t mac_size = 16;    // bytes, HMAC-SHA256 truncated (RFC 2104, section 5)
+
+using digest = std::array<std::uint8_t, digest_size>;
+using mac = std::array<std::uint8_t, mac_size>;
+
+// Returns the SHA-256 digest of the bytes. Thread-safe.
+digest sha256(std::string_view bytes);
+
+// Returns the truncated HMAC-SHA256 of the bytes under the key. Thread-safe.
+mac keyed_mac(std::string_view key, std::string_view bytes);
+
+// Compares in time that depends on the sizes alone.
+bool equal_constant_time(std::span<const std::uint8_t> first,
+                         std::span<const std::uint8_t> second) noexcept;
+
+// Returns lower-case hexadecimal digits, two a byte.
+std::string to_hex(std::span<const std::uint8_t> bytes);
+
+// Parses 64 hexadecimal digits of either case; nothing else is accepted.
+std::optional<digest> parse_digest(std::string_view hex);
+
+// Returns 64 bits from the system's cryptographic random source.
+std::uint64_t secure_random();
+
+} // namespace quetzal
+
+#endif
--- /dev/null
+++ b/libs/base/include/quetzal/base/ids.hpp
@@ -0,0 +1,81 @@
+#ifndef QUETZAL_BASE_IDS_HPP
+#define QUETZAL_BASE_IDS_HPP
+
+// Strong identifier types, so that a customer's name cannot be passed where an endpoint's is
+// expected.
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace quetzal {
+
+// A name that is comparable only with names of the same kind. An empty name means "none".
+template <class Tag>
+struct basic_id
+{
+    std::string name;
+
+    basic_id() = default;
+    explicit basic_id(std::string value) : name(std::move(value)) {}
+
+    bool empty() const noexcept { return name.empty(); }
+    friend auto operator<=>(const basic_id&, const basic_id&) = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(name);
+    }
+};
+
+using instance_id = basic_id<struct instance_tag>;
+using zone_id = basic_id<struct zone_tag>;
+using region_id = basic_id<struct region_tag>;
+using customer_id = basic_id<struct customer_tag>;
+using endpoint_id = basic_id<struct endpoint_tag>;
+using pool_id = basic_id<struct pool_tag>;
+using class_id = basic_id<struct class_tag>;
+using pipeline_id = basic_id<struct pipeline_tag>;
+using stage_id = basic_id<struct stage_tag>;
+
+// Distinguishes two processes that had the same name and address one after the other. A later start
+// of the same instance on one machine has a greater value: start time in wall milliseconds, then
+// random bits.
+struct incarnation
+{
+    std::uint64_t value = 0;
+
+    friend auto operator<=>(const incarnation&, const incarnation&) = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(value);
+    }
+};
+
+} // namespace quetzal
+
+template <class Tag>
+struct std::hash<quetzal::basic_id<Tag>>
+{
+    std::size_t operator()(const quetzal::basic_id<Tag>& id) const noexcept
+    {
+        return std::hash<std::string>{}(id.name);
+    }
+};
+
+template <>
+struct std::hash<quetzal::incarnation>
+{
+    std::size_t operator()(const quetzal::incarnation& id) const noexcept
+    {
+        return std::hash<std::uint64_t>{}(id.value);
+    }
+};
+
+#endif
--- /dev/null
+++ b/libs/base/include/quetzal/base/verdict.hpp
@@ -0,0 +1,80 @@
+#ifndef QUETZAL_BASE_VERDICT_HPP
+#define QUETZAL_BASE_VERDICT_HPP
+
+// Errors of the project. Every failure says whether the work it concerns may have run; callers
+// decide on that alone whether a retry is safe.
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <utility>
+
+namespace quetzal {
+
+// What is known about the execution of a piece of work.
+enum class verdict
+{
+    not_run, // no byte of the work left this process, or its endpoint refused it before running
+    may_have_run, // the work was sent and its outcome is unknown
+    ran           // the work finished at its endpoint
+};
+
+// Why work was refused or failed. `to_string` gives the code that callers see.
+enum class reason
+{
+    invalid_request,
+    unauthorized,
+    unknown_class,
+    identity_required,
+    identity_expired,
+    rate_exceeded,
+    no_credit,
+    deadline_unreachable,
+    deadline_passed,
+    overloaded,
+    no_endpoint,
+    stale_view,
+    endpoint_failed,
+    answer_truncated,
+    answer_mismatch,
+    instance_gone,
+    cancelled,
+    stopping,
+    not_found,
+    internal_error
+};
+
+// Returns the stable lower-case code, e.g. "not_run".
+std::string_view to_string(verdict value) noexcept;
+
+// Returns the stable lower-case code, e.g. "rate_exceeded".
+std::string_view to_string(reason value) noexcept;
+
+// Returns the verdict of a combined piece of work of which both parts are known: the one that
+// admits more execution. `ran` and `not_run` together give `may_have_run`.
+verdict combine(verdict first, verdict second) noexcept;
+
+// A failure with its verdict. `detail` is for people and never holds a key or a payload.
+struct failure
+{
+    verdict run = verdict::may_have_run;
+    reason why = reason::internal_error;
+    std::string detail;
+    std::optional<std::chrono::milliseconds> retry_after;
+};
+
+template <class Value>
+using result = tl::expected<Value, failure>;
+
+// Builds a failure for work that certainly did not run.
+tl::unexpected<failure> not_run(reason why, std::string detail,
+                                std::optional<std::chrono::milliseconds> retry_after = {});
+
+// Builds a failure for work whose outcome is unknown.
+tl::unexpected<failure> may_have_run(reason why, std::string detail);
+
+} // namespace quetzal
+
+#endif
--- /dev/null
+++ b/libs/config/include/quetzal/config/instance_list.hpp
@@ -0,0 +1,63 @@
+#ifndef QUETZAL_CONFIG_INSTANCE_LIST_HPP
+#define QUETZAL_CONFIG_INSTANCE_LIST_HPP
+
+// The platform's list of entry instances and endpoints. It lags, and two readers may differ; it
+// says whom to ask and proves nothing about who is alive.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <quetzal/base/ids.hpp>
+#include <quetzal/config/published.hpp>
+#include <tl/expected.hpp>
+
+namespace quetzal::config {
+
+// What the platform says about a machine.
+enum class listed_state
+{
+    live,
+    leaving
+};
+
+// An entry instance of the system.
+struct listed_instance
+{
+    instance_id id;
+    std::string address; // IP number
+    std::uint16_t caller_port = 0;
+    std::uint16_t peer_port = 0; // UDP and TCP
+    zone_id zone;
+    listed_state state = listed_state::live;
+};
+
+// A back end.
+struct listed_endpoint
+{
+    endpoint_id id;
+    pool_id pool;
+    std::string address; // IP number
+    std::uint16_t port = 0;
+    zone_id zone;
+    listed_state state = listed_state::live;
+};
+
+// One reading of the list. `revision` rises with each change at the platform.
+struct instance_list
+{
+    std::uint64_t revision = 0;
+    std::vector<listed_instance> instances;
+    std::vector<listed_endpoint> endpoints;
+
+    const listed_instance* find(const instance_id& id) const noexcept;
+    const listed_endpoint* find(const endpoint_id& id) const noexcept;
+};
+
+// Parses and checks the JSON text of an instance list.
+tl::expected<instance_list, parse_error> parse_instance_list(std::string_view json);
+
+} // namespace quetzal::config
+
+#endif
--- /dev/null
+++ b/libs/config/src/instance_list.cpp
@@ -0,0 +1,96 @@
+#include <quetzal/config/instance_list.hpp>
+
+#include <algorithm>
+
+#include "json_reader.hpp"
+
+namespace quetzal::config {
+
+namespace {
+
+using internal::error_sink;
+using internal::json_reader;
+using json = boost::json::value;
+
+std::uint16_t read_port(json_reader& reader, std::string_view name)
+{
+    return static_cast<std::uint16_t>(reader.whole(name, {1, 65535}));
+}
+
+listed_state read_state(json_reader& reader)
+{
+    return reader.choice_or_first("state", {"live", "leaving"}) == 0 ? listed_state::live
+                                                                     : listed_state::leaving;
+}
+
+listed_instance read_instance(const json& value, const std::string& path, error_sink& errors)
+{
+    json_reader reader(value, path, errors);
+    listed_instance entry;
+    entry.id = instance_id(reader.text("name"));
+    entry.address = reader.text("address");
+    entry.caller_port = read_port(reader, "caller_port");
+    entry.peer_port = read_port(reader, "peer_port");
+    entry.zone = zone_id(reader.text("zone"));
+    entry.state = read_state(reader);
+    reader.finish();
+    return entry;
+}
+
+listed_endpoint read_endpoint(const json& value, const std::string& path, error_sink& errors)
+{
+    json_reader reader(value, path, errors);
+    listed_endpoint entry;
+    entry.id = endpoint_id(reader.text("name"));
+    entry.pool = pool_id(reader.text("pool"));
+    entry.address = reader.text("address");
+    entry.port = read_port(reader, "port");
+    entry.zone = zone_id(reader.text("zone"));
+    entry.state = read_state(reader);
+    reader.finish();
+    return entry;
+}
+
+template <class Entity, class Id>
+const Entity* find_by_id(const std::vector<Entity>& entries, const Id& id) noexcept
+{
+    const auto found = std::find_if(entries.begin(), entries.end(),
+                                    [&id](const Entity& entry) { return entry.id == id; });
+    return found == entries.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const listed_instance* instance_list::find(const instance_id& id) const noexcept
+{
+    return find_by_id(instances, id);
+}
+
+const listed_endpoint* instance_list::find(const endpoint_id& id) const noexcept
+{
+    return find_by_id(endpoints, id);
+}
+
+tl::expected<instance_list, parse_error> parse_instance_list(std::string_view text)
+{
+    error_sink errors;
+    const auto value = internal::parse_json(text, errors);
+    instance_list list;
+    if (value) {
+        json_reader reader(*value, "", errors);
+        list.revision = reader.whole("revision", {1, 9e15});
+        reader.elements("instances", true, [&](const json& element, const std::string& path) {
+            list.instances.push_back(read_instance(element, path, errors));
+        });
+        reader.elements("endpoints", true, [&](const json& element, const std::string& path) {
+            list.endpoints.push_back(read_endpoint(element, path, errors));
+        });
+        reader.finish();
+    }
+    if (errors.first) {
+        return tl::unexpected(*errors.first);
+    }
+    return list;
+}
+
+} // namespace quetzal::config
--- /dev/null
+++ b/libs/peer/src/codec.cpp
@@ -0,0 +1,209 @@
+#include <quetzal/peer/codec.hpp>
+
+#include <sstream>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace quetzal::peer {
+
+template <class Archive>
+void serialize(Archive& archive, member_update& value)
+{
+    archive(value.instance, value.process, value.leaving, value.suspected, value.sequence);
+}
+
+template <class Archive>
+void serialize(Archive& archive, versions& value)
+{
+    archive(value.config, value.list);
+}
+
+template <class Archive>
+void serialize(Archive& archive, probe& value)
+{
+    archive(value.sequence, value.known, value.updates);
+}
+
+template <class Archive>
+void serialize(Archive& archive, probe_ack& value)
+{
+    archive(value.sequence, value.target, value.target_process, value.known, value.updates);
+}
+
+template <class Archive>
+void serialize(Archive& archive, probe_request& value)
+{
+    archive(value.sequence, value.target);
+}
+
+template <class Archive>
+void serialize(Archive& archive, renew_request& value)
+{
+    archive(value.sequence, value.known, value.partitions);
+}
+
+template <class Archive>
+void serialize(Archive& archive, refused_partition& value)
+{
+    archive(value.partition, value.why);
+}
+
+template <class Archive>
+void serialize(Archive& archive, renew_grant& value)
+{
+    archive(value.sequence, value.known, value.lease, value.fence_seen, value.refused);
+}
+
+template <class Archive>
+void serialize(Archive& archive, release_partitions& value)
+{
+    archive(value.partitions);
+}
+
+template <class Archive>
+void serialize(Archive& archive, credit_request& value)
+{
+    archive(value.sequence, value.config_version, value.customer, value.wanted, value.spent);
+}
+
+template <class Archive>
+void serialize(Archive& archive, credit_grant& value)
+{
+    archive(value.sequence, value.config_version, value.customer, value.is_home, value.tokens,
+            value.valid_for, value.retry_after);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ledger_entry& value)
+{
+    archive(value.customer, value.level, value.outstanding, value.outstanding_until);
+}
+
+template <class Archive>
+void serialize(Archive& archive, handover& value)
+{
+    archive(value.sequence, value.partition, value.fence, value.ledger);
+}
+
+template <class Archive>
+void serialize(Archive& archive, handover_ack& value)
+{
+    archive(value.sequence);
+}
+
+template <class Archive>
+void serialize(Archive& archive, endpoint_observation& value)
+{
+    archive(value.endpoint, value.process, value.seen);
+}
+
+template <class Archive>
+void serialize(Archive& archive, endpoint_declaration& value)
+{
+    archive(value.endpoint, value.process, value.warmth, value.fence, value.sequence);
+}
+
+template <class Archive>
+void serialize(Archive& archive, received& value)
+{
+    archive(value.from, value.from_process, value.body);
+}
+
+namespace {
+
+// Header: magic (2 bytes), format version, key identifier, MAC. The MAC covers the first four bytes
+// and the body.
+constexpr std::string_view magic = "qz";
+constexpr std::size_t prefix_size = 4;
+constexpr std::size_t header_size = prefix_size + mac_size;
+
+mac sign(std::string_view secret, std::string_view prefix, std::string_view body)
+{
+    std::string covered;
+    covered.reserve(prefix.size() + body.size());
+    covered.append(prefix).append(body);
+    return keyed_mac(secret, covered);
+}
+
+const peer_key* select_key(const key_ring& keys, std::uint8_t id)
+{
+    for (const peer_key* key : {&keys.current, &keys.previous}) {
+        if (key->id == id && !key->secret.empty()) {
+            return key;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::string_view to_string(drop_cause cause) noexcept
+{
+    switch (cause) {
+    case drop_cause::too_short:
+        return "too_short";
+    case drop_cause::wrong_version:
+        return "wrong_version";
+    case drop_cause::unknown_key:
+        return "unknown_key";
+    case drop_cause::wrong_mac:
+        return "wrong_mac";
+    case drop_cause::undecodable:
+        return "undecodable";
+    }
+    return "undecodable";
+}
+
+std::string encode(const received& message, const key_ring& keys)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(message);
+    }
+    const std::string body = std::move(stream).str();
+    std::string datagram(magic);
+    datagram += static_cast<char>(format_version);
+    datagram += static_cast<char>(keys.current.id);
+    const mac signature = sign(keys.current.secret, datagram, body);
+    datagram.append(reinterpret_cast<const char*>(signature.data()), signature.size());
+    return datagram + body;
+}
+
+tl::expected<received, drop_cause> decode(std::string_view datagram, const key_ring& keys)
+{
+    if (datagram.size() < header_size || datagram.substr(0, magic.size()) != magic) {
+        return tl::unexpected(drop_cause::too_short);
+    }
+    if (static_cast<std::uint8_t>(datagram[2]) != format_version) {
+        return tl::unexpected(drop_cause::wrong_version);
+    }
+    const peer_key* key = select_key(keys, static_cast<std::uint8_t>(datagram[3]));
+    if (key == nullptr) {
+        return tl::unexpected(drop_cause::unknown_key);
+    }
+    const std::string_view body = datagram.substr(header_size);
+    const mac expected = sign(key->secret, datagram.substr(0, prefix_size), body);
+    const std::string_view carried = datagram.substr(prefix_size, mac_size);
+    if (!equal_constant_time(
+            expected, {reinterpret_cast<const std::uint8_t*>(carried.data()), carried.size()}))
+    {
+        return tl::unexpected(drop_cause::wrong_mac);
+    }
+    try {
+        std::istringstream stream{std::string(body)};
+        cereal::PortableBinaryInputArchive archive(stream);
+        received message;
+        archive(message);
+        return message;
+    } catch (const std::exception&)
+    { // cereal, bad_alloc and length_error: all mean a malformed body
+        return tl::unexpected(drop_cause::undecodable);
+    }
+}
+
+} // namespace quetzal::peer
