--- /dev/null
+++ b/libs/net/include/quetzal/net/http_message.hpp
@@ -0,0 +1,67 @@
+#ifndef QUETZAL_NET_HTTP_MESSAGE_HPP
+#define QUETZAL_NET_HTTP_MESSAGE_HPP
+
+// HTTP messages as plain values, so that handlers need no HTTP library.
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace quetzal::net {
+
+// Header fields in order; names compare without regard to case.
+class header_list
+{
+public:
+    header_list() = default;
+    header_list(std::initializer_list<std::pair<std::string, std::string>> fields) : fields_(fields)
+    {
+    }
+
+    void add(std::string name, std::string value);
+
+    // Returns the value of the first field of that name, or nothing.
+    std::optional<std::string_view> find(std::string_view name) const noexcept;
+
+    auto begin() const noexcept { return fields_.begin(); }
+    auto end() const noexcept { return fields_.end(); }
+
+private:
+    std::vector<std::pair<std::string, std::string>> fields_;
+};
+
+// A request with its whole body.
+struct http_request
+{
+    std::string method;
+    std::string path;  // percent-decoded, without the query
+    std::string query; // without the question mark, not decoded
+    header_list headers;
+    std::string body;
+
+    // Returns the decoded value of a query parameter, or nothing.
+    std::optional<std::string> parameter(std::string_view name) const;
+};
+
+// A response with its whole body.
+struct http_response
+{
+    unsigned status = 200;
+    header_list headers;
+    std::string body;
+};
+
+// Builds a response with a JSON body.
+http_response json_response(unsigned status, std::string body);
+
+// Decodes %XX sequences; a malformed one stays as it is.
+std::string percent_decode(std::string_view text);
+
+// Encodes every byte that is not unreserved in RFC 3986, section 2.3.
+std::string percent_encode(std::string_view text);
+
+} // namespace quetzal::net
+
+#endif
--- /dev/null
+++ b/libs/net/src/http_server.cpp
@@ -0,0 +1,452 @@
+#include <quetzal/net/http_server.hpp>
+
+#include <variant>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+namespace quetzal::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+using plain_stream = beast::tcp_stream;
+using tls_stream = asio::ssl::stream<beast::tcp_stream>;
+
+constexpr duration accept_retry_delay =
+    std::chrono::milliseconds(50); // after running out of descriptors
+
+auto await_with(boost::system::error_code& error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+} // namespace
+
+namespace internal {
+
+struct server_state
+{
+    server_state(asio::any_io_executor where, server_limits bounds,
+                 std::shared_ptr<tls_context> secure, http_handler function)
+        : executor(std::move(where)), limits(bounds), tls(std::move(secure)),
+          handler(std::move(function)), acceptor(executor)
+    {
+    }
+
+    asio::any_io_executor executor;
+    server_limits limits;
+    std::shared_ptr<tls_context> tls;
+    http_handler handler;
+    tcp::acceptor acceptor;
+    std::atomic<bool> stopping{false};
+    server_counters counters;
+};
+
+struct server_connection : std::enable_shared_from_this<server_connection>
+{
+    server_connection(std::variant<plain_stream, tls_stream> opened,
+                      std::shared_ptr<server_state> owner,
+                      std::shared_ptr<asio::ssl::context> secure)
+        : context(std::move(secure)), stream(std::move(opened)), server(std::move(owner))
+    {
+    }
+
+    beast::tcp_stream& lowest()
+    {
+        return std::visit(
+            [](auto& open) -> beast::tcp_stream& { return beast::get_lowest_layer(open); }, stream);
+    }
+
+    std::shared_ptr<asio::ssl::context> context;
+    std::variant<plain_stream, tls_stream> stream;
+    std::shared_ptr<server_state> server;
+    beast::flat_buffer buffer;
+    bool responded = false; // a response was sent or ended
+    bool keep_alive = false;
+    bool streaming = false;
+    std::shared_ptr<std::function<void()>> close_watcher;
+};
+
+} // namespace internal
+
+namespace {
+
+using internal::server_connection;
+using internal::server_state;
+
+template <class Operation>
+asio::awaitable<bool> write_with(server_connection& connection, Operation operation)
+{
+    connection.lowest().expires_after(connection.server->limits.slow_reader);
+    const bool written = co_await std::visit(
+        [&operation](auto& stream) -> asio::awaitable<bool> { return operation(stream); },
+        connection.stream);
+    co_return written;
+}
+
+template <class Stream>
+asio::awaitable<bool> write_response(Stream& stream, http::response<http::string_body>& message)
+{
+    boost::system::error_code error;
+    co_await http::async_write(stream, message, await_with(error));
+    co_return !error;
+}
+
+template <class Stream>
+asio::awaitable<bool> write_head(Stream& stream, http::response<http::empty_body>& message)
+{
+    boost::system::error_code error;
+    http::response_serializer<http::empty_body> serializer(message);
+    co_await http::async_write_header(stream, serializer, await_with(error));
+    co_return !error;
+}
+
+template <class Stream>
+asio::awaitable<bool> write_chunk(Stream& stream, std::string_view chunk)
+{
+    boost::system::error_code error;
+    const asio::const_buffer data(chunk.data(), chunk.size());
+    co_await asio::async_write(stream, http::make_chunk(data), await_with(error));
+    co_return !error;
+}
+
+template <class Stream>
+asio::awaitable<bool> write_last_chunk(Stream& stream)
+{
+    boost::system::error_code error;
+    co_await asio::async_write(stream, http::make_chunk_last(), await_with(error));
+    co_return !error;
+}
+
+// Waits until the socket becomes readable while a response is written. Readable with no bytes means
+// that the caller closed the connection; readable with bytes is a pipelined request, which is read
+// later.
+asio::awaitable<void> watch_for_close(std::shared_ptr<server_connection> connection,
+                                      std::weak_ptr<std::function<void()>> watcher)
+{
+    boost::system::error_code error;
+    auto& socket = connection->lowest().socket();
+    co_await socket.async_wait(tcp::socket::wait_read, await_with(error));
+    char byte = 0;
+    const auto received =
+        error ? 0 : ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (const auto active = watcher.lock(); active != nullptr && received <= 0 && *active) {
+        (*active)();
+    }
+}
+
+http_request to_request(http::request<http::string_body>&& message)
+{
+    http_request request;
+    request.method = std::string(message.method_string());
+    const std::string_view target(message.target().data(), message.target().size());
+    const auto mark = target.find('?');
+    request.path = percent_decode(target.substr(0, mark));
+    if (mark != std::string_view::npos) {
+        request.query = std::string(target.substr(mark + 1));
+    }
+    for (const auto& field : message) {
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+// Returns the refusal for a request that could not be read, or nothing when no answer makes sense.
+std::optional<http_response> describe_read_error(const boost::system::error_code& error)
+{
+    if (error == http::error::header_limit) {
+        return json_response(431, R"({"verdict":"not_run","reason":"invalid_request",)"
+                                  R"("detail":"the request headers exceed the limit"})");
+    }
+    if (error == http::error::body_limit) {
+        return json_response(413, R"({"verdict":"not_run","reason":"invalid_request",)"
+                                  R"("detail":"the request body exceeds the limit"})");
+    }
+    if (error == beast::error::timeout) {
+        return json_response(408, R"({"verdict":"not_run","reason":"invalid_request",)"
+                                  R"("detail":"the request did not arrive in time"})");
+    }
+    if (error.category() == http::make_error_code(http::error::bad_version).category() &&
+        error != http::error::end_of_stream && error != http::error::partial_message)
+    {
+        return json_response(400, R"({"verdict":"not_run","reason":"invalid_request",)"
+                                  R"("detail":"the request is not valid HTTP/1.1"})");
+    }
+    return std::nullopt;
+}
+
+struct read_outcome
+{
+    std::optional<http_request> request;
+    boost::system::error_code error;
+    bool keep_alive = false;
+    bool received_bytes = false;
+};
+
+template <class Stream>
+asio::awaitable<read_outcome> read_request(Stream& stream, server_connection& connection)
+{
+    const auto& limits = connection.server->limits;
+    read_outcome outcome;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_size));
+    parser.body_limit(limits.body_size);
+    auto& lowest = beast::get_lowest_layer(stream);
+    if (connection.buffer.size() == 0) {
+        lowest.expires_after(limits.idle);
+        co_await lowest.socket().async_wait(tcp::socket::wait_read, await_with(outcome.error));
+        if (outcome.error) {
+            co_return outcome;
+        }
+    }
+    lowest.expires_after(limits.slow_sender);
+    co_await http::async_read(stream, connection.buffer, parser, await_with(outcome.error));
+    outcome.received_bytes = parser.got_some();
+    if (!outcome.error) {
+        outcome.keep_alive = parser.get().keep_alive();
+        outcome.request = to_request(parser.release());
+    }
+    co_return outcome;
+}
+
+asio::awaitable<void> refuse_unreadable(server_connection& connection, const read_outcome& outcome)
+{
+    auto& counters = connection.server->counters;
+    if (outcome.error == beast::error::timeout) {
+        ++counters.timed_out;
+    }
+    if (auto refusal = describe_read_error(outcome.error); refusal && outcome.received_bytes) {
+        ++counters.malformed;
+        connection.keep_alive = false;
+        response_stream response(connection);
+        co_await response.send(std::move(*refusal));
+    }
+}
+
+asio::awaitable<void> serve_requests(std::shared_ptr<server_connection> connection)
+{
+    do {
+        read_outcome outcome = co_await std::visit(
+            [&connection](auto& stream) { return read_request(stream, *connection); },
+            connection->stream);
+        if (!outcome.request) {
+            co_await refuse_unreadable(*connection, outcome);
+            co_return;
+        }
+        connection->responded = false;
+        connection->keep_alive = outcome.keep_alive && !connection->server->stopping;
+        connection->close_watcher = std::make_shared<std::function<void()>>();
+        response_stream response(*connection);
+        connection->lowest().expires_never();
+        co_await connection->server->handler(*outcome.request, response);
+        connection->close_watcher.reset();
+        connection->lowest().socket().cancel();
+    } while (connection->responded && connection->keep_alive && !connection->server->stopping);
+}
+
+asio::awaitable<bool> handshake(server_connection& connection)
+{
+    auto* secure = std::get_if<tls_stream>(&connection.stream);
+    if (secure == nullptr) {
+        co_return true;
+    }
+    boost::system::error_code error;
+    connection.lowest().expires_after(connection.server->limits.slow_sender);
+    co_await secure->async_handshake(asio::ssl::stream_base::server, await_with(error));
+    co_return !error;
+}
+
+asio::awaitable<void> shut_down(server_connection& connection)
+{
+    boost::system::error_code error;
+    if (auto* secure = std::get_if<tls_stream>(&connection.stream);
+        secure != nullptr && connection.responded)
+    {
+        connection.lowest().expires_after(std::chrono::seconds(1));
+        co_await secure->async_shutdown(await_with(error));
+    }
+    connection.lowest().socket().shutdown(tcp::socket::shutdown_both, error);
+    connection.lowest().close();
+}
+
+// Counts a connection as open as long as it exists.
+class open_count
+{
+public:
+    explicit open_count(server_counters& counters) : counters_(counters) { ++counters_.open; }
+    open_count(const open_count&) = delete;
+    open_count& operator=(const open_count&) = delete;
+    ~open_count() { --counters_.open; }
+
+private:
+    server_counters& counters_;
+};
+
+asio::awaitable<void> run_connection(std::shared_ptr<server_state> server, tcp::socket socket)
+{
+    const open_count counted(server->counters);
+    socket.set_option(tcp::no_delay(true));
+    beast::tcp_stream lowest(std::move(socket));
+    std::shared_ptr<asio::ssl::context> context = server->tls ? server->tls->current() : nullptr;
+    auto opened = context ? std::variant<plain_stream, tls_stream>(std::in_place_type<tls_stream>,
+                                                                   std::move(lowest), *context)
+                          : std::variant<plain_stream, tls_stream>(std::in_place_type<plain_stream>,
+                                                                   std::move(lowest));
+    auto connection = std::make_shared<server_connection>(std::move(opened), server, context);
+    if (co_await handshake(*connection)) {
+        co_await serve_requests(connection);
+    }
+    co_await shut_down(*connection);
+}
+
+asio::awaitable<void> accept_connections(std::shared_ptr<server_state> server)
+{
+    while (!server->stopping) {
+        boost::system::error_code error;
+        tcp::socket socket = co_await server->acceptor.async_accept(
+            asio::make_strand(server->executor), await_with(error));
+        if (error == asio::error::operation_aborted || server->stopping) {
+            co_return;
+        }
+        if (error) {
+            asio::steady_timer pause(server->executor, accept_retry_delay);
+            co_await pause.async_wait(await_with(error));
+            continue;
+        }
+        ++server->counters.accepted;
+        if (server->counters.open >= server->limits.connections) {
+            ++server->counters.rejected;
+            continue; // the socket closes here
+        }
+        const auto executor = socket.get_executor();
+        asio::co_spawn(executor, run_connection(server, std::move(socket)), asio::detached);
+    }
+}
+
+void fill_headers(auto& message, const header_list& headers)
+{
+    for (const auto& [name, value] : headers) {
+        message.set(name, value);
+    }
+}
+
+} // namespace
+
+asio::awaitable<bool> response_stream::send(http_response response)
+{
+    http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+    fill_headers(message, response.headers);
+    message.body() = std::move(response.body);
+    message.keep_alive(connection_.keep_alive);
+    message.prepare_payload();
+    connection_.responded = co_await write_with(
+        connection_, [&message](auto& stream) { return write_response(stream, message); });
+    co_return connection_.responded;
+}
+
+asio::awaitable<bool> response_stream::begin(unsigned status, header_list headers)
+{
+    http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+    fill_headers(message, headers);
+    message.keep_alive(connection_.keep_alive);
+    message.chunked(true);
+    connection_.streaming = true;
+    co_return co_await write_with(connection_,
+                                  [&message](auto& stream) { return write_head(stream, message); });
+}
+
+asio::awaitable<bool> response_stream::write(std::string_view chunk)
+{
+    if (chunk.empty()) {
+        co_return true; // an empty chunk would end the response
+    }
+    co_return co_await write_with(connection_,
+                                  [chunk](auto& stream) { return write_chunk(stream, chunk); });
+}
+
+asio::awaitable<bool> response_stream::end()
+{
+    connection_.streaming = false;
+    connection_.responded =
+        co_await write_with(connection_, [](auto& stream) { return write_last_chunk(stream); });
+    co_return connection_.responded;
+}
+
+void response_stream::on_close(std::function<void()> function)
+{
+    if (connection_.close_watcher == nullptr) {
+        return;
+    }
+    *connection_.close_watcher = std::move(function);
+    asio::co_spawn(connection_.lowest().get_executor(),
+                   watch_for_close(connection_.shared_from_this(), connection_.close_watcher),
+                   asio::detached);
+}
+
+http_server::http_server(asio::any_io_executor executor, server_limits limits,
+                         std::shared_ptr<tls_context> tls, http_handler handler)
+    : state_(std::make_shared<server_state>(std::move(executor), limits, std::move(tls),
+                                            std::move(handler)))
+{
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+tl::expected<std::uint16_t, std::string> http_server::listen(const std::string& address,
+                                                             std::uint16_t port)
+{
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address, error);
+    if (error) {
+        return tl::unexpected("\"" + address + "\" is not a numeric IP address");
+    }
+    const tcp::endpoint local(ip, port);
+    auto& acceptor = state_->acceptor;
+    if (acceptor.open(local.protocol(), error) ||
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error) ||
+        acceptor.bind(local, error) ||
+        acceptor.listen(asio::socket_base::max_listen_connections, error))
+    {
+        return tl::unexpected("cannot listen on " + address + ":" + std::to_string(port) + ": " +
+                              error.message());
+    }
+    asio::co_spawn(state_->executor, accept_connections(state_), asio::detached);
+    return acceptor.local_endpoint().port();
+}
+
+void http_server::stop()
+{
+    if (state_->stopping.exchange(true)) {
+        return;
+    }
+    asio::post(state_->executor, [state = state_] {
+        boost::system::error_code error;
+        state->acceptor.close(error);
+    });
+}
+
+const server_counters& http_server::counters() const noexcept
+{
+    return state_->counters;
+}
+
+} // namespace quetzal::net
