--- a/libs/peer/include/quetzal/peer/messages.hpp
+++ b/libs/peer/include/quetzal/peer/messages.hpp
@@ -63,13 +63,18 @@
     instance_id target;
 };
 
-// A holder asks a voter to grant or renew partitions; an empty list asks only for a sign of
-// contact.
+// A holder asks a voter to grant or renew partitions; empty lists ask only for a sign of contact.
 struct renew_request
 {
-    std::uint32_t sequence = 0;
+    std::uint32_t sequence = 0; // rises with every renewal and release of the sender's process
     versions known;
-    std::vector<partition_index> partitions;
+    std::uint64_t fence = 0;   // greatest fencing number of the sender's process
+    std::uint64_t members = 0; // digest of the members from which the sender computes committees
+    std::vector<partition_index> partitions; // held
+    std::vector<partition_index> acquiring;  // not yet held
+    // Tags of the committee of each partition above, in the same order and all of one size; empty
+    // when the receiver's last answer had the same `members`.
+    std::vector<std::uint32_t> committees;
 };
 
 // One partition of a renewal that the voter refused.
@@ -80,27 +85,41 @@
         held_by_other,    // another holder's lease runs
         not_first,        // the voter ranks another live instance higher
         not_in_committee, // the voter's list does not make it a voter of this partition
-        silent            // the voter started a short while ago
+        silent,           // the voter started, or changed its committees much, a short while ago
+        lists_differ      // quorums of the two committees need not intersect
     };
 
     partition_index partition = 0;
     cause why = cause::held_by_other;
 };
 
-// Answers a renewal. All partitions asked for are granted but those listed as refused. `fence_seen`
-// is the greatest fencing number that the voter has seen for any of the granted partitions.
+// What the voter knows of the former holder of a partition that it grants.
+struct acquired_partition
+{
+    partition_index partition = 0;
+    std::uint64_t fence = 0; // greatest fencing number that the voter has seen for it
+    // Rest of a former holder's lease that ended early, by release or by proof of death.
+    std::chrono::milliseconds former_lease{};
+};
+
+// Answers a renewal. All partitions asked for are granted but those listed as refused. `acquired`
+// lists the granted ones among those that the request called `acquiring`.
 struct renew_grant
 {
     std::uint32_t sequence = 0;
     versions known;
     std::chrono::milliseconds lease{};
-    std::uint64_t fence_seen = 0;
+    std::uint64_t members = 0; // digest of the members from which the voter computes committees
+    std::vector<acquired_partition> acquired;
     std::vector<refused_partition> refused;
 };
 
-// The holder gives partitions up; the voter may grant them to another at once.
+// The holder gives partitions up; the voter may grant them to the successor at once. An empty
+// successor means any instance.
 struct release_partitions
 {
+    std::uint32_t sequence = 0; // of the same series as renewals; an older release has no effect
+    instance_id successor;
     std::vector<partition_index> partitions;
 };
 
@@ -110,8 +129,9 @@
     std::uint32_t sequence = 0;
     std::uint64_t config_version = 0;
     customer_id customer;
-    std::uint32_t wanted = 0; // requests it expects to admit within the validity of a grant
-    std::uint32_t spent = 0;  // requests admitted since the last report
+    std::uint32_t wanted = 0; // further requests it expects to admit soon
+    std::uint32_t held = 0;   // credits it keeps; all others it has had are spent or given up
+    std::uint32_t spent = 0;  // credits spent since the process started, modulo 2^32
 };
 
 // Answers a credit request. No tokens and a `retry_after` mean that the bucket is empty.
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -43,7 +43,8 @@
 template <class Archive>
 void serialize(Archive& archive, renew_request& value)
 {
-    archive(value.sequence, value.known, value.partitions);
+    archive(value.sequence, value.known, value.fence, value.members, value.partitions,
+            value.acquiring, value.committees);
 }
 
 template <class Archive>
@@ -52,22 +53,30 @@
     archive(value.partition, value.why);
 }
 
+template <class Archive>
+void serialize(Archive& archive, acquired_partition& value)
+{
+    archive(value.partition, value.fence, value.former_lease);
+}
+
 template <class Archive>
 void serialize(Archive& archive, renew_grant& value)
 {
-    archive(value.sequence, value.known, value.lease, value.fence_seen, value.refused);
+    archive(value.sequence, value.known, value.lease, value.members, value.acquired,
+            value.refused);
 }
 
 template <class Archive>
 void serialize(Archive& archive, release_partitions& value)
 {
-    archive(value.partitions);
+    archive(value.sequence, value.successor, value.partitions);
 }
 
 template <class Archive>
 void serialize(Archive& archive, credit_request& value)
 {
-    archive(value.sequence, value.config_version, value.customer, value.wanted, value.spent);
+    archive(value.sequence, value.config_version, value.customer, value.wanted, value.held,
+            value.spent);
 }
 
 template <class Archive>
