--- /dev/null
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -0,0 +1,212 @@
+#ifndef QUETZAL_SERVING_ENDPOINT_CHOOSER_HPP
+#define QUETZAL_SERVING_ENDPOINT_CHOOSER_HPP
+
+// Chooses the endpoint of one pool for a stage call: the least expected cost among a few random
+// candidates and the likely holders of the prompt's prefix. Also ejects outliers and adapts the
+// concurrency of engines to the between-token objective.
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <quetzal/base/random.hpp>
+#include <quetzal/serving/latency_quantiles.hpp>
+#include <quetzal/serving/prefix_cache_map.hpp>
+#include <quetzal/serving/types.hpp>
+
+namespace quetzal::serving {
+
+// Constants of the choice.
+struct chooser_options
+{
+    std::uint32_t concurrency = 8; // calls that a warm endpoint runs at once
+    std::size_t choices = 3;       // random candidates (d), at most 8
+    duration same_zone{0};
+    duration other_zone = std::chrono::milliseconds(1);
+    // Time saved by one cached token of the prompt, before it has been measured.
+    duration per_cached_token = std::chrono::microseconds(50);
+    // An endpoint is an outlier when its mean latency exceeds the pool's by this factor or more
+    // than this share of its answers fail.
+    double outlier_latency = 3.0;
+    double outlier_failures = 0.5;
+    std::uint32_t outlier_samples = 5;
+    duration ejection = std::chrono::seconds(5); // doubles with each ejection in a row
+    duration max_ejection = std::chrono::seconds(60);
+    std::uint32_t probes_to_return = 2;     // successful probes in a row before an endpoint returns
+    std::size_t cached_prefixes = 1u << 14; // 0: the pool has no prefix cache
+};
+
+// Why an endpoint cannot be chosen; several may hold at once.
+enum class exclusion : std::uint8_t
+{
+    none = 0,
+    zone_out = 1,    // its availability zone is out of service
+    leaving = 2,     // the platform's list says that it leaves
+    unconnected = 4, // its incarnation is not known
+    cold = 8,        // not declared warm, and this instance holds no right to it
+    ejected = 16,    // outlier
+    refusing = 32    // the endpoint refused work as overloaded a moment ago
+};
+
+// A call to place.
+struct choice_request
+{
+    std::span<const prompt_prefix> prefixes; // ascending length; empty: no prompt
+    std::span<const endpoint_index> avoid;   // endpoints already tried
+    std::optional<std::uint32_t> avoid_zone; // zone number of a failed attempt
+};
+
+// A chosen endpoint and the figures behind the choice.
+struct choice
+{
+    endpoint_index endpoint = no_endpoint_index;
+    duration expected_wait{};
+    duration cache_gain{};
+    prompt_prefix expected_prefix; // longest prefix believed cached there; tokens 0: none
+    std::uint32_t candidates = 0;  // endpoints compared
+};
+
+// Probe requested for an ejected endpoint.
+struct probe_due
+{
+    endpoint_index endpoint = no_endpoint_index;
+};
+
+// How an attempt ended.
+struct attempt_outcome
+{
+    bool success = false;
+    bool counts = true; // false: cancelled or refused before running; no evidence on the endpoint
+    duration latency{}; // to the first chunk for streams, else whole
+    duration whole{};
+    std::optional<std::uint32_t> cached_tokens; // as the engine reported them
+    prompt_prefix prompt;                       // longest prefix of the prompt; tokens 0: none
+    prompt_prefix expected_prefix;              // of the choice
+};
+
+// The endpoints of one pool as one instance sees them. Not thread-safe. `choose`, `started`,
+// `finished` and `report` allocate no memory.
+class endpoint_chooser
+{
+public:
+    explicit endpoint_chooser(chooser_options options = {});
+
+    // Adds an endpoint, unconnected and cold, and returns its position. `zone` is any number that
+    // is equal for endpoints of one zone; `distant` tells whether it is another zone than ours.
+    endpoint_index add(const endpoint_id& id, std::uint32_t zone, bool distant);
+    void remove(endpoint_index endpoint);
+
+    // Sets or clears one reason against an endpoint.
+    void exclude(endpoint_index endpoint, exclusion why, bool excluded);
+
+    // Limits the calls that this instance may have at the endpoint (cold ramp); the pool's
+    // concurrency is the upper bound.
+    void limit(endpoint_index endpoint, std::uint32_t calls);
+
+    // Forgets latency, load and cache of an endpoint that restarted.
+    void restarted(endpoint_index endpoint);
+
+    void report(endpoint_index endpoint, const load_report& report, time_point now);
+    void apply(endpoint_index endpoint, const cache_event& event);
+
+    // Returns the best endpoint with a free place, if any. `random` supplies the candidates.
+    std::optional<choice> choose(const choice_request& request, random_source& random,
+                                 time_point now) const;
+
+    void started(endpoint_index endpoint, time_point now);
+    void finished(endpoint_index endpoint, const attempt_outcome& outcome, time_point now);
+
+    // Feeds the between-token gap of an endpoint; `objective` is the tightest of its classes. The
+    // batch size shrinks by a quarter when the gap exceeds it and grows by one otherwise.
+    void gap(endpoint_index endpoint, duration measured, duration objective, time_point now);
+
+    // Returns the probes due and starts the next wait for each.
+    std::vector<probe_due> due_probes(time_point now);
+    void probed(endpoint_index endpoint, bool success, time_point now);
+
+    // Returns the calls that could start now over all usable endpoints, as reports and own work
+    // tell.
+    std::uint32_t free_places(time_point now) const;
+
+    // Returns the calls that all usable endpoints run at once.
+    std::uint32_t places() const;
+
+    // Returns the usable endpoints (those with no reason against them).
+    std::size_t usable() const noexcept { return usable_.size(); }
+    std::size_t size() const noexcept { return present_; }
+    std::size_t ejected() const noexcept { return ejected_; }
+
+    std::uint8_t exclusions(endpoint_index endpoint) const { return endpoints_[endpoint].excluded; }
+    const endpoint_id& id(endpoint_index endpoint) const { return endpoints_[endpoint].id; }
+    std::uint32_t zone(endpoint_index endpoint) const { return endpoints_[endpoint].zone; }
+    std::uint32_t in_flight(endpoint_index endpoint) const
+    {
+        return endpoints_[endpoint].in_flight;
+    }
+    std::uint32_t batch_limit(endpoint_index endpoint) const;
+    std::optional<endpoint_index> find(const endpoint_id& id) const;
+
+    // Returns the latency of successful answers of warm endpoints at quantile `q`.
+    duration normal_latency(double q) const noexcept { return latency_.quantile(q); }
+    std::uint32_t latency_samples() const noexcept { return latency_.samples(); }
+
+    // Returns the score of one endpoint for a request: the expected wait plus distance minus cache
+    // gain, in nanoseconds. `choose` takes the least; exposed for comparison with a naive choice.
+    double score(endpoint_index endpoint, const choice_request& request, time_point now) const;
+
+    // Returns the expected calls at an endpoint: reported work of others, aged, plus own.
+    double expected_load(endpoint_index endpoint, time_point now) const;
+
+private:
+    struct endpoint_state
+    {
+        endpoint_id id;
+        std::uint64_t id_hash = 0;
+        std::uint32_t zone = 0;
+        bool distant = false;
+        bool present = false;
+        std::uint8_t excluded = 0;
+        std::uint32_t limit = 0;
+        double batch = 0; // adapted concurrency, for engines
+        std::uint32_t in_flight = 0;
+        double others = 0;     // work of other instances at `reported`
+        time_point reported{}; // when the endpoint measured it
+        bool has_report = false;
+        double latency = 0;  // mean in ns
+        double failures = 0; // mean share
+        std::uint32_t samples = 0;
+        std::uint32_t ejections = 0;
+        std::uint32_t probes = 0;
+        time_point until{}; // end of the ejection, or of the wait for the next probe
+        time_point last_shrink{};
+        std::size_t usable_position = 0;
+    };
+
+    std::uint32_t capacity(const endpoint_state& state) const noexcept;
+    double others_now(const endpoint_state& state, time_point now) const noexcept;
+    bool has_room(const endpoint_state& state, time_point now) const noexcept;
+    prompt_prefix cached(endpoint_index endpoint, const choice_request& request) const;
+    void refresh_usable(endpoint_index endpoint, std::uint8_t before);
+    void consider_ejection(endpoint_index endpoint, time_point now);
+    void eject(endpoint_index endpoint, time_point now);
+    double mean_latency() const noexcept;
+
+    chooser_options options_;
+    std::vector<endpoint_state> endpoints_;
+    std::vector<endpoint_index> usable_;
+    std::vector<endpoint_index> free_positions_;
+    std::size_t present_ = 0;
+    std::size_t ejected_ = 0;
+    latency_quantiles latency_;
+    double pool_latency_ = 0; // mean over answers, ns
+    double others_mean_ = 0;  // mean work of others over reports
+    double token_time_ = 0;   // measured time saved by one cached token, ns
+    prefix_cache_map cache_;
+};
+
+} // namespace quetzal::serving
+
+#endif
