--- a/libs/peer/include/quetzal/peer/messages.hpp
+++ b/libs/peer/include/quetzal/peer/messages.hpp
@@ -30,11 +30,18 @@
     std::uint32_t sequence = 0; // rises with each update by the instance itself; settles conflicts
 };
 
+// Age of a service answer that never came, or came too long ago to be expressed.
+inline constexpr std::uint16_t unknown_age = 0xffff;
+
 // The newest versions that the sender knows; part of probes and of grants.
 struct versions
 {
     std::uint64_t config = 0; // published configuration
     std::uint64_t list = 0;   // revision of the instance list
+    // Seconds since the service last answered any reader that the sender knows of, for takeover of
+    // reading; `unknown_age` when there was no answer.
+    std::uint16_t config_age = unknown_age;
+    std::uint16_t list_age = unknown_age;
 };
 
 // Asks whether the receiver is alive.
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -19,7 +19,7 @@
 template <class Archive>
 void serialize(Archive& archive, versions& value)
 {
-    archive(value.config, value.list);
+    archive(value.config, value.list, value.config_age, value.list_age);
 }
 
 template <class Archive>
