--- /dev/null
+++ b/libs/burn/include/quetzal/burn/recorder.hpp
@@ -0,0 +1,111 @@
+#ifndef QUETZAL_BURN_RECORDER_HPP
+#define QUETZAL_BURN_RECORDER_HPP
+
+// Records every finished request of an instance against the objectives of its class.
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <quetzal/base/ids.hpp>
+#include <quetzal/base/time.hpp>
+#include <quetzal/burn/snapshot.hpp>
+#include <quetzal/burn/window.hpp>
+#include <quetzal/config/published.hpp>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace quetzal::burn {
+
+// Pairs of customer and class that one instance keeps: 3,200 customers with all of 18 classes.
+inline constexpr std::size_t default_max_pairs = 57'600;
+
+// How a request ended, as far as the objectives are concerned.
+enum class outcome
+{
+    whole,   // the whole answer was delivered
+    failed,  // cut, failed or refused by the system
+    excluded // beyond the customer's rate, malformed, or cancelled by the caller: not counted
+};
+
+// What one stage took and what the deadline budget allowed it.
+struct stage_time
+{
+    duration took{};
+    duration allotted{};
+};
+
+// One finished request.
+struct observation
+{
+    customer_id customer;
+    class_id work_class;
+    outcome how = outcome::whole;
+    duration took{};                         // from the arrival to the end
+    std::optional<duration> first_token;     // from the arrival; empty when none was delivered
+    std::optional<duration> longest_gap;     // between two chunks; empty with fewer than two
+    std::optional<std::size_t> failed_stage; // index, when a stage made the request fail
+    std::span<const stage_time> stages;      // by index in the pipeline, those that began
+};
+
+// Counts one observation against its target, without a look at any clock.
+counts judge(const observation& seen, const config::target& objective);
+
+// Not thread-safe; shard it by customer. Memory is bounded by `max_pairs`; requests of further
+// pairs are counted for their class under the empty customer name, so none is lost.
+class recorder
+{
+public:
+    recorder(time_point started, std::size_t max_pairs = default_max_pairs);
+
+    // Takes the targets of a configuration. Classes that are gone keep their counts until these
+    // leave the longest window.
+    void configure(const config::published& published);
+
+    // Records a request. Classes that were never configured are ignored.
+    void record(const observation& seen, time_point now);
+
+    // Drops pairs without requests in the longest window. Call about once an hour.
+    void expire(time_point now);
+
+    // Returns the counts of all pairs for merging with other instances'.
+    snapshot take(const instance_id& self, incarnation process, time_point now) const;
+
+    std::size_t pairs() const noexcept { return pairs_.size(); }
+
+    // Bytes of one pair in memory, names excluded.
+    static std::size_t bytes_per_pair() noexcept;
+
+private:
+    struct class_entry
+    {
+        class_id id;
+        config::target objective;
+        std::vector<std::string> stages;
+    };
+
+    struct pair_entry
+    {
+        std::uint32_t customer = 0;   // index into `customers_`
+        std::uint32_t work_class = 0; // index into `classes_`
+        time_point last{};
+        windows_ring ring;
+    };
+
+    std::uint32_t customer_index(const customer_id& customer);
+    pair_entry& pair_of(const customer_id& customer, std::uint32_t work_class);
+
+    time_point started_;
+    std::size_t max_pairs_;
+    std::uint64_t config_version_ = 0;
+    std::vector<class_entry> classes_;
+    std::unordered_map<class_id, std::uint32_t> class_index_;
+    std::vector<customer_id> customers_;
+    std::unordered_map<customer_id, std::uint32_t> customer_index_;
+    std::unordered_map<std::uint64_t, pair_entry> pairs_; // by customer and class index
+};
+
+} // namespace quetzal::burn
+
+#endif
--- /dev/null
+++ b/libs/burn/include/quetzal/burn/window.hpp
@@ -0,0 +1,80 @@
+#ifndef QUETZAL_BURN_WINDOW_HPP
+#define QUETZAL_BURN_WINDOW_HPP
+
+// Counts of good and bad requests over sliding windows, in rings of coarse slots.
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <quetzal/base/time.hpp>
+#include <quetzal/config/published.hpp>
+
+namespace quetzal::burn {
+
+// The windows of the multi-window burn alerts: two short ones that react, two long ones that count.
+struct window_shape
+{
+    duration slot{};
+    std::size_t slots = 0; // complete slots that make up the window; the running slot is added
+    constexpr duration length() const noexcept { return slot * static_cast<duration::rep>(slots); }
+};
+
+inline constexpr std::size_t window_count = 4;
+inline constexpr std::array<window_shape, window_count> windows{
+    {{std::chrono::minutes(1), 5},              // 5 min
+     {std::chrono::minutes(10), 6},             // 1 h
+     {std::chrono::hours(1), 6},                // 6 h
+     {std::chrono::hours(6), 12}}};             // 3 d, the window of the error budget
+inline constexpr std::size_t budget_window = 3; // index of the window of the error budget
+
+// Requests of one slot or window. A request that misses several bounds counts once in `bad`.
+// Counters stop at their greatest value.
+struct counts
+{
+    std::uint32_t total = 0;
+    std::uint32_t bad = 0;
+    std::uint32_t failed = 0;       // refused, cut or failed
+    std::uint32_t late = 0;         // missed the deadline
+    std::uint32_t slow_first = 0;   // missed the bound of the first token
+    std::uint32_t slow_between = 0; // missed the bound between tokens
+    // Bad requests by the stage that spent the budget, by its index in the pipeline.
+    std::array<std::uint32_t, config::max_stages> by_stage{};
+
+    friend bool operator==(const counts&, const counts&) = default;
+    counts& operator+=(const counts& other) noexcept;
+};
+
+using window_counts = std::array<counts, window_count>;
+
+namespace internal {
+
+// Slots of all rings, with the running slot of each.
+inline constexpr std::size_t total_slots = [] {
+    std::size_t sum = 0;
+    for (const auto& shape : windows) {
+        sum += shape.slots + 1;
+    }
+    return sum;
+}();
+
+} // namespace internal
+
+// The rings of one pair of customer and class.
+class windows_ring
+{
+public:
+    // Adds one request's counts at a time. Times before the newest one count as the newest.
+    void add(const counts& value, time_point now);
+
+    // Returns the counts of every window at a time: the running slot and `slots` before it, so a
+    // window covers between its length and one slot more.
+    window_counts sum(time_point now) const;
+
+private:
+    std::array<std::int64_t, window_count> newest_{-1, -1, -1, -1}; // number of the newest slot
+    std::array<counts, internal::total_slots> slots_{};
+};
+
+} // namespace quetzal::burn
+
+#endif
