--- a/libs/requests/include/quetzal/requests/answer_log.hpp
+++ b/libs/requests/include/quetzal/requests/answer_log.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <quetzal/base/verdict.hpp>
 #include <quetzal/requests/chunk.hpp>
@@ -46,7 +47,8 @@
     // read can add; with it, `append` never fails.
     bool accepts(std::size_t ahead) const noexcept { return unread() + ahead <= capacity_; }
 
-    // Bytes appended and not acknowledged by any reader, counted with the envelopes.
+    // Bytes appended and not acknowledged by any reader, counted with the envelopes; 0 after the
+    // end.
     std::size_t unread() const noexcept { return unread_charge_; }
 
     // Adds a chunk. Returns false and changes nothing after the end or when it would exceed the
@@ -75,9 +77,14 @@
 private:
     void trim();
     void compact();
+    bool read_running(std::uint64_t offset, std::size_t max_bytes,
+                      std::vector<answer_chunk>& into) const;
+    bool read_ended(std::uint64_t offset, std::size_t max_bytes,
+                    std::vector<answer_chunk>& into) const;
+    tl::unexpected<failure> refuse(reason why, std::string detail) const;
 
     std::size_t capacity_;
-    std::vector<answer_chunk> chunks_; // from `head_` on
+    std::vector<answer_chunk> chunks_; // before the end, from `head_` on
     std::size_t head_ = 0;
     std::size_t unread_from_ = 0; // index of the first chunk not acknowledged
     std::uint64_t size_ = 0;
@@ -85,6 +92,10 @@
     std::size_t kept_charge_ = 0;
     std::size_t unread_charge_ = 0;
     std::optional<answer_end> end_;
+
+    // After the end: the kept bytes in one block and the start of each chunk in it.
+    std::shared_ptr<char[]> block_;
+    std::vector<std::uint32_t> starts_;
 };
 
 } // namespace quetzal::requests
--- a/libs/requests/include/quetzal/requests/request_table.hpp
+++ b/libs/requests/include/quetzal/requests/request_table.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <quetzal/base/digest.hpp>
 #include <quetzal/base/ids.hpp>
 #include <quetzal/base/time.hpp>
@@ -22,13 +23,16 @@
 // Time for which a finished answer is kept.
 inline constexpr duration answer_retention = std::chrono::minutes(10);
 
-// Bounds of one table (one shard). The sum over the shards is the bound of the instance.
+// Bounds of one table (one shard). The sum over the shards is the bound of the instance. The last
+// quarter of `entries` and `bytes` is left to idempotent work, whose answers are not kept there.
 struct table_limits
 {
-    std::size_t entries = 8192;       // running and finished; idempotent work may use twice as many
-    std::size_t bytes = 96u << 20;    // answers kept, and `reserve` for each running request
-    std::size_t reserve = 320u << 10; // one full answer log and two receive blocks
-    std::size_t closed = 65536;       // identities refused as `not_run`, about 64 bytes each
+    std::size_t entries = 8192;    // running and finished
+    std::size_t bytes = 96u << 20; // finished answers, and `reserve` for each running request
+    // A full answer log of 256 KiB, the same again for its index with the shortest frames, and four
+    // receive blocks.
+    std::size_t reserve = 576u << 10;
+    std::size_t closed = 65536; // identities that must not run any more, about 100 bytes each
 };
 
 // A request as a caller sent it. The identity has been verified for this customer.
@@ -54,12 +58,20 @@
 
 using submit_action = std::variant<start_request, attach_to_answer, failure>;
 
+// The request is running: call `pipeline_run::cancel`.
+struct cancel_running
+{
+    std::shared_ptr<answer_log> answer;
+};
+
+using cancel_action = std::variant<cancel_running, attach_to_answer, failure>;
+
 enum class request_state
 {
     unseen,
     running,
     finished,
-    forgotten // refused as `not_run`, or its answer dropped; never runs under this identity
+    forgotten // closed, or its answer dropped; never runs under this identity
 };
 
 // Not thread-safe; shard it by `request_identity::sequence`. All identities in it are of the own
@@ -70,35 +82,46 @@
     explicit request_table(table_limits limits = {}) : limits_(limits) {}
 
     // Decides a submission. Failures:
-    // - `not_found`: the identity was first used by another customer; nothing more is said, verdict
-    //   `may_have_run`, the same as for an unknown expired identity
-    // - `invalid_request`: the body differs from the first submission's
+    // - `not_found`, `may_have_run`: the identity was first used by another customer; the text is
+    //   that of an identity without a request, so nothing is revealed
+    // - `invalid_request`, `may_have_run`: the body differs from the first submission's, which may
+    //   have run
     // - `identity_expired`, `may_have_run`: older than `identity_validity` and not in the table
+    // - `identity_expired` with the verdict of the request: the identity was closed without a run,
+    // or
+    //   its answer was dropped; the caller takes a new one
     // - `overloaded`, `not_run`: the table is full. The identity of non-idempotent work is closed,
     //   so that a delayed copy of the submission cannot run after this answer. Where even the list
     //   of closed identities is full, the verdict is `may_have_run`.
-    // - `not_run`: the identity was refused before; the caller takes a new one
     submit_action submit(const submission& request, time_point now);
 
     // Ends the request's answer and starts its retention. Non-idempotent work that did not run is
-    // forgotten at once and its identity closed; idempotent work that did not run may be submitted
-    // again. Unknown sequence numbers are ignored.
+    // forgotten at once and its identity closed, because a delayed copy of the submission must not
+    // run after the caller was told `not_run`; idempotent work that did not run may be submitted
+    // again. Idempotent work that gave any answer is not run again under the same identity, because
+    // a reader could join parts of two answers. Unknown sequence numbers are ignored.
     void finish(std::uint64_t sequence, answer_end how, time_point now);
 
-    // Returns the answer of a request for a customer that resumes it by identity alone. Failures as
-    // for `submit`, and `not_found` for identities without a request.
+    // Decides a caller's `DELETE`. An identity without a request is closed, which gives `not_run`
+    // with `cancelled`. A finished request is attached to. Other failures as for `submit`.
+    cancel_action cancel(const request_identity& identity, const customer_id& customer,
+                         time_point now);
+
+    // Returns the answer of a request that a caller resumes by identity alone. Failures as for
+    // `submit`, and `not_found` with `may_have_run` for identities without a request: the
+    // submission may still be on its way.
     result<std::shared_ptr<answer_log>> find(const request_identity& identity,
                                              const customer_id& customer, time_point now) const;
 
     request_state state(std::uint64_t sequence) const;
 
-    // Drops answers and closed identities that are past their time. Call at least once a second.
+    // Drops answers and closed identities that are past their time. Call about once a second.
     void expire(time_point now);
 
     std::size_t size() const noexcept { return entries_.size(); }
     std::size_t closed() const noexcept { return closed_.size(); }
 
-    // Bytes counted against the limit: finished answers and reserves of running requests.
+    // Bytes counted against the limit.
     std::size_t memory() const noexcept { return bytes_; }
 
 private:
@@ -108,33 +131,41 @@
         digest body{};
         bool idempotent = true;
         bool running = true;
-        bool kept = true; // false: admitted beyond the limits, dropped when it finishes
+        bool kept = true; // false: in the last quarter, dropped when it finishes
         std::size_t charge = 0;
-        time_point issued{};
         time_point drop_at{}; // when finished
         std::shared_ptr<answer_log> answer;
     };
 
-    // A closed identity and whose it was.
+    // An identity that must not run any more.
     struct closed_identity
     {
         std::uint64_t customer_hash = 0;
-        time_point until{};
+        verdict run = verdict::not_run;
+    };
+
+    // A sequence number with the time at which its entry goes.
+    struct due
+    {
+        time_point at{};
+        std::uint64_t sequence = 0;
     };
 
     submit_action admit(const submission& request, time_point now);
-    submit_action revisit(const entry& known, const submission& request) const;
-    bool has_room() const noexcept;
-    void make_room();
-    bool close(std::uint64_t sequence, const customer_id& customer, time_point issued,
-               time_point now);
+    std::optional<failure> refusal(const request_identity& identity, const customer_id& customer,
+                                   time_point now) const;
+    bool fits(std::size_t entries, std::size_t bytes) const noexcept;
+    bool make_room(time_point now);
+    bool close(std::uint64_t sequence, const customer_id& customer, verdict run, time_point now);
+    bool retire(std::uint64_t sequence, time_point now);
     void drop(std::uint64_t sequence);
 
     table_limits limits_;
     std::unordered_map<std::uint64_t, entry> entries_;
     std::unordered_map<std::uint64_t, closed_identity> closed_;
-    std::deque<std::uint64_t> finished_;            // in the order of their ends
-    std::deque<std::uint64_t> finished_idempotent_; // the part that may be dropped early
+    std::deque<due> finished_;            // in the order of their ends
+    std::deque<std::uint64_t> droppable_; // finished idempotent work
+    std::deque<due> closed_due_;
     std::size_t bytes_ = 0;
 };
 
