--- a/libs/rights/include/quetzal/rights/holder.hpp
+++ b/libs/rights/include/quetzal/rights/holder.hpp
@@ -6,10 +6,10 @@
 // a quorum of grants is valid whose voters know its fencing number.
 
 #include <array>
-#include <bitset>
 #include <deque>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <quetzal/rights/committee.hpp>
@@ -35,13 +35,14 @@
 
     // Sets the version of the configuration in use. Grants of voters with a newer one count only
     // once it has been reached.
-    void set_config(std::uint64_t version) noexcept { config_ = version; }
+    void set_config(std::uint64_t version);
 
     // Sets whether to ask for a partition.
     void want(partition_index partition, bool wanted);
 
     // Asks voters to repeat their grants of all wanted partitions (`all`) or only to grant those not
-    // held. `all` asks the committee of the own name too. `list` is the revision in use.
+    // held. `all` asks the committee of the own name too, unless a partition is held, whose voters
+    // prove contact as well. `list` is the revision in use.
     std::vector<peer::outgoing> request(bool all, std::uint64_t list, time_point now);
 
     // Uses an answer; returns the partitions that it completed. `wall` gives the lower bound of new
@@ -71,10 +72,13 @@
     std::uint64_t greatest_fence() const noexcept { return greatest_fence_; }
 
     // Returns until when the contact with a quorum of the own name's committee counts as fresh.
-    time_point fresh_until() const noexcept;
+    time_point fresh_until() const;
 
-    // Returns whether a wanted partition is not held.
-    bool acquiring(time_point now) const noexcept;
+    // Returns, once, whether a fencing number was chosen that voters have not been told.
+    bool take_fence_pending();
+
+    // Returns the number of partitions that are held, or wanted and not held.
+    std::size_t count(bool held) const noexcept;
 
 private:
     struct grant_record
@@ -111,6 +115,7 @@
         std::vector<partition_index> partitions;
     };
 
+    static grant_record& record_of(std::vector<grant_record>& grants, const instance_id& voter);
     time_point quorum_until(const ballot& votes, std::uint64_t fence) const;
     time_point until(const partition_state& state) const;
     void record(partition_state& state, partition_index partition, const sent_request& sent,
@@ -127,6 +132,7 @@
     std::uint64_t config_ = 0;
     std::uint32_t sequence_ = 0;
     std::uint64_t greatest_fence_ = 0;
+    bool fence_pending_ = false;
     std::array<partition_state, peer::partition_count> partitions_;
     std::array<time_point, peer::partition_count> valid_until_{};
     std::deque<sent_request> sent_;
--- a/libs/rights/include/quetzal/rights/voter.hpp
+++ b/libs/rights/include/quetzal/rights/voter.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <quetzal/rights/committee.hpp>
@@ -54,7 +55,8 @@
         instance_id reserved;        // successor named by the release
         time_point reserved_until{};
         time_point silent_until{};
-        std::uint64_t fence = 0;
+        std::uint64_t fence = 0;        // greatest seen
+        std::uint64_t former_fence = 0; // greatest seen before the vote for this process
     };
     struct former_table
     {
