rights: implement credits, handovers and the facade

Cause: holders had no ledger and the entry instance no interface. Change: customer_bucket, credit_wallet, credit_shard, handovers, fleet_rights.

--- a/libs/rights/include/quetzal/rights/credit_shard.hpp
+++ b/libs/rights/include/quetzal/rights/credit_shard.hpp
@@ -4,6 +4,7 @@
 // The buckets and wallets of those customers that hash to one shard. A lock of the owner guards each
 // shard; the state of a customer touches no other shard.
 
+#include <array>
 #include <memory>
 #include <unordered_map>
 #include <variant>
@@ -37,12 +38,10 @@
 
 using admission = std::variant<admitted, wait, refused>;
 
-// A credit message that is due, of a customer of this partition. `home_silent` says that the
-// instance in `previous` did not answer.
+// A credit request that is due.
 struct credit_ask
 {
-    partition_index partition = 0;
-    instance_id to; // for repetitions
+    instance_id to;
     peer::credit_request request;
 };
 
@@ -62,9 +61,16 @@
     // Adds a customer or changes its limits.
     void set_limits(const customer_id& customer, const limits& bounds, time_point now);
 
-    // Removes the customers that `keep` does not name; `version` is the configuration in use.
+    // Sets the version of the configuration in use.
+    void set_config(std::uint64_t version) noexcept { config_ = version; }
+
+    // Removes the customers for whom `keep(id)` is false. One that returns later starts with an empty bucket.
     template <class Predicate>
-    void set_config(std::uint64_t version, Predicate&& keep, time_point now);
+    void remove_unless(Predicate&& keep)
+    {
+        std::erase_if(active_, [&](const entry* state) { return !keep(state->id); });
+        std::erase_if(customers_, [&](const auto& item) { return !keep(item.first); });
+    }
 
     admission admit(const customer_id& customer, time_point now);
 
@@ -87,12 +93,38 @@
     // Uses an answer. Returns whether it belongs to a request in flight.
     bool on_grant(const instance_id& from, const peer::credit_grant& grant, time_point now);
 
-    // Appends the messages that are due. `home_of(partition)` gives the instance to ask, empty for
+    // Appends the messages that are due. `home_of(partition)` returns the instance to ask, empty for
     // none; `sequence` numbers requests; `on_silence(partition, instance)` hears of homes that do
     // not answer.
     template <class HomeOf, class OnSilence>
     void collect(std::vector<credit_ask>& asks, std::uint32_t& sequence, HomeOf&& home_of,
-                 OnSilence&& on_silence, time_point now);
+                 OnSilence&& on_silence, time_point now)
+    {
+        std::erase_if(active_, [&](entry* state) {
+            if (terms_->held(state->partition, now)) {
+                state->wallet.give_up(now); // the bucket is here
+                state->active = false;
+                return true;
+            }
+            const bool small = state->bounds.burst < small_burst;
+            auto due = state->wallet.due(small, now);
+            if (due == credit_wallet::action::give_up) {
+                on_silence(state->partition, state->wallet.asked());
+                state->wallet.give_up(now);
+                due = state->wallet.due(small, now);
+            }
+            if (due == credit_wallet::action::repeat) {
+                asks.push_back({state->wallet.asked(), state->wallet.repeat(now)});
+            } else if (due == credit_wallet::action::ask) {
+                if (const instance_id home = home_of(state->partition); !home.empty()) {
+                    auto request = state->wallet.ask(home, ++sequence, small, now);
+                    asks.push_back({home, complete(*state, std::move(request))});
+                }
+            }
+            state->active = !state->wallet.idle(now);
+            return !state->active;
+        });
+    }
 
     // Returns the earliest time at which `collect` has something to do.
     time_point wake(time_point now) const;
@@ -108,15 +140,17 @@
         limits bounds;
         time_point created{};
         std::uint64_t term = 0; // fence of the term that `bucket` belongs to
-        customer_bucket bucket;
-        credit_wallet wallet;
+        customer_bucket bucket; // in use while this instance is the home
+        credit_wallet wallet;   // in use while another is
         bool active = false; // listed in `active_`
     };
 
     entry* find(const customer_id& customer);
-    const partition_terms::term* enter_term(entry& state, time_point now);
+    void enter_term(entry& state, std::uint64_t fence);
     admission admit_at_home(entry& state, time_point now);
+    admission wait_for_credit(entry& state, time_point now);
     void activate(entry& state);
+    peer::credit_request complete(const entry& state, peer::credit_request request) const;
 
     options settings_;
     std::shared_ptr<const partition_terms> terms_;
--- a/libs/rights/include/quetzal/rights/credit_wallet.hpp
+++ b/libs/rights/include/quetzal/rights/credit_wallet.hpp
@@ -32,9 +32,9 @@
     enum class action
     {
         none,
-        ask,       // send `next_request`
-        repeat,    // send `request_in_flight` again
-        give_up    // the home does not answer; ask another instance
+        ask,    // `ask` for credits, or report
+        repeat, // send the request in flight again
+        give_up // the home does not answer; ask another instance
     };
 
     // Returns the action that is due. `small` says that credits are fetched on demand only.
@@ -43,7 +43,8 @@
     // Returns when an action will be due if nothing happens; `time_point::max()` for never.
     time_point wake(bool small, time_point now) const;
 
-    // Starts a request with this sequence number, to be sent to `home` at `now`.
+    // Starts a request with this sequence number, to be sent to `home` at `now`. One that wants
+    // nothing is a report: it gets no answer and is not repeated, since credits expire anyway.
     peer::credit_request ask(const instance_id& home, std::uint32_t sequence, bool small,
                              time_point now);
 
@@ -81,16 +82,19 @@
     void note_demand(time_point now);
     double demand(time_point now) const;
     std::uint32_t wanted(bool small, time_point now) const;
+    bool report_due(bool small, time_point now) const;
     void add(const lot& entry);
 
     safeguards safe_;
-    std::array<lot, 4> lots_; // earlier lots are merged when it is full
+    std::array<lot, 4> lots_; // the two that end first are merged when it is full
     double demand_ = 0;       // credits needed in `prefetch`, decaying average
     time_point demand_at_{};
     std::uint32_t waiting_ = 0; // requests that found no credit since the last request
+    time_point waiting_at_{};
+    std::uint32_t asked_waiting_ = 0; // `waiting_` at the last request
     std::uint32_t spent_ = 0;
-    std::uint32_t reported_ = 0; // `spent_` of the last answered request
-    std::uint32_t kept_ = 0;     // credits that the home last heard of
+    std::uint32_t believed_ = 0; // credits that the home counts as outstanding here
+    time_point believed_until_{};
     time_point last_use_{};
     time_point not_before_{}; // of the next request
     duration home_delay_{};
--- a/libs/rights/include/quetzal/rights/customer_bucket.hpp
+++ b/libs/rights/include/quetzal/rights/customer_bucket.hpp
@@ -67,7 +67,7 @@
     double level() const noexcept { return level_; }
 
     // Returns the number of credits that may still be in use.
-    double outstanding() const noexcept;
+    double outstanding() const noexcept { return out_; }
 
 private:
     struct session // one delegate process
@@ -83,6 +83,8 @@
     };
 
     void refill(time_point now);
+    void gain(time_point until);
+    void expire(time_point now);
     void settle(session& entry, const peer::credit_request& request);
     session& open(const instance_id& delegate, incarnation process,
                   const peer::credit_request& request, time_point now);
@@ -96,6 +98,8 @@
     time_point updated_{};
     double former_ = 0; // credits of former homes and of dead delegate processes
     time_point former_until_{};
+    double out_ = 0; // sum of `former_` and the sessions' outstanding credits
+    time_point next_expiry_ = time_point::max();
     std::vector<session> sessions_;
 };
 
--- a/libs/rights/include/quetzal/rights/fleet_rights.hpp
+++ b/libs/rights/include/quetzal/rights/fleet_rights.hpp
@@ -5,8 +5,11 @@
 // may admit, which endpoints it alone may send cold work and orders to, and whether its view is
 // fresh. Nothing is granted by anything but messages; a restart forgets all.
 
+#include <array>
+#include <atomic>
+#include <map>
 #include <memory>
-#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <quetzal/base/sharded.hpp>
@@ -85,7 +88,7 @@
     std::uint64_t fence(const endpoint_id& endpoint, time_point now) const noexcept;
 
     // Raises the next fencing numbers above one that an endpoint reported.
-    void note_fence(const endpoint_id& endpoint, std::uint64_t seen) noexcept;
+    void note_fence(const endpoint_id& endpoint, std::uint64_t seen);
 
     // Returns whether a quorum answered lately; without it no new stage work may start.
     bool fresh(time_point now) const noexcept;
@@ -105,20 +108,27 @@
     bool holds(partition_index partition, time_point now) const noexcept;
 
 private:
-    class home_directory;
-
     using messages = std::vector<peer::outgoing>;
 
     void rebuild(time_point now);
-    void rerank(time_point now);
+    void rerank();
     void publish_limits(time_point now);
+    void note_process(const instance_id& instance, incarnation process, time_point now);
     void begin_term(const acquisition& acquired, time_point now);
-    void publish_terms(time_point now);
+    void publish_terms();
+    void lose(partition_index partition);
+    void expire(time_point now);
+    void update_wants(time_point now);
+    void append_requests(messages& out, time_point now);
     void start_handovers(time_point now);
     void hand_over(partition_index partition, const instance_id& successor, time_point now);
+    void append_releases(messages& out, time_point now);
     void append_credit_asks(messages& out, time_point now);
+    duration acquisition_pause(time_point now) const;
     messages deliver(messages produced, time_point now);
-    instance_id home_of(partition_index partition, time_point now) const;
+    void dispatch(messages& out, const peer::received& message, time_point now);
+    instance_id home_of(partition_index partition) const;
+    std::size_t shard_of(const customer_id& customer) const noexcept;
     peer::versions known() const noexcept;
     std::uint64_t wall_at(time_point now) const noexcept;
 
@@ -157,13 +167,16 @@
     sharded<credit_shard> shards_;
     std::atomic<duration::rep> fresh_until_{0};
     std::array<time_point, peer::partition_count> outranked_since_{};
+    std::array<time_point, peer::partition_count> published_until_{}; // greatest of this process
     std::array<instance_id, peer::partition_count> homes_; // last instance that answered as home
     std::array<std::uint8_t, peer::partition_count> home_tries_{};
+    std::map<instance_id, std::vector<partition_index>> releases_; // by successor, not sent yet
+    time_point release_at_ = time_point::max();
     std::uint32_t credit_sequence_ = 0;
     duration wall_offset_{};
     time_point next_renewal_{};
     time_point next_acquisition_{};
-    time_point acquiring_since_{};
+    time_point wants_changed_{};
     bool leaving_ = false;
     std::uint64_t dead_process_messages_ = 0;
 };
--- a/libs/rights/include/quetzal/rights/handovers.hpp
+++ b/libs/rights/include/quetzal/rights/handovers.hpp
@@ -6,6 +6,7 @@
 // when no voter of the successor's quorum has seen a greater fencing number than the ledger's, so
 // that no third holder can have been in between.
 
+#include <array>
 #include <map>
 #include <optional>
 #include <vector>
@@ -46,24 +47,25 @@
     // Notes a confirmation.
     std::optional<confirmed> on_ack(const instance_id& from, const peer::handover_ack& ack);
 
-    // Ends handovers whose successor does not answer and returns their partitions; their leases
-    // run out.
-    std::vector<partition_index> drop_unanswered(time_point now);
+    // Ends handovers whose successor does not answer; the voters' leases run out by themselves.
+    void drop_unanswered(time_point now);
 
-    // Stores a received ledger and returns the confirmation.
+    // Stores a received ledger, unless a later term has been held here, and returns the confirmation.
     peer::handover_ack on_handover(const instance_id& from, const peer::handover& message,
                                    time_point now);
 
-    // Removes and returns the ledger of a partition if it is still exact for a holder whose voters
-    // have seen no greater fencing number than `former_fence`.
-    std::optional<received_ledger> take(partition_index partition, std::uint64_t former_fence,
-                                        time_point now);
+    // Notes the start of a term with the number `fence`. Removes the ledger of the partition and
+    // returns it if it is still exact, that is, if no voter has seen a greater fencing number.
+    std::optional<received_ledger> take(partition_index partition, std::uint64_t fence,
+                                        std::uint64_t former_fence, time_point now);
 
     // Returns whether a ledger for this partition waits for the release.
     bool expects(partition_index partition, time_point now) const;
 
     bool expects_any(time_point now) const;
 
+    bool leaving(partition_index partition) const { return leaving_.contains(partition); }
+
     std::size_t running() const noexcept { return leaving_.size(); }
 
     time_point wake() const noexcept;
@@ -81,7 +83,8 @@
     options settings_;
     std::uint32_t sequence_ = 0;
     std::map<partition_index, transfer> leaving_;
-    std::map<partition_index, received_ledger> received_;
+    std::map<partition_index, received_ledger> received_; // at most one for each partition
+    std::array<std::uint64_t, peer::partition_count> used_fence_{}; // of the last term here
 };
 
 } // namespace quetzal::rights
--- a/libs/rights/include/quetzal/rights/holder.hpp
+++ b/libs/rights/include/quetzal/rights/holder.hpp
@@ -5,6 +5,7 @@
 // request was sent, less the drift margin, by this instance's boot clock. A partition is held while
 // a quorum of grants is valid whose voters know its fencing number.
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <memory>
@@ -74,6 +75,9 @@
     // Returns until when the contact with a quorum of the own name's committee counts as fresh.
     time_point fresh_until() const;
 
+    // Makes later fencing numbers greater than this one.
+    void raise_fence(std::uint64_t seen) { greatest_fence_ = std::max(greatest_fence_, seen); }
+
     // Returns, once, whether a fencing number was chosen that voters have not been told.
     bool take_fence_pending();
 
@@ -85,7 +89,8 @@
     {
         instance_id voter;
         time_point valid_until{};
-        std::uint64_t config = 0;       // version to reach before use
+        time_point pending_until{};     // of a grant that needs configuration `pending_config`
+        std::uint64_t pending_config = 0;
         std::uint64_t fence = 0;        // fencing number that the voter has been told
         std::uint64_t former_fence = 0; // that it had seen before
         time_point former_until{};
@@ -116,6 +121,8 @@
     };
 
     static grant_record& record_of(std::vector<grant_record>& grants, const instance_id& voter);
+    void extend(grant_record& record, std::uint64_t config, time_point until) const;
+    void promote(std::vector<grant_record>& grants) const;
     time_point quorum_until(const ballot& votes, std::uint64_t fence) const;
     time_point until(const partition_state& state) const;
     void record(partition_state& state, partition_index partition, const sent_request& sent,
--- a/libs/rights/include/quetzal/rights/options.hpp
+++ b/libs/rights/include/quetzal/rights/options.hpp
@@ -31,7 +31,7 @@
     duration lease = std::chrono::milliseconds(2500);
     duration renew_interval = std::chrono::milliseconds(800); // two losses in a row are survived
     duration acquire_interval = std::chrono::milliseconds(250);
-    duration handover_interval = std::chrono::milliseconds(50); // between repetitions
+    duration handover_interval = std::chrono::milliseconds(25); // between repetitions
     duration settle = std::chrono::seconds(1); // a better-ranked instance is live this long first
     // Two instances that reach each other use lists no further apart in age than this; a change of
     // committees beyond the bound silences a voter for this time more.
--- /dev/null
+++ b/libs/rights/src/credit_shard.cpp
@@ -0,0 +1,184 @@
+#include <quetzal/rights/credit_shard.hpp>
+
+#include <algorithm>
+
+namespace quetzal::rights {
+
+namespace {
+
+// A caller whose next token is further away than this is refused at once: deadlines are seconds.
+constexpr duration longest_wait = std::chrono::seconds(2);
+
+} // namespace
+
+credit_shard::credit_shard(const options& settings, std::shared_ptr<const partition_terms> terms)
+    : settings_(settings), terms_(std::move(terms))
+{
+}
+
+credit_shard::entry* credit_shard::find(const customer_id& customer)
+{
+    const auto found = customers_.find(customer);
+    return found == customers_.end() ? nullptr : found->second.get();
+}
+
+void credit_shard::set_limits(const customer_id& customer, const limits& bounds, time_point now)
+{
+    entry* state = find(customer);
+    if (state == nullptr) {
+        auto added = std::make_unique<entry>(
+            entry{customer, partition_of(customer, settings_), bounds, now, 0,
+                  customer_bucket(settings_.safe), credit_wallet(settings_.safe), false});
+        customers_.emplace(customer, std::move(added));
+        return;
+    }
+    state->bounds = bounds;
+    if (state->term != 0) {
+        state->bucket.set_limits(bounds, now);
+    }
+}
+
+void credit_shard::enter_term(entry& state, std::uint64_t fence)
+{
+    if (state.term == fence) {
+        return;
+    }
+    const term_start& start = starts_[state.partition];
+    state.term = fence;
+    if (state.created <= start.at) {
+        state.bucket.start(state.bounds, start.at, start.former_until);
+    } else {
+        // The customer may have been removed and declared again in this term, with credits out.
+        state.bucket.start(state.bounds, state.created, state.created + settings_.lease);
+    }
+}
+
+admission credit_shard::admit_at_home(entry& state, time_point now)
+{
+    if (state.bucket.admit(now)) {
+        return admitted{};
+    }
+    const duration delay = state.bucket.until_token();
+    if (delay > longest_wait) {
+        return refused{delay, false};
+    }
+    return wait{now + delay, now + longest_wait};
+}
+
+admission credit_shard::wait_for_credit(entry& state, time_point now)
+{
+    state.wallet.wait(now);
+    activate(state);
+    const duration delay = state.wallet.home_delay();
+    if (delay > longest_wait) {
+        return refused{delay, false};
+    }
+    // A home that does not answer is replaced within a lease, the voters' margin and one second.
+    return wait{state.wallet.retry_at(now),
+                now + lengthened(settings_.lease) + std::chrono::seconds(1)};
+}
+
+admission credit_shard::admit(const customer_id& customer, time_point now)
+{
+    entry* state = find(customer);
+    if (state == nullptr) {
+        return refused{duration::zero(), true};
+    }
+    if (state->wallet.spend(config_, now)) {
+        activate(*state);
+        return admitted{};
+    }
+    if (const auto term = terms_->held(state->partition, now)) {
+        enter_term(*state, term->fence);
+        return admit_at_home(*state, now);
+    }
+    return wait_for_credit(*state, now);
+}
+
+void credit_shard::activate(entry& state)
+{
+    if (!state.active) {
+        state.active = true;
+        active_.push_back(&state);
+    }
+}
+
+peer::credit_request credit_shard::complete(const entry& state, peer::credit_request request) const
+{
+    request.customer = state.id;
+    request.config_version = config_;
+    return request;
+}
+
+void credit_shard::begin_term(partition_index partition, const term_start& start)
+{
+    starts_[partition] = start;
+}
+
+void credit_shard::begin_with_ledger(partition_index partition, const peer::ledger_entry& ledger,
+                                     time_point received)
+{
+    entry* state = find(ledger.customer);
+    if (state == nullptr || state->partition != partition || state->created > received) {
+        return;
+    }
+    state->term = starts_[partition].fence;
+    state->bucket.start(state->bounds, ledger, received);
+}
+
+void credit_shard::append_ledger(partition_index partition, std::uint64_t fence,
+                                 std::vector<peer::ledger_entry>& ledger, time_point now)
+{
+    for (auto& [id, state] : customers_) {
+        if (state->partition == partition) {
+            enter_term(*state, fence);
+            ledger.push_back(state->bucket.ledger(id, now));
+        }
+    }
+}
+
+std::optional<peer::credit_grant> credit_shard::on_request(const instance_id& from,
+                                                           incarnation process,
+                                                           const peer::credit_request& request,
+                                                           time_point now)
+{
+    entry* state = find(request.customer);
+    const auto term =
+        state == nullptr ? std::nullopt : terms_->held(state->partition, now);
+    std::optional<peer::credit_grant> answer;
+    if (term) {
+        enter_term(*state, term->fence);
+        answer = state->bucket.serve(from, process, request, term->valid_until, now);
+    } else if (request.wanted > 0) {
+        answer.emplace();
+        answer->sequence = request.sequence;
+        answer->customer = request.customer;
+    }
+    if (answer) {
+        answer->config_version = config_;
+    }
+    return answer;
+}
+
+bool credit_shard::on_grant(const instance_id& from, const peer::credit_grant& grant,
+                            time_point now)
+{
+    entry* state = find(grant.customer);
+    if (state == nullptr || !state->wallet.on_grant(from, grant, now)) {
+        return false;
+    }
+    activate(*state);
+    return true;
+}
+
+time_point credit_shard::wake(time_point now) const
+{
+    time_point earliest = time_point::max();
+    for (const entry* state : active_) {
+        earliest =
+            std::min(earliest, state->wallet.wake(state->bounds.burst < small_burst, now));
+    }
+    return earliest;
+}
+
+} // namespace quetzal::rights
--- a/libs/rights/src/holder.cpp
+++ b/libs/rights/src/holder.cpp
@@ -48,7 +48,10 @@
 void holder::set_config(std::uint64_t version)
 {
     config_ = version;
+    promote(contacts_);
     for (partition_index partition = 0; partition < settings_.partitions; ++partition) {
+        promote(partitions_[partition].current.grants);
+        promote(partitions_[partition].former.grants);
         valid_until_[partition] = until(partitions_[partition]);
     }
 }
@@ -66,7 +69,7 @@
     std::array<time_point, max_committee> ends{};
     std::size_t count = 0;
     for (const auto& grant : votes.grants) {
-        if (grant.config <= config_ && grant.fence >= fence && count < ends.size()) {
+        if (grant.fence >= fence && count < ends.size()) {
             ends[count++] = grant.valid_until;
         }
     }
@@ -168,6 +171,25 @@
     return grants.back();
 }
 
+void holder::extend(grant_record& record, std::uint64_t config, time_point until) const
+{
+    if (config <= config_) {
+        record.valid_until = std::max(record.valid_until, until);
+    } else if (until > record.pending_until) {
+        record.pending_until = until;
+        record.pending_config = config;
+    }
+}
+
+void holder::promote(std::vector<grant_record>& grants) const
+{
+    for (auto& record : grants) {
+        if (record.pending_config <= config_) {
+            record.valid_until = std::max(record.valid_until, record.pending_until);
+        }
+    }
+}
+
 void holder::record(partition_state& state, partition_index partition, const sent_request& sent,
                     const peer::renew_grant& grant, time_point valid_until, time_point now)
 {
@@ -178,10 +200,7 @@
         return;
     }
     grant_record& entry = record_of(votes->grants, sent.to);
-    if (valid_until >= entry.valid_until) {
-        entry.valid_until = valid_until;
-        entry.config = grant.known.config;
-    }
+    extend(entry, grant.known.config, valid_until);
     entry.fence = std::max(entry.fence, sent.fence);
     const auto acquired =
         std::ranges::find(grant.acquired, partition, &peer::acquired_partition::partition);
@@ -210,9 +229,7 @@
         return completed;
     }
     if (std::ranges::find(own_committee_, from) != own_committee_.end()) {
-        grant_record& contact = record_of(contacts_, from);
-        contact.valid_until = std::max(contact.valid_until, valid_until);
-        contact.config = grant.known.config;
+        extend(record_of(contacts_, from), grant.known.config, valid_until);
     }
     for (const auto partition : sent->partitions) {
         partition_state& state = partitions_[partition];
