--- a/libs/serving/include/quetzal/serving/deadline_budget.hpp
+++ b/libs/serving/include/quetzal/serving/deadline_budget.hpp
@@ -19,8 +19,8 @@
 {
     // Quantile that divides the time among stages.
     double share_quantile = 0.95;
-    // Quantile of each stage's latency that a request is assumed to reach at least. A low value
-    // avoids wrongful refusals: only requests that are late even when every stage is fast are
+    // Quantile of each stage's latency below which no request is expected to stay. A low value
+    // avoids wrongful refusals: only a request that is late even when every stage is fast is
     // refused.
     double hope_quantile = 0.25;
     // Samples of a stage before its quantiles are used; until then the stage counts as instant.
@@ -31,17 +31,18 @@
 struct stage_limits
 {
     time_point target;       // the stage's part of the remaining time ends here
-    time_point latest_start; // a later start misses the request's targets even with fast stages
-    time_point give_up;      // no attempt runs longer than this
+    time_point urgent_by;    // a later start misses the deadline or the first-token objective
+    time_point latest_start; // a later start misses the deadline, even when every stage is fast
+    time_point give_up;      // an attempt that ends later misses the deadline
 };
 
 // Whether a request can still meet its targets.
 struct reach
 {
-    bool reachable = true;
-    duration needed{};              // least time until the bound that is missed first
-    duration available{};           // time left until that bound
-    const char* bound = "deadline"; // "deadline" or "first_token"
+    bool deadline = true;
+    bool first_token = true; // also true where the class has no such objective
+    duration needed{};       // least time until the whole answer
+    duration available{};    // time left until the deadline
 };
 
 // The stage latencies of one pipeline and what follows from them. Not thread-safe.
@@ -74,8 +75,8 @@
     duration longest_path(const std::vector<bool>& done, const std::vector<duration>& waits,
                           double q, bool to_first_chunk) const;
 
-    // Returns whether a request of the class that arrived at `arrived` can meet its deadline and
-    // its first-token objective when its remaining stages start now. `late_policy` is not applied.
+    // Returns whether a request that arrived at `arrived` can meet its deadline and its first-token
+    // objective when its remaining stages start now. The class's late policy is not applied.
     reach judge(const config::target& objective, time_point arrived, time_point deadline,
                 const std::vector<bool>& done, const std::vector<duration>& waits,
                 time_point now) const;
@@ -94,10 +95,10 @@
         latency_quantiles first_chunk;
     };
 
-    duration first_chunk_latency(std::size_t stage, double q) const;
-    duration tail_to_first_chunk(std::size_t stage, double q) const;
+    duration tail(std::size_t stage, double q, bool to_first_chunk) const;
+    duration latency_of(std::size_t stage, double q, bool to_first_chunk) const;
 
-    std::vector<stage_record> stages_;
+    std::vector<stage_record> stages_; // at most config::max_stages, in topological order
     latency_quantiles gaps_;
     budget_options options_;
 };
--- a/libs/serving/include/quetzal/serving/fair_queue.hpp
+++ b/libs/serving/include/quetzal/serving/fair_queue.hpp
@@ -32,12 +32,14 @@
 {
     std::uint64_t key = 0; // unique within the queue
     customer_id customer;
-    time_point latest_start;   // start time beyond which the target is missed
-    time_point deadline;       // end of the wait: expired entries are removed
-    duration late_extension{}; // > 0: once late, the entry competes as if this much less urgent
-    bool refuse_late = true;   // whether the entry is removed once `latest_start` has passed
-    bool committed = false;    // earlier stages have run: never shed, not counted in the capacity
-    double cost = 1.0;         // expected, > 0; `charge` corrects it
+    time_point urgent_by; // start time beyond which a target is missed; the order of entries
+    time_point expires;   // the entry is removed at this time
+    time_point deadline;  // tells `deadline_unreachable` from `deadline_passed`
+    // Once `urgent_by` has passed, the entry competes as if it were that much less urgent, so that
+    // late work does not make other work late too.
+    duration late_extension{};
+    bool committed = false; // earlier stages have run: never shed, not counted in the capacity
+    double cost = 1.0;      // expected, > 0; `charge` corrects it
 };
 
 // What the check before the start of work decided.
@@ -75,10 +77,16 @@
 public:
     explicit fair_queue(queue_options options = {}) : options_(options) {}
 
+    // Customer states refer to each other by address.
+    fair_queue(const fair_queue&) = delete;
+    fair_queue& operator=(const fair_queue&) = delete;
+    fair_queue(fair_queue&&) = default;
+    fair_queue& operator=(fair_queue&&) = default;
+
     // Adds an entry; the key must not be in the queue. When the queue is full, the customer with
     // the most queued cost loses its least urgent uncommitted entry, which may be the new one.
     // Returns that entry, with the reason `overloaded`.
-    std::optional<removed_entry> push(queue_entry entry, time_point now);
+    std::optional<removed_entry> push(queue_entry entry);
 
     // Removes and returns the entry that starts now, if any may start. Entries that expired or that
     // `check` refuses are appended to `removed`. `check` may be empty.
@@ -121,31 +129,33 @@
 
     struct customer_state
     {
+        customer_id id;
         double virtual_time = 0;
         double queued_cost = 0;
-        std::map<order, queue_entry> entries;
         std::size_t uncommitted = 0;
+        std::map<order, queue_entry> entries;
     };
 
     struct location
     {
-        customer_id customer;
+        customer_state* customer = nullptr;
         order position;
-        time_point expiry;
     };
 
-    using customer_map = std::unordered_map<customer_id, customer_state>;
+    using waiting_key = std::pair<double, customer_state*>; // virtual time first
 
-    static time_point expiry_of(const queue_entry& entry) noexcept;
-    static removed_entry expired(queue_entry entry, time_point now);
-    queue_entry take(customer_map::iterator customer, std::map<order, queue_entry>::iterator place);
-    void insert(customer_map::iterator customer, queue_entry entry, time_point urgency);
-    void demote_late(customer_map::iterator customer, time_point now);
-    void settle(const customer_id& customer);
-    removed_entry shed(time_point now);
+    customer_state& state_of(const customer_id& customer);
+    void set_virtual_time(customer_state& customer, double value);
+    void insert(customer_state& customer, queue_entry entry, time_point urgency);
+    queue_entry take(std::uint64_t key);
+    void demote_late(customer_state& customer, time_point now);
+    customer_state* most_urgent(const std::vector<customer_state*>& held, time_point now);
+    void forget_idle();
+    removed_entry shed();
 
     queue_options options_;
-    customer_map customers_;
+    std::unordered_map<customer_id, customer_state> customers_;
+    std::set<waiting_key> waiting_; // customers with entries
     std::unordered_map<std::uint64_t, location> entries_;
     std::set<std::pair<time_point, std::uint64_t>> expiries_;
     double virtual_time_ = 0; // of the pool: that of the least served waiting customer
