--- a/libs/config/include/quetzal/config/instance_list.hpp
+++ b/libs/config/include/quetzal/config/instance_list.hpp
@@ -4,6 +4,7 @@
 // The platform's list of entry instances and endpoints. It lags, and two readers may differ; it
 // says whom to ask and proves nothing about who is alive.
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -15,6 +16,8 @@
 
 namespace quetzal::config {
 
+inline constexpr std::size_t max_instance_list_size = 1u << 20; // bytes
+
 // What the platform says about a machine.
 enum class listed_state
 {
@@ -55,7 +58,9 @@
     const listed_endpoint* find(const endpoint_id& id) const noexcept;
 };
 
-// Parses and checks the JSON text of an instance list.
+// Parses and checks the JSON text of an instance list. Unknown names, wrong types, addresses that
+// are not numeric and names listed twice are errors. Pools and zones need not be declared anywhere:
+// the list and the published configuration change independently.
 tl::expected<instance_list, parse_error> parse_instance_list(std::string_view json);
 
 } // namespace quetzal::config
--- a/libs/config/include/quetzal/config/published.hpp
+++ b/libs/config/include/quetzal/config/published.hpp
@@ -163,8 +163,12 @@
     std::string message() const;
 };
 
+inline constexpr std::size_t max_name_size = 64; // bytes of an entity's name
+
 // Parses and checks the JSON text of a published configuration. Unknown names, wrong types, values
 // out of range, bad units, duplicate names, references to undeclared names and cycles are errors.
+// Returns the first error; its position is that of the member, or of the value around a missing
+// one.
 tl::expected<published, parse_error> parse_published(std::string_view json);
 
 } // namespace quetzal::config
--- a/libs/config/src/json_reader.cpp
+++ b/libs/config/src/json_reader.cpp
@@ -2,20 +2,30 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 #include <boost/json/src.hpp>
 #include <quetzal/base/units.hpp>
 
+#include "json_scan.hpp"
+
 namespace quetzal::config::internal {
 
 namespace {
 
+std::string describe(double value)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.10g", value);
+    return text;
+}
+
 std::string describe(bounds range)
 {
     if (range.high >= std::numeric_limits<double>::max()) {
-        return "at least " + std::to_string(range.low);
+        return "at least " + describe(range.low);
     }
-    return "from " + std::to_string(range.low) + " to " + std::to_string(range.high);
+    return "from " + describe(range.low) + " to " + describe(range.high);
 }
 
 std::string describe(duration value)
@@ -67,6 +77,16 @@
     return {};
 }
 
+std::string json_reader::name(std::string_view member_name)
+{
+    std::string written = text(member_name);
+    if (!written.empty() && !is_valid_name(written)) {
+        errors_.report(path_of(member_name), std::string(name_rule));
+        return {};
+    }
+    return written;
+}
+
 std::string json_reader::text_or(std::string_view name, std::string fallback)
 {
     return member(name, false) == nullptr ? std::move(fallback) : text(name);
@@ -200,11 +220,26 @@
     for (const auto& [key, value] : *object_) {
         const std::string_view name(key.data(), key.size());
         if (!read_.contains(name)) {
-            errors_.report(path_of(name), "no such name");
+            std::string known = "one of the names";
+            for (const auto& candidate : read_) {
+                known += " " + candidate;
+            }
+            errors_.report(path_of(name), known);
         }
     }
 }
 
+bool is_valid_name(std::string_view text) noexcept
+{
+    constexpr std::string_view further = "._:/@+-";
+    return !text.empty() && text.size() <= max_name_size &&
+           std::all_of(text.begin(), text.end(), [further](char letter) {
+               return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'z') ||
+                      (letter >= 'A' && letter <= 'Z') ||
+                      further.find(letter) != std::string_view::npos;
+           });
+}
+
 std::optional<boost::json::value> parse_json(std::string_view text, error_sink& errors)
 {
     boost::json::stream_parser parser;
@@ -213,19 +248,22 @@
     if (!error && used == text.size()) {
         parser.finish(error);
     }
-    if (!error && used == text.size()) {
-        return parser.release();
-    }
-    used = std::min(used, text.size());
-    const std::string_view before = text.substr(0, used);
-    const auto line_start = before.rfind('\n');
-    const std::size_t column = line_start == std::string_view::npos ? used : used - line_start - 1;
-    if (!errors.first) {
-        errors.first = parse_error{
-            static_cast<std::size_t>(std::count(before.begin(), before.end(), '\n')) + 1,
-            column + 1, "JSON", "one valid JSON value"};
-    }
-    return std::nullopt;
+    if (error || used != text.size()) {
+        errors.first = parse_error{0, 0, "JSON", "one valid JSON value"};
+        set_position(*errors.first, text, std::min(used, text.size()));
+        return std::nullopt;
+    }
+    errors.first = check_names(text);
+    if (errors.first) {
+        return std::nullopt;
+    }
+    return parser.release();
+}
+
+parse_error located(parse_error error, std::string_view text)
+{
+    locate(error, text);
+    return error;
 }
 
 } // namespace quetzal::config::internal
--- a/libs/config/src/json_reader.hpp
+++ b/libs/config/src/json_reader.hpp
@@ -47,6 +47,7 @@
 
     // Required members. A missing or wrong one is an error and gives an empty or low value.
     std::string text(std::string_view name);
+    std::string name(std::string_view member_name); // meets `is_valid_name`
     double number(std::string_view name, bounds range);
     std::uint64_t whole(std::string_view name, bounds range);
     duration time(std::string_view name, duration low, duration high);
@@ -85,9 +86,20 @@
     std::set<std::string, std::less<>> read_;
 };
 
-// Parses the text as one JSON object with line and column on a syntax error.
+inline constexpr std::string_view name_rule =
+    "1 to 64 characters out of letters, digits and . _ : / @ + -";
+
+// Whether the text may name an entity. Names appear in log lines, HTTP headers and datagrams; the
+// length keeps a probe with all its updates within one datagram.
+bool is_valid_name(std::string_view text) noexcept;
+
+// Parses the text as one JSON value. A syntax error or a repeated name is reported with its
+// position.
 std::optional<boost::json::value> parse_json(std::string_view text, error_sink& errors);
 
+// Returns the error with the position of what it names in the text, which must be valid JSON.
+parse_error located(parse_error error, std::string_view text);
+
 } // namespace quetzal::config::internal
 
 #endif
--- a/libs/config/src/published.cpp
+++ b/libs/config/src/published.cpp
@@ -56,12 +56,14 @@
 {
     json_reader reader(value, path, errors);
     zone entry;
-    entry.id = zone_id(reader.text("name"));
-    entry.region = region_id(reader.text("region"));
+    entry.id = zone_id(reader.name("name"));
+    entry.region = region_id(reader.name("region"));
     entry.state =
         reader.choice_or_first("state", {"in", "out"}) == 0 ? zone_state::in : zone_state::out;
-    if (std::find(config.regions.begin(), config.regions.end(), entry.region) ==
-        config.regions.end()) {
+    const auto& regions = config.regions;
+    if (!entry.region.empty() &&
+        std::find(regions.begin(), regions.end(), entry.region) == regions.end())
+    {
         errors.report(reader.path_of("region"), "a declared region");
     }
     reader.finish();
@@ -72,7 +74,7 @@
 {
     json_reader reader(value, path, errors);
     pool entry;
-    entry.id = pool_id(reader.text("name"));
+    entry.id = pool_id(reader.name("name"));
     entry.kind = reader.choice_or_first("kind", {"service", "model_engine"}) == 0
                      ? pool_kind::service
                      : pool_kind::model_engine;
@@ -97,8 +99,8 @@
 {
     json_reader reader(value, path, errors);
     stage entry;
-    entry.id = stage_id(reader.text("name"));
-    entry.pool = pool_id(reader.text("pool"));
+    entry.id = stage_id(reader.name("name"));
+    entry.pool = pool_id(reader.name("pool"));
     require_declared(config.pools, entry.pool, reader, "pool");
     entry.idempotent = reader.flag_or("idempotent", true);
     reader.elements("after", false, [&](const json& element, const std::string& element_path) {
@@ -111,7 +113,12 @@
             errors.report(element_path, "the name of an earlier stage of this pipeline");
             return;
         }
-        entry.after.push_back(static_cast<std::size_t>(found - earlier.begin()));
+        const auto position = static_cast<std::size_t>(found - earlier.begin());
+        if (std::find(entry.after.begin(), entry.after.end(), position) != entry.after.end()) {
+            errors.report(element_path, "each stage once");
+            return;
+        }
+        entry.after.push_back(position);
     });
     reader.finish();
     return entry;
@@ -122,7 +129,7 @@
 {
     json_reader reader(value, path, errors);
     pipeline entry;
-    entry.id = pipeline_id(reader.text("name"));
+    entry.id = pipeline_id(reader.name("name"));
     name_set names(errors);
     reader.elements("stages", true, [&](const json& element, const std::string& element_path) {
         entry.stages.push_back(read_stage(config, entry, element, element_path, errors));
@@ -145,6 +152,12 @@
         reader.time_if("first_token", std::chrono::milliseconds(1), longest_deadline);
     entry.between_tokens =
         reader.time_if("between_tokens", std::chrono::milliseconds(1), longest_deadline);
+    if (entry.first_token > entry.deadline) {
+        errors.report(reader.path_of("first_token"), "a duration no longer than the deadline");
+    }
+    if (entry.between_tokens > entry.deadline) {
+        errors.report(reader.path_of("between_tokens"), "a duration no longer than the deadline");
+    }
     reader.finish();
     return entry;
 }
@@ -170,8 +183,8 @@
 {
     json_reader reader(value, path, errors);
     work_class entry;
-    entry.id = class_id(reader.text("name"));
-    entry.pipeline = pipeline_id(reader.text("pipeline"));
+    entry.id = class_id(reader.name("name"));
+    entry.pipeline = pipeline_id(reader.name("pipeline"));
     require_declared(config.pipelines, entry.pipeline, reader, "pipeline");
     entry.idempotent = reader.flag_or("idempotent", true);
     entry.late = reader.choice_or_first("late", {"refuse", "finish"}) == 0 ? late_policy::refuse
@@ -193,7 +206,7 @@
 {
     json_reader reader(value, path, errors);
     customer entry;
-    entry.id = customer_id(reader.text("name"));
+    entry.id = customer_id(reader.name("name"));
     entry.rate = reader.number("rate", rate_bounds);
     entry.burst = reader.number("burst", burst_bounds);
     reader.elements("keys", true, [&](const json& element, const std::string& element_path) {
@@ -234,11 +247,15 @@
     name_set customers(errors);
     reader.elements("regions", true, [&](const json& element, const std::string& path) {
         const auto* name = element.if_string();
-        if (name == nullptr || name->empty()) {
-            errors.report(path, "the name of a region");
+        if (name == nullptr || !internal::is_valid_name(std::string_view(*name))) {
+            errors.report(path, "the name of a region, " + std::string(internal::name_rule));
             return;
         }
-        config.regions.emplace_back(std::string(name->data(), name->size()));
+        region_id id(std::string(name->data(), name->size()));
+        if (std::find(config.regions.begin(), config.regions.end(), id) != config.regions.end()) {
+            errors.report(path, "a name that is not declared twice");
+        }
+        config.regions.push_back(std::move(id));
     });
     reader.elements("zones", true, [&](const json& element, const std::string& path) {
         config.zones.push_back(read_zone(config, element, path, errors));
@@ -261,6 +278,9 @@
         customers.add(config.customers.back().id.name, path);
     });
     check_keys_unique(config, errors);
+    if (config.regions.empty() || config.zones.empty()) {
+        errors.report(config.regions.empty() ? "regions" : "zones", "at least one element");
+    }
     reader.finish();
     return config;
 }
@@ -283,6 +303,16 @@
     }
 }
 
+// Makes a name from the text fit for a log line: member names can hold any bytes.
+std::string printable(std::string_view name)
+{
+    constexpr std::size_t longest = 200;
+    std::string text(name.substr(0, longest));
+    std::replace_if(
+        text.begin(), text.end(), [](char letter) { return letter < ' ' || letter > '~'; }, '?');
+    return name.size() > longest ? text + "..." : text;
+}
+
 std::uint64_t key_bucket(const digest& key) noexcept
 {
     std::uint64_t bucket = 0;
@@ -356,7 +386,7 @@
     if (line != 0) {
         text = std::to_string(line) + ":" + std::to_string(column) + ": ";
     }
-    return text + name + ": expected " + expected;
+    return text + printable(name) + ": expected " + expected;
 }
 
 tl::expected<published, parse_error> parse_published(std::string_view text)
@@ -372,7 +402,7 @@
     }
     published config = read_published(*value, errors);
     if (errors.first) {
-        return tl::unexpected(*errors.first);
+        return tl::unexpected(internal::located(*errors.first, text));
     }
     config.index();
     return config;
--- /dev/null
+++ b/libs/config/src/test_documents.hpp
@@ -0,0 +1,105 @@
+#ifndef QUETZAL_CONFIG_TEST_DOCUMENTS_HPP
+#define QUETZAL_CONFIG_TEST_DOCUMENTS_HPP
+
+// Valid documents that the tests of this package change in one place each. Only tests include it.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <quetzal/base/digest.hpp>
+#include <quetzal/base/random.hpp>
+
+namespace quetzal::config::test {
+
+inline constexpr std::string_view small_config = R"({
+  "version": 7,
+  "regions": ["north"],
+  "zones": [
+    {"name": "a", "region": "north"},
+    {"name": "b", "region": "north", "state": "out"}
+  ],
+  "pools": [
+    {"name": "retrieve", "concurrency": 4},
+    {"name": "generate", "kind": "model_engine", "model": "m-1", "concurrency": 8, "cold_concurrency": 2}
+  ],
+  "pipelines": [
+    {"name": "lookup", "stages": [
+      {"name": "find", "pool": "retrieve"},
+      {"name": "answer", "pool": "generate", "after": ["find"]}
+    ]},
+    {"name": "book", "stages": [{"name": "charge", "pool": "retrieve", "idempotent": false}]}
+  ],
+  "classes": [
+    {"name": "proofs", "pipeline": "lookup", "target": {"deadline": "8s", "first_token": "1300ms"}},
+    {"name": "bookings", "pipeline": "book", "idempotent": false, "target": {"deadline": "2s"}},
+    {"name": "status", "pipeline": "lookup", "open": true, "open_rate": 5, "open_burst": 10, "late": "finish", "target": {"deadline": "500ms"}}
+  ],
+  "customers": [
+    {"name": "c-1", "rate": 2.5, "burst": 10, "keys": ["ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad"]},
+    {"name": "c-2", "rate": 1, "burst": 4, "keys": []}
+  ]
+})";
+
+inline constexpr std::string_view small_list = R"({
+  "revision": 3,
+  "instances": [
+    {"name": "q-1", "address": "10.0.0.1", "caller_port": 80, "peer_port": 81, "zone": "a"},
+    {"name": "q-2", "address": "fd00::2", "caller_port": 80, "peer_port": 81, "zone": "b", "state": "leaving"}
+  ],
+  "endpoints": [
+    {"name": "e-1", "pool": "retrieve", "address": "10.0.1.1", "port": 90, "zone": "a"}
+  ]
+})";
+
+inline constexpr std::string_view small_settings = R"(instance = "q-1"
+zone = "a"
+region = "north"
+[listen]
+address = "10.0.1.5"
+caller_port = 8080
+operator_port = 8081
+peer_port = 8082
+[platform]
+configuration = "10.0.9.1:8500"
+instance_list = "[fd00::1]:8501"
+[peers.current]
+id = 1
+secret = "0123456789abcdef"
+[limits]
+body_size = "64MiB"
+slow_sender_timeout = "250ms"
+)";
+
+// Returns the text with the first occurrence of `former` replaced.
+inline std::string replaced(std::string_view text, std::string_view former, std::string_view next)
+{
+    std::string changed(text);
+    const auto at = changed.find(former);
+    return at == std::string::npos ? std::string() : changed.replace(at, former.size(), next);
+}
+
+// Returns a configuration of the design size: 3,200 customers with two keys each and about 1 MB
+// when `padding` bytes of distinct pools are added. `changed` customers differ from the same text
+// with a lower version by their rate.
+inline std::string large_config(std::uint64_t version, std::size_t customers = 3200)
+{
+    std::string text =
+        replaced(small_config, "\"version\": 7", "\"version\": " + std::to_string(version));
+    text.resize(text.find("\"customers\""));
+    text += "\"customers\": [\n";
+    for (std::size_t index = 0; index < customers; ++index) {
+        const std::string name = "customer-" + std::to_string(index);
+        // Each version changes the rate of one customer; the versions before it stay applied.
+        const std::uint64_t changes = (version + customers - index) / customers;
+        text += "{\"name\": \"" + name + "\", \"rate\": " + std::to_string(10 + changes) +
+                ", \"burst\": 40, \"keys\": [\n  \"" + to_hex(sha256(name + "/1")) + "\",\n  \"" +
+                to_hex(sha256(name + "/2")) + "\",\n  \"" + to_hex(sha256(name + "/3")) + "\"]},\n";
+    }
+    text.resize(text.size() - 2);
+    return text + "\n]}\n";
+}
+
+} // namespace quetzal::config::test
+
+#endif
