--- a/libs/requests/include/quetzal/requests/frame_parser.hpp
+++ b/libs/requests/include/quetzal/requests/frame_parser.hpp
@@ -70,13 +70,14 @@
 
 private:
     void next_block(std::size_t size);
-    void parse_line(std::size_t begin, std::size_t end, std::vector<frame>& into) const;
+    void parse_line(std::size_t begin, std::size_t end, std::vector<frame>& into);
 
     std::shared_ptr<char[]> block_;
     std::size_t block_size_ = 0;
     std::size_t begin_ = 0;   // of the incomplete frame
     std::size_t filled_ = 0;  // end of the received bytes
     std::size_t scanned_ = 0; // end of the bytes searched for a line break
+    bool sliced_ = false;     // whether a chunk of the block was given out
     bool stopped_ = false;    // after an oversized frame
 };
 
--- a/libs/requests/include/quetzal/requests/pipeline_run.hpp
+++ b/libs/requests/include/quetzal/requests/pipeline_run.hpp
@@ -52,25 +52,27 @@
     endpoint_id endpoint;
 };
 
-// Make the final checks (section 8), raise `bytes_handed`, and send the work with `inputs(stage)`.
-// If a check fails, raise `attempt_cancelled` instead and close the connection.
-struct send_call
+// Make the final checks (design, section 8), then raise `bytes_handed` if all pass and
+// `attempt_cancelled` otherwise.
+struct check_call
 {
     call_id call;
-    std::uint64_t offset = 0; // `Quetzal-Offset`: sequence number of the first frame wanted
 };
 
-// Close the call's connection. `cancel` says to send `DELETE /v1/run/{call}` as well.
-struct close_call
+// Write the work with `inputs(stage)` to the call's connection now. It may have run from here on.
+struct send_call
 {
     call_id call;
-    bool cancel = false;
+    std::uint64_t offset = 0; // `Quetzal-Offset`: sequence number of the first frame wanted
 };
 
-// The connection of a call has ended in order and can be used again.
-struct release_call
+// The call has no more use for its connection: close it, or keep it for another call when
+// `reusable`. `cancel` says to send `DELETE /v1/run/{call}` as well.
+struct leave_call
 {
     call_id call;
+    bool reusable = false;
+    bool cancel = false;
 };
 
 // Append to the answer log and wake its readers. When the log does not accept it, call `cancel`
@@ -92,7 +94,7 @@
     failure why;
 };
 
-using run_action = std::variant<choose_endpoint, open_call, send_call, close_call, release_call,
+using run_action = std::variant<choose_endpoint, open_call, check_call, send_call, leave_call,
                                 append_answer, finish_answer, refuse_answer>;
 
 // The result of one stage: the data of its frames in order.
--- a/libs/requests/include/quetzal/requests/stage_attempt.hpp
+++ b/libs/requests/include/quetzal/requests/stage_attempt.hpp
@@ -25,7 +25,7 @@
 // frames can stay in memory for one good frame, so this bounds the excess to 256 KiB.
 inline constexpr std::size_t max_unusable_frames = 16;
 
-// Events. The work is not written to the socket before `bytes_handed` was raised for it.
+// Events.
 
 // The work shall be done; connect to its endpoint.
 struct attempt_started
@@ -42,7 +42,7 @@
 {
 };
 
-// Raised before the first byte of the work is handed to the socket.
+// The final checks have passed and the work may be handed to the socket. From here on it may run.
 struct bytes_handed
 {
 };
@@ -59,7 +59,8 @@
     int status = 0; // HTTP
 };
 
-// The connection ended, in order or not. Raised after the frames received before it.
+// The answer's body or its connection ended, in order or not. Raised after the frames received
+// before it; ignored after a whole answer.
 struct connection_broken
 {
 };
@@ -84,7 +85,12 @@
 {
 };
 
-// Raise `bytes_handed` and send the work, with `Quetzal-Offset` when the offset is not 0.
+// Make the final checks (design, section 8), then raise `bytes_handed` or `attempt_cancelled`.
+struct check_finally
+{
+};
+
+// Write the work to the connection, with `Quetzal-Offset` when the offset is not 0.
 struct send_work
 {
     std::uint64_t offset = 0;
@@ -107,9 +113,10 @@
     failure why;
 };
 
-// The connection cannot be used for another call: close it.
-struct close_connection
+// The connection has no more to do with this attempt. When `reusable`, the answer ended in order.
+struct leave_connection
 {
+    bool reusable = false;
 };
 
 // Tell the endpoint to stop, `DELETE /v1/run/{call}`, best effort on another connection.
@@ -117,8 +124,9 @@
 {
 };
 
-using attempt_action = std::variant<open_connection, send_work, deliver, attempt_finished,
-                                    attempt_failed, close_connection, cancel_at_endpoint>;
+using attempt_action =
+    std::variant<open_connection, check_finally, send_work, deliver, attempt_finished,
+                 attempt_failed, leave_connection, cancel_at_endpoint>;
 
 enum class attempt_state
 {
--- a/libs/requests/src/frame_parser.cpp
+++ b/libs/requests/src/frame_parser.cpp
@@ -116,8 +116,8 @@
 void frame_parser::next_block(std::size_t size)
 {
     const std::size_t kept = pending();
-    // Without chunks of its own the block is free to be used again.
-    if (block_ && block_.use_count() == 1 && block_size_ >= size) {
+    // A block of which chunks were given out is never written again: another thread may read them.
+    if (!sliced_ && block_size_ >= size) {
         std::memmove(block_.get(), block_.get() + begin_, kept);
     } else {
         const auto next = std::make_shared_for_overwrite<char[]>(size);
@@ -126,6 +126,7 @@
         }
         block_ = next;
         block_size_ = size;
+        sliced_ = false;
     }
     scanned_ -= begin_;
     begin_ = 0;
@@ -134,7 +135,7 @@
 
 void frame_parser::commit(std::size_t received, std::vector<frame>& into)
 {
-    if (stopped_) {
+    if (stopped_ || !block_) {
         return;
     }
     filled_ += std::min(received, block_size_ - filled_);
@@ -169,7 +170,7 @@
     }
 }
 
-void frame_parser::parse_line(std::size_t begin, std::size_t end, std::vector<frame>& into) const
+void frame_parser::parse_line(std::size_t begin, std::size_t end, std::vector<frame>& into)
 {
     std::string_view line(block_.get() + begin, end - begin);
     if (line.ends_with('\r')) {
@@ -184,6 +185,7 @@
         const auto frames = number(members->frames);
         const bool ends = members->end == std::string_view("true");
         if (call && sequence && members->data && !members->end && !members->frames) {
+            sliced_ = true;
             into.emplace_back(
                 data_frame{*call, *sequence, chunk(block_, *members->data, end + 1 - begin)});
             return;
