--- a/libs/requests/include/quetzal/requests/pipeline_run.hpp
+++ b/libs/requests/include/quetzal/requests/pipeline_run.hpp
@@ -53,7 +53,7 @@
 };
 
 // Make the final checks (design, section 8), then raise `bytes_handed` if all pass and
-// `attempt_cancelled` otherwise.
+// `check_failed` otherwise.
 struct check_call
 {
     call_id call;
--- a/libs/requests/include/quetzal/requests/stage_attempt.hpp
+++ b/libs/requests/include/quetzal/requests/stage_attempt.hpp
@@ -42,6 +42,13 @@
 {
 };
 
+// A final check has failed; the work is not sent.
+struct check_failed
+{
+    reason why = reason::internal_error;
+    std::string detail;
+};
+
 // The final checks have passed and the work may be handed to the socket. From here on it may run.
 struct bytes_handed
 {
@@ -74,9 +81,9 @@
 };
 
 using attempt_event =
-    std::variant<attempt_started, connected, connection_refused, bytes_handed, endpoint_refused,
-                 endpoint_error, data_frame, end_frame, bad_frame, connection_broken,
-                 attempt_timed_out, attempt_cancelled>;
+    std::variant<attempt_started, connected, connection_refused, check_failed, bytes_handed,
+                 endpoint_refused, endpoint_error, data_frame, end_frame, bad_frame,
+                 connection_broken, attempt_timed_out, attempt_cancelled>;
 
 // Actions.
 
@@ -85,7 +92,7 @@
 {
 };
 
-// Make the final checks (design, section 8), then raise `bytes_handed` or `attempt_cancelled`.
+// Make the final checks (design, section 8), then raise `bytes_handed` or `check_failed`.
 struct check_finally
 {
 };
--- /dev/null
+++ b/libs/requests/src/pipeline_run.cpp
@@ -0,0 +1,534 @@
+#include <quetzal/requests/pipeline_run.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzal::requests {
+
+namespace {
+
+enum class stage_phase
+{
+    blocked,  // waits for results of other stages
+    choosing, // waits for an endpoint
+    running,
+    done
+};
+
+// An attempt that has not ended.
+struct live_attempt
+{
+    stage_attempt machine;
+    endpoint_id endpoint;
+    time_point give_up{};
+};
+
+struct stage_record
+{
+    stage_phase phase = stage_phase::blocked;
+    bool repeatable = true;
+    bool may_have_run = false; // any attempt that has ended
+    std::uint32_t attempts = 0;
+    std::vector<std::unique_ptr<live_attempt>> live; // more than one only with a hedge
+    std::uint64_t delivered = 0;                     // frames of `result`, or of the answer
+    std::vector<chunk> result;                       // of an inner stage
+    std::size_t result_bytes = 0;
+    std::optional<failure> last_failure;
+    std::optional<endpoint_id> failed_at;
+};
+
+// Whether the stages may be sent again. A class that runs at most once without a stage that says so
+// is taken to mean all its stages.
+bool repeatable(const run_request& request, std::size_t stage)
+{
+    const auto& stages = request.pipeline->stages;
+    const bool any_marked = std::any_of(stages.begin(), stages.end(),
+                                        [](const config::stage& one) { return !one.idempotent; });
+    return stages[stage].idempotent && (request.idempotent || any_marked);
+}
+
+bool is_frame(const attempt_event& event)
+{
+    return std::holds_alternative<data_frame>(event) || std::holds_alternative<end_frame>(event) ||
+           std::holds_alternative<bad_frame>(event);
+}
+
+} // namespace
+
+class pipeline_run::state
+{
+public:
+    using run_actions = std::vector<run_action>;
+
+    explicit state(run_request request)
+        : request_(std::move(request)), stages_(request_.pipeline->stages.size())
+    {
+        for (std::size_t index = 0; index < stages_.size(); ++index) {
+            stages_[index].repeatable = repeatable(request_, index);
+        }
+    }
+
+    void start(run_actions& actions)
+    {
+        if (stages_.empty()) {
+            end(reason::internal_error, "the pipeline has no stages", {}, actions);
+            return;
+        }
+        unblock(actions);
+    }
+
+    void grant(std::size_t stage, const endpoint_id& endpoint, time_point give_up, bool resumes,
+               run_actions& actions)
+    {
+        if (ended_ || stage >= stages_.size() || stages_[stage].phase != stage_phase::choosing) {
+            return;
+        }
+        stage_record& record = stages_[stage];
+        if (!resumes && record.delivered > 0) {
+            if (is_last(stage)) {
+                // A second run of the stage could give another answer than the part already read.
+                end_with_last_failure(record, actions);
+                return;
+            }
+            forget_result(record);
+        }
+        begin_attempt(stage, endpoint, give_up, actions);
+    }
+
+    void deny(std::size_t stage, failure why, run_actions& actions)
+    {
+        if (ended_ || stage >= stages_.size() || stages_[stage].phase != stage_phase::choosing) {
+            return;
+        }
+        stage_record& record = stages_[stage];
+        if (record.last_failure) {
+            end_with_last_failure(record, actions);
+            return;
+        }
+        end(why.why, std::move(why.detail), why.retry_after, actions);
+    }
+
+    void hedge(std::size_t stage, const endpoint_id& endpoint, time_point give_up,
+               run_actions& actions)
+    {
+        if (may_hedge(stage)) {
+            begin_attempt(stage, endpoint, give_up, actions);
+        }
+    }
+
+    void handle(const call_id& call, const attempt_event& event, run_actions& actions)
+    {
+        live_attempt* const attempt = find(call);
+        if (!attempt) {
+            counts_.late += is_frame(event) ? 1 : 0;
+            return;
+        }
+        dispatch(*attempt, event, actions);
+    }
+
+    void advance(time_point now, run_actions& actions)
+    {
+        if (ended_) {
+            return;
+        }
+        if (request_.late == config::late_policy::refuse && now >= request_.deadline) {
+            end(reason::deadline_passed, "the deadline has passed", {}, actions);
+            return;
+        }
+        for (const auto& call : calls_due(now)) {
+            handle(call, attempt_timed_out{}, actions);
+        }
+    }
+
+    void caller_left(run_actions& actions)
+    {
+        if (request_.idempotent) {
+            cancel(reason::cancelled, actions);
+        }
+    }
+
+    void cancel(reason why, run_actions& actions)
+    {
+        end(why, "the request was cancelled", {}, actions);
+    }
+
+    std::vector<stage_result> inputs(std::size_t stage) const
+    {
+        std::vector<stage_result> results;
+        for (const std::size_t before : request_.pipeline->stages.at(stage).after) {
+            results.push_back({before, stages_[before].result});
+        }
+        return results;
+    }
+
+    bool may_hedge(std::size_t stage) const
+    {
+        if (ended_ || stage >= stages_.size()) {
+            return false;
+        }
+        const stage_record& record = stages_[stage];
+        return record.phase == stage_phase::running && record.repeatable &&
+               record.live.size() == 1 && record.delivered == 0 &&
+               record.attempts < request_.max_attempts;
+    }
+
+    std::optional<time_point> next_deadline() const
+    {
+        std::optional<time_point> next;
+        if (ended_) {
+            return next;
+        }
+        if (request_.late == config::late_policy::refuse) {
+            next = request_.deadline;
+        }
+        for (const auto& record : stages_) {
+            for (const auto& attempt : record.live) {
+                next = next ? std::min(*next, attempt->give_up) : attempt->give_up;
+            }
+        }
+        return next;
+    }
+
+    bool ended() const noexcept { return ended_; }
+
+    verdict run() const
+    {
+        if (whole_) {
+            return verdict::ran;
+        }
+        const bool any = std::any_of(stages_.begin(), stages_.end(), [](const auto& record) {
+            return record.may_have_run ||
+                   std::any_of(record.live.begin(), record.live.end(), [](const auto& attempt) {
+                       return attempt->machine.run() != verdict::not_run;
+                   });
+        });
+        return any ? verdict::may_have_run : verdict::not_run;
+    }
+
+    frame_counts counts() const
+    {
+        frame_counts sum = counts_;
+        for (const auto& record : stages_) {
+            for (const auto& attempt : record.live) {
+                sum += attempt->machine.counts();
+            }
+        }
+        return sum;
+    }
+
+private:
+    bool is_last(std::size_t stage) const noexcept { return stage + 1 == stages_.size(); }
+
+    live_attempt* find(const call_id& call)
+    {
+        if (call.process != request_.process || call.request != request_.sequence ||
+            call.stage >= stages_.size())
+        {
+            return nullptr;
+        }
+        for (const auto& attempt : stages_[call.stage].live) {
+            if (attempt->machine.id() == call) {
+                return attempt.get();
+            }
+        }
+        return nullptr;
+    }
+
+    std::vector<call_id> calls_due(time_point now) const
+    {
+        std::vector<call_id> due;
+        for (const auto& record : stages_) {
+            for (const auto& attempt : record.live) {
+                if (attempt->give_up <= now) {
+                    due.push_back(attempt->machine.id());
+                }
+            }
+        }
+        return due;
+    }
+
+    // Asks for endpoints of the stages whose inputs are complete.
+    void unblock(run_actions& actions)
+    {
+        for (std::size_t index = 0; index < stages_.size(); ++index) {
+            const auto& after = request_.pipeline->stages[index].after;
+            const bool ready = std::all_of(after.begin(), after.end(), [this](std::size_t before) {
+                return stages_[before].phase == stage_phase::done;
+            });
+            if (stages_[index].phase == stage_phase::blocked && ready) {
+                stages_[index].phase = stage_phase::choosing;
+                actions.emplace_back(choose_endpoint{index, {}});
+            }
+        }
+    }
+
+    void begin_attempt(std::size_t stage, const endpoint_id& endpoint, time_point give_up,
+                       run_actions& actions)
+    {
+        stage_record& record = stages_[stage];
+        record.phase = stage_phase::running;
+        const call_id call{request_.process, request_.sequence, static_cast<std::uint32_t>(stage),
+                           record.attempts++};
+        record.live.push_back(std::make_unique<live_attempt>(
+            live_attempt{stage_attempt(call, record.delivered), endpoint, give_up}));
+        dispatch(*record.live.back(), attempt_started{}, actions);
+    }
+
+    // Passes an event to an attempt and carries out what it asks for. The attempt may be gone
+    // afterwards.
+    void dispatch(live_attempt& attempt, const attempt_event& event, run_actions& actions)
+    {
+        // Taken out while in use, because cancelling another attempt comes here again.
+        auto todo = std::exchange(scratch_, {});
+        todo.clear();
+        attempt.machine.handle(event, todo);
+        const call_id call = attempt.machine.id();
+        for (auto& action : todo) {
+            std::visit([&](auto& value) { carry_out(call, value, actions); }, action);
+        }
+        scratch_ = std::move(todo);
+        if (stages_[call.stage].result_bytes > max_stage_result_bytes) {
+            end(reason::endpoint_failed, "the result of a stage is too large", {}, actions);
+        }
+    }
+
+    void carry_out(const call_id& call, const open_connection&, run_actions& actions)
+    {
+        actions.emplace_back(open_call{call, find(call)->endpoint});
+    }
+
+    static void carry_out(const call_id& call, const check_finally&, run_actions& actions)
+    {
+        actions.emplace_back(check_call{call});
+    }
+
+    static void carry_out(const call_id& call, const send_work& action, run_actions& actions)
+    {
+        actions.emplace_back(send_call{call, action.offset});
+    }
+
+    static void carry_out(const call_id& call, const leave_connection& action, run_actions& actions)
+    {
+        actions.emplace_back(leave_call{call, action.reusable, false});
+    }
+
+    // Follows the `leave_connection` of the same attempt.
+    static void carry_out(const call_id&, const cancel_at_endpoint&, run_actions& actions)
+    {
+        std::get<leave_call>(actions.back()).cancel = true;
+    }
+
+    void carry_out(const call_id& call, deliver& action, run_actions& actions)
+    {
+        if (ended_) {
+            return;
+        }
+        stage_record& record = stages_[call.stage];
+        if (record.delivered++ == 0) {
+            cancel_others(call, actions);
+        }
+        if (is_last(call.stage)) {
+            actions.emplace_back(append_answer{std::move(action.data)});
+            return;
+        }
+        record.result_bytes += action.data.charge();
+        record.result.push_back(std::move(action.data));
+    }
+
+    void carry_out(const call_id& call, const attempt_finished&, run_actions& actions)
+    {
+        if (ended_) {
+            return;
+        }
+        stage_record& record = stages_[call.stage];
+        record.phase = stage_phase::done;
+        remove(call);
+        cancel_others(call, actions);
+        const bool all_done = std::all_of(stages_.begin(), stages_.end(), [](const auto& one) {
+            return one.phase == stage_phase::done;
+        });
+        if (!all_done) {
+            unblock(actions);
+            return;
+        }
+        whole_ = true;
+        ended_ = true;
+        actions.emplace_back(finish_answer{});
+    }
+
+    void carry_out(const call_id& call, attempt_failed& action, run_actions& actions)
+    {
+        stage_record& record = stages_[call.stage];
+        auto endpoint = find(call)->endpoint;
+        remove(call);
+        // Another attempt goes on, or this one was cancelled because it is not needed.
+        if (ended_ || record.phase != stage_phase::running || !record.live.empty()) {
+            return;
+        }
+        const bool again = record.repeatable || action.why.run == verdict::not_run;
+        record.last_failure = std::move(action.why);
+        record.failed_at = std::move(endpoint);
+        if (!again || record.attempts >= request_.max_attempts) {
+            end_with_last_failure(record, actions);
+            return;
+        }
+        record.phase = stage_phase::choosing;
+        actions.emplace_back(choose_endpoint{call.stage, record.failed_at});
+    }
+
+    // Ends every other attempt of the stage.
+    void cancel_others(const call_id& winner, run_actions& actions)
+    {
+        std::vector<call_id> others;
+        for (const auto& attempt : stages_[winner.stage].live) {
+            if (attempt->machine.id() != winner) {
+                others.push_back(attempt->machine.id());
+            }
+        }
+        for (const auto& other : others) {
+            handle(other, attempt_cancelled{}, actions);
+        }
+    }
+
+    // Removes an attempt that has ended and keeps what is to be known of it.
+    void remove(const call_id& call)
+    {
+        stage_record& record = stages_[call.stage];
+        const auto found =
+            std::find_if(record.live.begin(), record.live.end(),
+                         [&](const auto& attempt) { return attempt->machine.id() == call; });
+        if (found != record.live.end()) {
+            record.may_have_run |= (*found)->machine.run() != verdict::not_run;
+            counts_ += (*found)->machine.counts();
+            record.live.erase(found);
+        }
+    }
+
+    static void forget_result(stage_record& record)
+    {
+        record.result.clear();
+        record.result_bytes = 0;
+        record.delivered = 0;
+    }
+
+    void end_with_last_failure(const stage_record& record, run_actions& actions)
+    {
+        const failure last = *record.last_failure;
+        end(last.why, last.detail, last.retry_after, actions);
+    }
+
+    void end(reason why, std::string detail, std::optional<std::chrono::milliseconds> retry_after,
+             run_actions& actions)
+    {
+        if (ended_) {
+            return;
+        }
+        ended_ = true;
+        std::vector<call_id> calls;
+        for (const auto& record : stages_) {
+            for (const auto& attempt : record.live) {
+                calls.push_back(attempt->machine.id());
+            }
+        }
+        for (const auto& call : calls) {
+            handle(call, attempt_cancelled{}, actions);
+        }
+        const verdict whole_run = run();
+        if (whole_run != verdict::not_run) {
+            retry_after.reset();
+        }
+        actions.emplace_back(
+            refuse_answer{failure{whole_run, why, std::move(detail), retry_after}});
+    }
+
+    run_request request_;
+    std::vector<stage_record> stages_;
+    frame_counts counts_; // of attempts that have ended
+    std::vector<attempt_action> scratch_;
+    bool ended_ = false;
+    bool whole_ = false;
+};
+
+pipeline_run::pipeline_run(run_request request)
+    : state_(std::make_unique<state>(std::move(request)))
+{
+}
+
+pipeline_run::~pipeline_run() = default;
+pipeline_run::pipeline_run(pipeline_run&&) noexcept = default;
+pipeline_run& pipeline_run::operator=(pipeline_run&&) noexcept = default;
+
+void pipeline_run::start(std::vector<run_action>& actions)
+{
+    state_->start(actions);
+}
+
+void pipeline_run::grant(std::size_t stage, const endpoint_id& endpoint, time_point give_up,
+                         bool resumes, std::vector<run_action>& actions)
+{
+    state_->grant(stage, endpoint, give_up, resumes, actions);
+}
+
+void pipeline_run::deny(std::size_t stage, failure why, std::vector<run_action>& actions)
+{
+    state_->deny(stage, std::move(why), actions);
+}
+
+void pipeline_run::hedge(std::size_t stage, const endpoint_id& endpoint, time_point give_up,
+                         std::vector<run_action>& actions)
+{
+    state_->hedge(stage, endpoint, give_up, actions);
+}
+
+void pipeline_run::handle(const call_id& call, const attempt_event& event,
+                          std::vector<run_action>& actions)
+{
+    state_->handle(call, event, actions);
+}
+
+void pipeline_run::advance(time_point now, std::vector<run_action>& actions)
+{
+    state_->advance(now, actions);
+}
+
+void pipeline_run::caller_left(std::vector<run_action>& actions)
+{
+    state_->caller_left(actions);
+}
+
+void pipeline_run::cancel(reason why, std::vector<run_action>& actions)
+{
+    state_->cancel(why, actions);
+}
+
+std::vector<stage_result> pipeline_run::inputs(std::size_t stage) const
+{
+    return state_->inputs(stage);
+}
+
+bool pipeline_run::may_hedge(std::size_t stage) const
+{
+    return state_->may_hedge(stage);
+}
+
+std::optional<time_point> pipeline_run::next_deadline() const
+{
+    return state_->next_deadline();
+}
+
+bool pipeline_run::ended() const noexcept
+{
+    return state_->ended();
+}
+
+verdict pipeline_run::run() const
+{
+    return state_->run();
+}
+
+frame_counts pipeline_run::counts() const
+{
+    return state_->counts();
+}
+
+} // namespace quetzal::requests
--- a/libs/requests/src/stage_attempt.cpp
+++ b/libs/requests/src/stage_attempt.cpp
@@ -149,6 +149,12 @@
         record.fail(reason::endpoint_failed, "no connection to the endpoint could be made");
     }
 
+    static void stop(const check_failed& event, attempt_record& record)
+    {
+        record.act(leave_connection{true});
+        record.fail(event.why, event.detail);
+    }
+
     static void stop(const connection_broken&, attempt_record& record)
     {
         record.act(leave_connection{});
@@ -206,6 +212,7 @@
         Row<connecting, connected,          none,       check>,
         Row<connecting, bytes_handed,       sent,       send>,
         Row<connecting, connection_refused, failed,     give_up>,
+        Row<connecting, check_failed,       failed,     give_up>,
         Row<connecting, connection_broken,  failed,     give_up>,
         Row<connecting, attempt_timed_out,  failed,     give_up>,
         Row<connecting, attempt_cancelled,  cancelled,  give_up>,
