--- a/libs/requests/include/quetzal/requests/stage_attempt.hpp
+++ b/libs/requests/include/quetzal/requests/stage_attempt.hpp
@@ -25,7 +25,7 @@
 // frames can stay in memory for one good frame, so this bounds the excess to 256 KiB.
 inline constexpr std::size_t max_unusable_frames = 16;
 
-// Events. The work is not written to the socket before `bytes_handed` was raised for it.
+// Events.
 
 // The work shall be done; connect to its endpoint.
 struct attempt_started
@@ -42,7 +42,14 @@
 {
 };
 
-// Raised before the first byte of the work is handed to the socket.
+// A final check has failed; the work is not sent.
+struct check_failed
+{
+    reason why = reason::internal_error;
+    std::string detail;
+};
+
+// The final checks have passed and the work may be handed to the socket. From here on it may run.
 struct bytes_handed
 {
 };
@@ -59,7 +66,8 @@
     int status = 0; // HTTP
 };
 
-// The connection ended, in order or not. Raised after the frames received before it.
+// The answer's body or its connection ended, in order or not. Raised after the frames received
+// before it; ignored after a whole answer.
 struct connection_broken
 {
 };
@@ -73,9 +81,9 @@
 };
 
 using attempt_event =
-    std::variant<attempt_started, connected, connection_refused, bytes_handed, endpoint_refused,
-                 endpoint_error, data_frame, end_frame, bad_frame, connection_broken,
-                 attempt_timed_out, attempt_cancelled>;
+    std::variant<attempt_started, connected, connection_refused, check_failed, bytes_handed,
+                 endpoint_refused, endpoint_error, data_frame, end_frame, bad_frame,
+                 connection_broken, attempt_timed_out, attempt_cancelled>;
 
 // Actions.
 
@@ -84,7 +92,12 @@
 {
 };
 
-// Raise `bytes_handed` and send the work, with `Quetzal-Offset` when the offset is not 0.
+// Make the final checks (design, section 8), then raise `bytes_handed` or `check_failed`.
+struct check_finally
+{
+};
+
+// Write the work to the connection, with `Quetzal-Offset` when the offset is not 0.
 struct send_work
 {
     std::uint64_t offset = 0;
@@ -107,9 +120,10 @@
     failure why;
 };
 
-// The connection cannot be used for another call: close it.
-struct close_connection
+// The connection has no more to do with this attempt. When `reusable`, the answer ended in order.
+struct leave_connection
 {
+    bool reusable = false;
 };
 
 // Tell the endpoint to stop, `DELETE /v1/run/{call}`, best effort on another connection.
@@ -117,8 +131,9 @@
 {
 };
 
-using attempt_action = std::variant<open_connection, send_work, deliver, attempt_finished,
-                                    attempt_failed, close_connection, cancel_at_endpoint>;
+using attempt_action =
+    std::variant<open_connection, check_finally, send_work, deliver, attempt_finished,
+                 attempt_failed, leave_connection, cancel_at_endpoint>;
 
 enum class attempt_state
 {
