--- a/libs/requests/include/quetzal/requests/frame_parser.hpp
+++ b/libs/requests/include/quetzal/requests/frame_parser.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <quetzal/requests/chunk.hpp>
 #include <span>
+#include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -30,10 +31,10 @@
     chunk data; // text of the JSON value, checked, without surrounding white space
 };
 
-// The end of an answer. `call` is valid until the next `prepare`.
+// The end of an answer.
 struct end_frame
 {
-    std::string_view call;
+    std::string call;         // as received, escapes not decoded
     std::uint64_t frames = 0; // sequence numbers of the whole stream, with those before an offset
 };
 
--- a/libs/requests/src/frame_parser.cpp
+++ b/libs/requests/src/frame_parser.cpp
@@ -191,7 +191,7 @@
             return;
         }
         if (call && ends && frames && !members->sequence && !members->data) {
-            into.emplace_back(end_frame{*call, *frames});
+            into.emplace_back(end_frame{std::string(*call), *frames});
             return;
         }
     }
