--- /dev/null
+++ b/apps/quetzalctl/main.cpp
@@ -0,0 +1,1 @@
+int main(){}
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 namespace quetzal::net {
 
@@ -174,6 +175,13 @@
     return body_->usable && body_->stream.socket().is_open();
 }
 
+bool http_connection::closed_by_server() const noexcept
+{
+    char byte = 0;
+    const auto received = ::recv(body_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void http_connection::cancel()
 {
     body_->usable = false;
--- /dev/null
+++ b/libs/node/include/quetzal/node/caller_api.hpp
@@ -0,0 +1,75 @@
+#ifndef QUETZAL_NODE_CALLER_API_HPP
+#define QUETZAL_NODE_CALLER_API_HPP
+
+// The HTTP interface to callers, docs/caller-api.md.
+
+#include <memory>
+#include <mutex>
+
+#include <quetzal/net/http_server.hpp>
+#include <quetzal/node/control_plane.hpp>
+#include <quetzal/node/request_engine.hpp>
+#include <quetzal/requests/request_identity.hpp>
+
+namespace quetzal::node {
+
+// Returns the status code for a refusal, see docs/caller-api.md.
+unsigned http_status(const failure& why) noexcept;
+
+// Returns the JSON object of a refusal.
+std::string refusal_json(const failure& why);
+
+// Thread-safe.
+class caller_api
+{
+public:
+    caller_api(boost::asio::any_io_executor executor, shared_state& state, control_plane& control,
+               request_engine& engine);
+
+    boost::asio::awaitable<void> handle(const net::http_request& request, net::response_stream& response);
+
+private:
+    // Who calls, as far as the key tells.
+    struct caller
+    {
+        customer_id customer;
+        digest key{};
+        bool has_key = false;
+    };
+
+    result<caller> authenticate(const net::http_request& request, const config::published& config) const;
+    result<caller_request> check_submission(const net::http_request& request);
+    result<void> add_identity(const net::http_request& request, caller_request& submission);
+
+    boost::asio::awaitable<void> answer_address(const net::http_request& request,
+                                                net::response_stream& response);
+    boost::asio::awaitable<void> issue_identity(const net::http_request& request,
+                                                net::response_stream& response);
+    boost::asio::awaitable<void> submit(const net::http_request& request, net::response_stream& response);
+    boost::asio::awaitable<void> resume(const net::http_request& request, net::response_stream& response);
+    boost::asio::awaitable<void> cancel(const net::http_request& request, net::response_stream& response);
+    boost::asio::awaitable<void> stream(answer_ticket ticket, std::uint64_t offset, std::string identity,
+                                        net::response_stream& response);
+    boost::asio::awaitable<void> pass_on(const net::http_request& request, requests::placement placement,
+                                         net::response_stream& response);
+    boost::asio::awaitable<void> relay(const net::http_request& request, requests::relay_to target,
+                                       net::response_stream& response);
+
+    // Decides where a request with this identity belongs. Nothing means here.
+    std::optional<requests::placement> place_elsewhere(const requests::request_identity& identity,
+                                                       const net::http_request& request) const;
+    result<requests::request_identity> identity_of(const net::http_request& request,
+                                                   const std::string& text) const;
+    static boost::asio::awaitable<void> refuse(const failure& why, net::response_stream& response);
+
+    boost::asio::any_io_executor executor_;
+    shared_state& state_;
+    control_plane& control_;
+    request_engine& engine_;
+    mutable std::mutex identities_mutex_; // guards `identities_`
+    requests::identity_authority identities_;
+};
+
+} // namespace quetzal::node
+
+#endif
--- /dev/null
+++ b/libs/node/include/quetzal/node/metrics.hpp
@@ -0,0 +1,65 @@
+#ifndef QUETZAL_NODE_METRICS_HPP
+#define QUETZAL_NODE_METRICS_HPP
+
+// Metrics of an instance in the Prometheus text format.
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <quetzal/base/time.hpp>
+
+namespace quetzal::node {
+
+// One label of a series, e.g. {"class", "proof"}.
+struct label
+{
+    std::string name;
+    std::string value;
+};
+
+// Named counters, gauges and latency histograms. Thread-safe. Label values come from the published
+// configuration or from fixed lists, never from callers, so that their number is bounded.
+class metrics
+{
+public:
+    // Adds to a counter.
+    void count(std::string_view name, const std::vector<label>& labels, std::uint64_t amount = 1);
+
+    // Sets a gauge, or a counter that is kept elsewhere.
+    void set(std::string_view name, const std::vector<label>& labels, double value);
+
+    // Records a duration in a histogram with buckets from 1 ms to 60 s.
+    void observe(std::string_view name, const std::vector<label>& labels, duration value);
+
+    // Returns all series.
+    std::string render() const;
+
+private:
+    using bucket_axis = boost::histogram::axis::variable<double>;
+    using histogram_type = decltype(boost::histogram::make_histogram(std::declval<bucket_axis>()));
+
+    struct latency
+    {
+        latency();
+        histogram_type buckets; // milliseconds
+        double sum = 0;         // seconds
+        std::uint64_t samples = 0;
+    };
+
+    static std::string key_of(std::string_view name, const std::vector<label>& labels);
+
+    mutable std::mutex mutex_;
+    std::map<std::string, double> values_;     // by name and labels
+    std::map<std::string, latency> latencies_; // by name and labels
+};
+
+} // namespace quetzal::node
+
+#endif
--- /dev/null
+++ b/libs/node/src/control_plane.cpp
@@ -0,0 +1,297 @@
+#include <quetzal/node/control_plane.hpp>
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <quetzal/base/digest.hpp>
+#include <quetzal/node/log.hpp>
+
+namespace quetzal::node {
+
+namespace asio = boost::asio;
+using config::log_level;
+
+namespace {
+
+constexpr duration longest_sleep = std::chrono::milliseconds(200);
+constexpr duration shortest_sleep = std::chrono::milliseconds(1);
+// Loss of an exclusive right is checked again before every cold call; this interval only delays a gain.
+constexpr duration hold_check_interval = std::chrono::milliseconds(100);
+
+} // namespace
+
+peer::key_ring make_key_ring(const config::peer_settings& settings)
+{
+    peer::key_ring ring;
+    ring.current = {settings.current.id, settings.current.secret};
+    if (settings.previous) {
+        ring.previous = {settings.previous->id, settings.previous->secret};
+    }
+    return ring;
+}
+
+control_plane::control_plane(asio::any_io_executor executor, shared_state& state, control_events events)
+    : strand_(asio::make_strand(executor)), state_(state), events_(std::move(events)),
+      keys_(make_key_ring(state.settings.peers)),
+      socket_(strand_, keys_, [this](const peer::received& message) { on_message(message); }),
+      transfers_(executor, keys_,
+                 [this](peer::transfer_message request)
+                     -> asio::awaitable<std::optional<peer::transfer_message>> {
+                     co_return co_await asio::co_spawn(
+                         strand_,
+                         [this, request = std::move(request)]()
+                             -> asio::awaitable<std::optional<peer::transfer_message>> {
+                             co_return documents_->answer(request);
+                         },
+                         asio::use_awaitable);
+                 }),
+      prober_(state.settings.instance, state.process, {}, secure_random()),
+      rights_({state.settings.instance, state.process, state.settings.zone, boot_clock::now(),
+               state.settings.runtime.shards}),
+      wakeup_(std::make_shared<wakeup>(strand_))
+{
+    follower_events wiring;
+    wiring.config_changed = [this](auto config) { accept_config(config); };
+    wiring.list_changed = [this](auto list) { accept_list(list); };
+    wiring.ask_version = [this](const instance_id& peer) {
+        const auto now = boot_clock::now();
+        apply(prober_.probe_now(peer, now), now);
+    };
+    documents_ = std::make_shared<document_follower>(strand_, state_, keys_, std::move(wiring), secure_random());
+}
+
+tl::expected<void, std::string> control_plane::start()
+{
+    const auto& listen = state_.settings.listen;
+    if (const auto port = socket_.bind(listen.address, listen.peer_port); !port) {
+        return tl::unexpected(port.error());
+    }
+    if (const auto port = transfers_.listen(listen.address, listen.peer_port); !port) {
+        return tl::unexpected(port.error());
+    }
+    asio::co_spawn(strand_, run(), asio::detached);
+    return {};
+}
+
+void control_plane::begin_leave(std::function<void()> left)
+{
+    asio::post(strand_, [self = shared_from_this(), left = std::move(left)] {
+        const auto now = boot_clock::now();
+        self->on_left_ = left;
+        self->apply(self->prober_.begin_leave(now), now);
+        self->rights_.begin_leave(now);
+        self->wakeup_->notify();
+    });
+}
+
+void control_plane::stop()
+{
+    asio::post(strand_, [self = shared_from_this()] {
+        self->stopped_ = true;
+        self->socket_.close();
+        self->transfers_.stop();
+        self->wakeup_->notify();
+    });
+}
+
+asio::awaitable<void> control_plane::run()
+{
+    auto self = shared_from_this();
+    while (!stopped_) {
+        tick(boot_clock::now());
+        co_await wakeup_->wait(until_next(boot_clock::now()));
+    }
+}
+
+duration control_plane::until_next(time_point now)
+{
+    const auto next = std::min(prober_.next_wakeup(), rights_.next_wake(now));
+    return std::clamp<duration>(next - now, shortest_sleep, longest_sleep);
+}
+
+void control_plane::tick(time_point now)
+{
+    rights_.set_wall(wall_now(), now);
+    apply(prober_.set_versions(documents_->known(now), now), now);
+    apply(prober_.tick(now), now);
+    documents_->tick(now);
+    send(rights_.on_tick(now));
+    if (now >= next_hold_check_) {
+        refresh_holds(now);
+        next_hold_check_ = now + hold_check_interval;
+    }
+    state_.ready = documents_->readiness().ready && rights_.fresh(now) && !state_.stopping;
+    if (on_left_ && rights_.left(now)) {
+        std::exchange(on_left_, nullptr)();
+    }
+}
+
+void control_plane::on_message(const peer::received& message)
+{
+    const auto now = boot_clock::now();
+    apply(prober_.on_message(message, now), now);
+    send(rights_.on_message(message, now));
+    if (const auto* seen = std::get_if<peer::endpoint_observation>(&message.body)) {
+        events_.endpoint_observed(*seen);
+    } else if (const auto* declared = std::get_if<peer::endpoint_declaration>(&message.body)) {
+        events_.endpoint_declared(*declared);
+    }
+    wakeup_->notify();
+}
+
+void control_plane::apply(const std::vector<membership::prober_action>& actions, time_point now)
+{
+    bool changed = false;
+    for (const auto& action : actions) {
+        if (const auto* message = std::get_if<membership::send_message>(&action)) {
+            send(message->message);
+        } else if (const auto* versions = std::get_if<membership::versions_reported>(&action)) {
+            documents_->on_versions(versions->from, versions->known, now);
+        } else if (const auto* other = std::get_if<membership::superseded>(&action)) {
+            log(log_level::error, "superseded", {{"by", other->by.value}});
+            state_.stopping = true;
+        } else {
+            changed = true;
+        }
+        if (const auto* member = std::get_if<membership::member_changed>(&action)) {
+            log(log_level::info, "member_changed",
+                {{"member", member->now_seen.instance.name}, {"state", to_string(member->now_seen.state)}});
+        }
+    }
+    if (changed) {
+        refresh_members(now);
+    }
+}
+
+void control_plane::refresh_members(time_point now)
+{
+    auto view = prober_.view();
+    std::vector<rights::peer_status> peers;
+    for (const auto& member : view) {
+        peers.push_back({member.instance, member.process, !member.suspected, member.leaving});
+    }
+    rights_.set_peers(std::move(peers), now);
+    documents_->set_members(view, now);
+    const std::lock_guard lock(members_mutex_);
+    members_ = std::move(view);
+}
+
+void control_plane::refresh_holds(time_point now)
+{
+    const auto list = state_.current().list;
+    if (!list) {
+        return;
+    }
+    for (const auto& endpoint : list->endpoints) {
+        const std::uint64_t fence = rights_.fence(endpoint.id, now);
+        const auto known = held_.find(endpoint.id);
+        if (fence != 0 && (known == held_.end() || known->second != fence)) {
+            held_[endpoint.id] = fence;
+            events_.hold_changed(endpoint.id, fence);
+        } else if (fence == 0 && known != held_.end()) {
+            held_.erase(known);
+            events_.hold_changed(endpoint.id, std::nullopt);
+        }
+    }
+    std::erase_if(held_, [&list](const auto& entry) { return list->find(entry.first) == nullptr; });
+}
+
+void control_plane::accept_config(const std::shared_ptr<const config::published>& config)
+{
+    const auto now = boot_clock::now();
+    state_.set_config(config);
+    rights_.set_config(config, now);
+    apply(prober_.set_versions(documents_->known(now), now), now);
+    refresh_members(now);
+    events_.config_changed(config);
+    wakeup_->notify();
+}
+
+void control_plane::accept_list(const std::shared_ptr<const config::instance_list>& list)
+{
+    const auto now = boot_clock::now();
+    state_.set_list(list);
+    apply(prober_.set_list(*list, now), now);
+    rights_.set_list(*list, now);
+    apply(prober_.set_versions(documents_->known(now), now), now);
+    refresh_members(now);
+    events_.list_changed(list);
+    next_hold_check_ = now;
+    wakeup_->notify();
+}
+
+void control_plane::send(const std::vector<peer::outgoing>& messages)
+{
+    for (const auto& message : messages) {
+        send(message);
+    }
+}
+
+void control_plane::send(const peer::outgoing& message)
+{
+    const auto list = state_.current().list;
+    const auto* target = list ? list->find(message.to) : nullptr;
+    if (target != nullptr) {
+        socket_.send(target->address, target->peer_port,
+                     {state_.settings.instance, state_.process, message.body});
+    }
+}
+
+void control_plane::broadcast(peer::message body)
+{
+    asio::post(strand_, [self = shared_from_this(), body = std::move(body)] {
+        for (const auto& member : self->prober_.view()) {
+            if (!member.suspected) {
+                self->send({member.instance, body});
+            }
+        }
+    });
+}
+
+rights::admission control_plane::admit(const customer_id& customer, time_point now)
+{
+    auto answer = rights_.admit(customer, now);
+    if (std::holds_alternative<rights::wait>(answer)) {
+        wakeup_->notify();
+    }
+    return answer;
+}
+
+std::vector<membership::member_view> control_plane::members() const
+{
+    const std::lock_guard lock(members_mutex_);
+    return members_;
+}
+
+asio::awaitable<instance_id> control_plane::home_of(customer_id customer)
+{
+    auto self = shared_from_this();
+    co_return co_await asio::co_spawn(
+        strand_,
+        [self, customer = std::move(customer)]() -> asio::awaitable<instance_id> {
+            co_return self->rights_.preferred_home(customer, boot_clock::now());
+        },
+        asio::use_awaitable);
+}
+
+asio::awaitable<control_status> control_plane::status()
+{
+    auto self = shared_from_this();
+    co_return co_await asio::co_spawn(
+        strand_,
+        [self]() -> asio::awaitable<control_status> {
+            control_status status;
+            status.rights = self->rights_.status(boot_clock::now());
+            status.members = self->prober_.view();
+            status.readiness = self->documents_->readiness();
+            status.config_version = self->documents_->config().version();
+            status.list_revision = self->documents_->list().revision();
+            status.last_refusal = self->documents_->config().last_refusal();
+            status.reads_service = self->documents_->reads_config();
+            co_return status;
+        },
+        asio::use_awaitable);
+}
+
+} // namespace quetzal::node
--- /dev/null
+++ b/libs/node/src/entry_instance.cpp
@@ -0,0 +1,276 @@
+#include <quetzal/node/entry_instance.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <quetzal/net/tls.hpp>
+#include <quetzal/node/caller_api.hpp>
+#include <quetzal/node/log.hpp>
+#include <quetzal/node/operator_api.hpp>
+
+namespace quetzal::node {
+
+namespace asio = boost::asio;
+using config::log_level;
+
+namespace {
+
+// Connections of callers close a short while after the last answer, so that its bytes can leave.
+constexpr duration last_bytes_delay = std::chrono::milliseconds(200);
+// A handover needs two messages; when no peer answers, the leases simply run out.
+constexpr duration longest_handover = std::chrono::seconds(5);
+
+net::server_limits make_limits(const config::limit_settings& settings)
+{
+    net::server_limits limits;
+    limits.header_size = settings.header_size;
+    limits.body_size = settings.body_size;
+    limits.connections = settings.connections;
+    limits.slow_sender = settings.slow_sender_timeout;
+    return limits;
+}
+
+serving::warmth_declaration to_declaration(const peer::endpoint_declaration& message)
+{
+    return {message.process, message.warmth == peer::endpoint_warmth::warm, message.fence, message.sequence};
+}
+
+} // namespace
+
+struct entry_instance::parts : std::enable_shared_from_this<parts>
+{
+    parts(asio::io_context& where, config::settings values);
+
+    serving::gate_answer check_start(const serving::start_context& start);
+    serving::gate_answer check_rate(const serving::start_context& start, const credential& known,
+                                    time_point now);
+    control_events make_control_events();
+    void route(const serving::action& action);
+    tl::expected<void, std::string> start();
+    void drain();
+    void stop_when_idle();
+
+    asio::io_context& context;
+    shared_state state;
+    credential_registry credentials;
+    serving_front front;
+    std::shared_ptr<control_plane> control;
+    std::shared_ptr<endpoint_links> links;
+    std::shared_ptr<request_engine> engine;
+    std::unique_ptr<caller_api> callers;
+    std::unique_ptr<operator_api> operators;
+    std::shared_ptr<net::tls_context> tls;
+    std::unique_ptr<net::http_server> caller_server;
+    std::unique_ptr<net::http_server> operator_server;
+    asio::steady_timer stop_timer;
+};
+
+namespace {
+
+serving::dispatcher_options make_dispatcher_options(const config::settings& settings)
+{
+    serving::dispatcher_options options;
+    options.self = settings.instance;
+    options.zone = settings.zone;
+    options.seed = secure_random();
+    return options;
+}
+
+} // namespace
+
+entry_instance::parts::parts(asio::io_context& where, config::settings values)
+    : context(where), state(std::move(values)), credentials(state.settings.runtime.shards),
+      front(make_dispatcher_options(state.settings),
+            [this](const serving::start_context& start) { return check_start(start); }),
+      stop_timer(where)
+{
+    const auto executor = context.get_executor();
+    control = std::make_shared<control_plane>(executor, state, make_control_events());
+    links = std::make_shared<endpoint_links>(executor, state, front);
+    engine = std::make_shared<request_engine>(executor, state, *control, front, *links, credentials);
+    front.set_router([this](const serving::action& action) { route(action); });
+    callers = std::make_unique<caller_api>(executor, state, *control, *engine);
+    operators = std::make_unique<operator_api>(state, *control, *engine, front, [this] { drain(); });
+}
+
+serving::gate_answer entry_instance::parts::check_start(const serving::start_context& start)
+{
+    const auto now = boot_clock::now();
+    const auto known = credentials.find(start.request);
+    const auto config = state.current().config;
+    if (!known || !config) {
+        return {serving::start_gate::refuse, reason::cancelled, "the request has ended"};
+    }
+    if (!is_valid(*known, *config)) {
+        return {serving::start_gate::refuse, reason::unauthorized, "the key is not valid any more"};
+    }
+    if (!control->fresh(now)) {
+        return {serving::start_gate::hold, reason::stale_view, "this instance has lost contact to its peers"};
+    }
+    return start.admission ? check_rate(start, *known, now) : serving::gate_answer{};
+}
+
+serving::gate_answer entry_instance::parts::check_rate(const serving::start_context& start,
+                                                       const credential& known, time_point now)
+{
+    const auto answer = control->admit(known.customer, now);
+    if (std::holds_alternative<rights::admitted>(answer)) {
+        return {};
+    }
+    if (std::holds_alternative<rights::wait>(answer)) {
+        return {serving::start_gate::hold, reason::no_credit, "the customer's home has not answered yet"};
+    }
+    const auto& refused = std::get<rights::refused>(answer);
+    credentials.set_retry_after(start.request, refused.retry_after);
+    if (refused.unknown_customer) {
+        return {serving::start_gate::refuse, reason::unauthorized, "the customer is not known any more"};
+    }
+    return {serving::start_gate::refuse, reason::rate_exceeded, "the customer's rate is exceeded"};
+}
+
+control_events entry_instance::parts::make_control_events()
+{
+    control_events events;
+    events.config_changed = [this](std::shared_ptr<const config::published> config) {
+        engine->configure(*config);
+        front.command([&](serving::dispatcher& dispatcher) {
+            return dispatcher.configure(config, boot_clock::now());
+        });
+        if (const auto list = state.current().list) {
+            front.command([&](serving::dispatcher& dispatcher) {
+                return dispatcher.update(*list, boot_clock::now());
+            });
+        }
+    };
+    events.list_changed = [this](std::shared_ptr<const config::instance_list> list) {
+        front.command(
+            [&](serving::dispatcher& dispatcher) { return dispatcher.update(*list, boot_clock::now()); });
+    };
+    events.hold_changed = [this](const endpoint_id& endpoint, std::optional<std::uint64_t> fence) {
+        front.command([&](serving::dispatcher& dispatcher) {
+            return dispatcher.hold(endpoint, fence, boot_clock::now());
+        });
+    };
+    events.endpoint_observed = [this](const peer::endpoint_observation& seen) {
+        front.command([&](serving::dispatcher& dispatcher) {
+            return dispatcher.heard(seen.endpoint, seen.process, seen.seen == peer::endpoint_warmth::cold,
+                                    boot_clock::now());
+        });
+    };
+    events.endpoint_declared = [this](const peer::endpoint_declaration& declared) {
+        front.command([&](serving::dispatcher& dispatcher) {
+            return dispatcher.declared(declared.endpoint, to_declaration(declared), boot_clock::now());
+        });
+    };
+    return events;
+}
+
+void entry_instance::parts::route(const serving::action& action)
+{
+    if (const auto* probe = std::get_if<serving::probe_endpoint>(&action)) {
+        links->probe(probe->endpoint);
+    } else if (const auto* declare = std::get_if<serving::declare_endpoint>(&action)) {
+        const auto& said = declare->declaration;
+        control->broadcast(peer::endpoint_declaration{
+            declare->endpoint, said.process,
+            said.warm ? peer::endpoint_warmth::warm : peer::endpoint_warmth::cold, said.fence, said.sequence});
+    } else if (const auto* tell = std::get_if<serving::tell_endpoint_holder>(&action)) {
+        control->broadcast(peer::endpoint_observation{
+            tell->endpoint, tell->process,
+            tell->cold ? peer::endpoint_warmth::cold : peer::endpoint_warmth::warm});
+    } else {
+        engine->route(action);
+    }
+}
+
+tl::expected<void, std::string> entry_instance::parts::start()
+{
+    const auto& settings = state.settings;
+    if (settings.tls) {
+        auto loaded = net::tls_context::load({settings.tls->certificate_file, settings.tls->key_file});
+        if (!loaded) {
+            return tl::unexpected(loaded.error());
+        }
+        tls = std::move(*loaded);
+    }
+    const auto limits = make_limits(settings.limits);
+    const auto executor = context.get_executor();
+    caller_server = std::make_unique<net::http_server>(
+        executor, limits, tls, [this](const net::http_request& request, net::response_stream& response) {
+            return callers->handle(request, response);
+        });
+    operator_server = std::make_unique<net::http_server>(
+        executor, limits, tls, [this](const net::http_request& request, net::response_stream& response) {
+            return operators->handle(request, response);
+        });
+    operators->watch_server("callers", caller_server->counters());
+    operators->watch_server("operators", operator_server->counters());
+    if (const auto port = caller_server->listen(settings.listen.address, settings.listen.caller_port); !port) {
+        return tl::unexpected(port.error());
+    }
+    if (const auto port = operator_server->listen(settings.listen.address, settings.listen.operator_port);
+        !port) {
+        return tl::unexpected(port.error());
+    }
+    if (auto started = control->start(); !started) {
+        return started;
+    }
+    links->start();
+    engine->start();
+    log(log_level::info, "started",
+        {{"caller_port", std::uint64_t{settings.listen.caller_port}}, {"incarnation", state.process.value}});
+    return {};
+}
+
+void entry_instance::parts::drain()
+{
+    if (state.stopping.exchange(true)) {
+        return;
+    }
+    state.ready = false;
+    log(log_level::info, "draining", {{"running", std::uint64_t{engine->running()}}});
+    engine->on_idle([self = shared_from_this()] {
+        asio::post(self->context, [self] {
+            auto handed_over = std::make_shared<bool>(false);
+            self->stop_timer.expires_after(longest_handover);
+            self->stop_timer.async_wait([self](auto) { self->stop_when_idle(); });
+            self->control->begin_leave([self] {
+                asio::post(self->context, [self] { self->stop_timer.cancel(); });
+            });
+        });
+    });
+}
+
+void entry_instance::parts::stop_when_idle()
+{
+    caller_server->stop();
+    operator_server->stop();
+    links->stop();
+    stop_timer.expires_after(last_bytes_delay);
+    stop_timer.async_wait([self = shared_from_this()](auto) {
+        log(log_level::info, "stopped", {});
+        self->control->stop();
+        self->context.stop();
+    });
+}
+
+entry_instance::entry_instance(asio::io_context& context, config::settings settings)
+    : parts_(std::make_shared<parts>(context, std::move(settings)))
+{}
+
+entry_instance::~entry_instance() = default;
+
+tl::expected<void, std::string> entry_instance::start() { return parts_->start(); }
+
+void entry_instance::drain() { parts_->drain(); }
+
+void entry_instance::reload_certificates()
+{
+    if (parts_->tls == nullptr) {
+        return;
+    }
+    const auto done = parts_->tls->reload();
+    log(done ? log_level::info : log_level::error, "certificates_reloaded",
+        {{"detail", done ? std::string("ok") : done.error()}});
+}
+
+} // namespace quetzal::node
