--- a/libs/rights/include/quetzal/rights/fleet_rights.hpp
+++ b/libs/rights/include/quetzal/rights/fleet_rights.hpp
@@ -107,6 +107,9 @@
     // Returns whether this instance holds the partition; for tests and the status page.
     bool holds(partition_index partition, time_point now) const noexcept;
 
+    // Returns the fencing number of a partition, 0 when it is not held.
+    std::uint64_t partition_fence(partition_index partition, time_point now) const noexcept;
+
 private:
     using messages = std::vector<peer::outgoing>;
 
@@ -166,6 +169,7 @@
     std::shared_ptr<partition_terms> terms_;
     sharded<credit_shard> shards_;
     std::atomic<duration::rep> fresh_until_{0};
+    time_point last_active_{};
     std::array<time_point, peer::partition_count> outranked_since_{};
     std::array<time_point, peer::partition_count> published_until_{}; // greatest of this process
     std::array<instance_id, peer::partition_count> homes_; // last instance that answered as home
--- a/libs/rights/include/quetzal/rights/holder.hpp
+++ b/libs/rights/include/quetzal/rights/holder.hpp
@@ -81,8 +81,11 @@
     // Returns, once, whether a fencing number was chosen that voters have not been told.
     bool take_fence_pending();
 
-    // Returns the number of partitions that are held, or wanted and not held.
-    std::size_t count(bool held) const noexcept;
+    // Returns the number of partitions that are held.
+    std::size_t held() const noexcept { return held_; }
+
+    // Returns the number of partitions that are wanted and not held.
+    std::size_t acquiring() const noexcept { return acquiring_; }
 
 private:
     struct grant_record
@@ -140,6 +143,8 @@
     std::uint32_t sequence_ = 0;
     std::uint64_t greatest_fence_ = 0;
     bool fence_pending_ = false;
+    std::size_t held_ = 0;
+    std::size_t acquiring_ = 0;
     std::array<partition_state, peer::partition_count> partitions_;
     std::array<time_point, peer::partition_count> valid_until_{};
     std::deque<sent_request> sent_;
--- a/libs/rights/include/quetzal/rights/voter.hpp
+++ b/libs/rights/include/quetzal/rights/voter.hpp
@@ -40,6 +40,9 @@
     void on_release(const instance_id& from, incarnation process,
                     const peer::release_partitions& release, time_point now);
 
+    // Grants nothing before `until`.
+    void stay_silent(time_point until);
+
     // Returns the number of votes whose lease runs.
     std::size_t granted(time_point now) const noexcept;
 
--- a/libs/rights/src/fleet_rights.cpp
+++ b/libs/rights/src/fleet_rights.cpp
@@ -23,7 +23,8 @@
     : self_(self), settings_(settings), voter_(self.id, settings, self.started),
       holder_(self.id, settings), handovers_(settings),
       terms_(std::make_shared<partition_terms>()),
-      shards_(self.shards, settings, std::shared_ptr<const partition_terms>(terms_))
+      shards_(self.shards, settings, std::shared_ptr<const partition_terms>(terms_)),
+      last_active_(self.started)
 {
 }
 
@@ -205,6 +206,11 @@
 
 void fleet_rights::expire(time_point now)
 {
+    if (now > last_active_ + settings_.list_spread) {
+        // A process that stood still may use an instance list that others have left behind.
+        voter_.stay_silent(now + lengthened(settings_.lease));
+    }
+    last_active_ = std::max(last_active_, now);
     for (const auto partition : holder_.drop_expired(now)) {
         terms_->clear(partition);
         wants_changed_ = now;
@@ -213,14 +219,14 @@
 
 void fleet_rights::update_wants(time_point now)
 {
-    const auto before = holder_.count(false);
+    const auto before = holder_.acquiring();
     for (partition_index partition = 0; partition < settings_.partitions; ++partition) {
         const bool ours = !leaving_ && (ranks_.first(partition) == self_.id ||
                                         handovers_.expects(partition, now));
         const bool held = holder_.fence(partition) != 0;
         holder_.want(partition, held || (ours && !handovers_.leaving(partition)));
     }
-    if (holder_.count(false) > before) {
+    if (holder_.acquiring() > before) {
         wants_changed_ = now;
         next_acquisition_ = now;
     }
@@ -238,7 +244,7 @@
 void fleet_rights::append_requests(messages& out, time_point now)
 {
     const bool all = now >= next_renewal_;
-    if (!all && (now < next_acquisition_ || holder_.count(false) == 0)) {
+    if (!all && (now < next_acquisition_ || holder_.acquiring() == 0)) {
         return;
     }
     if (all) {
@@ -355,7 +361,7 @@
 time_point fleet_rights::next_wake(time_point now)
 {
     time_point wake = next_renewal_;
-    if (holder_.count(false) > 0) {
+    if (holder_.acquiring() > 0) {
         wake = std::min(wake, next_acquisition_);
     }
     wake = std::min({wake, handovers_.wake(), release_at_});
@@ -504,7 +510,13 @@
 
 std::uint64_t fleet_rights::fence(const endpoint_id& endpoint, time_point now) const noexcept
 {
-    const auto term = terms_->held(partition_of(endpoint, settings_), now);
+    return partition_fence(partition_of(endpoint, settings_), now);
+}
+
+std::uint64_t fleet_rights::partition_fence(partition_index partition,
+                                            time_point now) const noexcept
+{
+    const auto term = terms_->held(partition, now);
     return term ? term->fence : 0;
 }
 
@@ -538,7 +550,7 @@
 
 bool fleet_rights::left(time_point now) const
 {
-    return leaving_ && holder_.count(true) == 0 && handovers_.running() == 0 &&
+    return leaving_ && holder_.held() == 0 && handovers_.running() == 0 &&
            releases_.empty() && !handovers_.expects_any(now);
 }
 
@@ -550,8 +562,8 @@
     value.members = committees_ ? committees_->members().size() : 0;
     value.committee = committees_ ? committees_->size() : 0;
     value.quorum = committees_ ? committees_->quorum() : 0;
-    value.held = holder_.count(true);
-    value.wanted = value.held + holder_.count(false);
+    value.held = holder_.held();
+    value.wanted = value.held + holder_.acquiring();
     value.granted = voter_.granted(now);
     value.handing_over = handovers_.running();
     shards_.for_each([&](const credit_shard& shard) { value.customers += shard.size(); });
--- a/libs/rights/src/holder.cpp
+++ b/libs/rights/src/holder.cpp
@@ -58,7 +58,11 @@
 
 void holder::want(partition_index partition, bool wanted)
 {
-    partitions_[partition].wanted = wanted;
+    partition_state& state = partitions_[partition];
+    if (!state.held) {
+        acquiring_ += static_cast<std::size_t>(wanted) - static_cast<std::size_t>(state.wanted);
+    }
+    state.wanted = wanted;
 }
 
 time_point holder::quorum_until(const ballot& votes, std::uint64_t fence) const
@@ -269,6 +273,8 @@
         }
         if (quorum_until(*votes, state.fence) > now) {
             state.held = true;
+            ++held_;
+            --acquiring_; // answers count only while the partition is wanted
             valid_until_[partition] = until(state);
             acquired.fence = state.fence;
             completed.push_back(acquired);
@@ -294,6 +300,10 @@
 void holder::drop(partition_index partition)
 {
     partition_state& state = partitions_[partition];
+    if (state.held) {
+        --held_;
+        acquiring_ += state.wanted ? 1 : 0;
+    }
     state.held = false;
     state.fence = 0;
     state.asked_from = sequence_ + 1;
@@ -350,12 +360,4 @@
     return std::max(quorum_until(contacts, 0), *std::ranges::max_element(valid_until_));
 }
 
-std::size_t holder::count(bool held) const noexcept
-{
-    return static_cast<std::size_t>(
-        std::ranges::count_if(partitions_, [held](const partition_state& state) {
-            return held ? state.held : (state.wanted && !state.held);
-        }));
-}
-
 } // namespace quetzal::rights
--- a/libs/rights/src/voter.cpp
+++ b/libs/rights/src/voter.cpp
@@ -22,11 +22,7 @@
 voter::voter(instance_id self, const options& settings, time_point start)
     : self_(std::move(self)), settings_(settings)
 {
-    if (settings_.safe.voter_silence) {
-        for (auto& current : votes_) {
-            current.silent_until = start + lengthened(settings_.lease);
-        }
-    }
+    stay_silent(start + lengthened(settings_.lease));
 }
 
 void voter::set_committees(std::shared_ptr<const committee_table> committees, time_point now)
@@ -194,6 +190,15 @@
     return answer;
 }
 
+void voter::stay_silent(time_point until)
+{
+    if (settings_.safe.voter_silence) {
+        for (auto& current : votes_) {
+            current.silent_until = std::max(current.silent_until, until);
+        }
+    }
+}
+
 std::size_t voter::granted(time_point now) const noexcept
 {
     return static_cast<std::size_t>(std::count_if(
