rights: no silence after an empty instance list

Cause: a configuration that arrived before the first list made the list look like a large change, so a cold start took 7.75 s instead of 2.75 s. Change: tables without members are not remembered.

--- a/libs/rights/src/voter.cpp
+++ b/libs/rights/src/voter.cpp
@@ -38,7 +38,7 @@
     if (overflow) {
         history_.pop_front();
     }
-    if (committees_) {
+    if (committees_ && committees_->size() > 0) { // no vote was given under an empty list
         history_.push_back({std::move(committees_), now + in_use});
     }
     committees_ = std::move(committees);
