--- a/libs/rights/src/voter.cpp
+++ b/libs/rights/src/voter.cpp
@@ -22,11 +22,7 @@
 voter::voter(instance_id self, const options& settings, time_point start)
     : self_(std::move(self)), settings_(settings)
 {
-    if (settings_.safe.voter_silence) {
-        for (auto& current : votes_) {
-            current.silent_until = start + lengthened(settings_.lease);
-        }
-    }
+    stay_silent(start + lengthened(settings_.lease));
 }
 
 void voter::set_committees(std::shared_ptr<const committee_table> committees, time_point now)
@@ -42,7 +38,7 @@
     if (overflow) {
         history_.pop_front();
     }
-    if (committees_) {
+    if (committees_ && committees_->size() > 0) { // no vote was given under an empty list
         history_.push_back({std::move(committees_), now + in_use});
     }
     committees_ = std::move(committees);
@@ -194,6 +190,15 @@
     return answer;
 }
 
+void voter::stay_silent(time_point until)
+{
+    if (settings_.safe.voter_silence) {
+        for (auto& current : votes_) {
+            current.silent_until = std::max(current.silent_until, until);
+        }
+    }
+}
+
 std::size_t voter::granted(time_point now) const noexcept
 {
     return static_cast<std::size_t>(std::count_if(
