serving: add the dispatcher

Change: the facade for one shard with typed actions, last-moment checks before each admission and attempt, admission ahead of the bottleneck stage, and explanations.

--- a/libs/serving/include/quetzal/serving/cold_ramp.hpp
+++ b/libs/serving/include/quetzal/serving/cold_ramp.hpp
@@ -68,6 +68,9 @@
 public:
     explicit cold_ramp(ramp_options options = {}) : options_(options) {}
 
+    // Changes the concurrency and the cold concurrency.
+    void resize(std::uint32_t concurrency, std::uint32_t cold_concurrency);
+
     // Tells which process answers at the endpoint. Another one than before is cold.
     std::vector<ramp_action> connected(incarnation process, time_point now);
 
--- a/libs/serving/include/quetzal/serving/dispatcher.hpp
+++ b/libs/serving/include/quetzal/serving/dispatcher.hpp
@@ -234,7 +234,7 @@
     // still run are cancelled, waiting calls removed without further actions.
     actions finish_request(request_key request, bool completed, time_point now);
 
-    // Applies what became due: expiry, hedges, probes, ends of attempts. Call it at `next_tick` or
+    // Applies what became due: expiry, hedges, probes, ends of attempts. Call it at `next_tick` and
     // at least every 100 ms.
     actions tick(time_point now);
     std::optional<time_point> next_tick() const;
@@ -242,7 +242,8 @@
     // Returns the steps of a request that runs or ended a short time ago; empty when unknown.
     explanation explain(request_key request) const;
 
-    // Returns the endpoints that this instance should keep connections to.
+    // Returns the endpoints that this instance should keep connections to: its subset of each pool
+    // and those whose exclusive right it holds.
     std::vector<endpoint_id> wanted_endpoints() const;
 
     // Figures of one pool for metrics.
--- a/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -106,6 +106,9 @@
     // concurrency is the upper bound.
     void limit(endpoint_index endpoint, std::uint32_t calls);
 
+    // Changes the concurrency of the pool.
+    void resize(std::uint32_t concurrency);
+
     // Forgets latency, load and cache of an endpoint that restarted.
     void restarted(endpoint_index endpoint);
 
--- a/libs/serving/include/quetzal/serving/retry_policy.hpp
+++ b/libs/serving/include/quetzal/serving/retry_policy.hpp
@@ -47,13 +47,12 @@
 struct failed_attempt
 {
     verdict run = verdict::may_have_run;
-    std::uint32_t attempts = 1;       // started so far for this call
-    std::uint32_t offset = 0;         // chunks of the answer already passed on
-    bool idempotent = true;           // whether the stage may run twice
-    bool resumes_streams = false;     // whether the pool resumes from an offset
-    bool refused_by_endpoint = false; // the endpoint refused before running
-    time_point give_up;               // no attempt runs longer than this
-    duration expected_latency{};      // least time that another attempt takes
+    std::uint32_t attempts = 1;   // started so far for this call
+    std::uint32_t offset = 0;     // chunks of the answer already passed on
+    bool idempotent = true;       // whether the stage may run twice
+    bool resumes_streams = false; // whether the pool resumes from an offset
+    time_point give_up;           // no attempt runs longer than this
+    duration expected_latency{};  // least time that another attempt takes
 };
 
 // Why a failed attempt is or is not tried again.
--- a/libs/serving/src/cold_ramp.cpp
+++ b/libs/serving/src/cold_ramp.cpp
@@ -57,6 +57,13 @@
     return {tell_holder{*process_, is_evidence(cause), cause}};
 }
 
+void cold_ramp::resize(std::uint32_t concurrency, std::uint32_t cold_concurrency)
+{
+    options_.concurrency = concurrency;
+    options_.cold_concurrency = cold_concurrency;
+    limit_ = std::min(limit_, concurrency);
+}
+
 std::vector<ramp_action> cold_ramp::connected(incarnation process, time_point now)
 {
     if (process_ == process) {
--- /dev/null
+++ b/libs/serving/src/dispatcher.cpp
@@ -0,0 +1,137 @@
+#include <quetzal/serving/dispatcher.hpp>
+
+#include "dispatcher_state.hpp"
+
+namespace quetzal::serving {
+
+dispatcher::dispatcher(dispatcher_options options, dispatch_gate gate)
+    : implementation_(std::make_unique<implementation>(std::move(options), std::move(gate)))
+{
+}
+
+dispatcher::~dispatcher() = default;
+dispatcher::dispatcher(dispatcher&&) noexcept = default;
+dispatcher& dispatcher::operator=(dispatcher&&) noexcept = default;
+
+actions dispatcher::configure(std::shared_ptr<const config::published> published, time_point now)
+{
+    implementation_->configure(std::move(published), now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::update(const config::instance_list& list, time_point now)
+{
+    implementation_->update(list, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::connected(const endpoint_id& endpoint, std::optional<incarnation> process,
+                              time_point now)
+{
+    implementation_->connected(endpoint, process, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::report(const endpoint_id& endpoint, const load_report& report, time_point now)
+{
+    implementation_->report(endpoint, report, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::cache_events(const endpoint_id& endpoint,
+                                 const std::vector<cache_event>& events, time_point now)
+{
+    implementation_->cache_events(endpoint, events, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::hold(const endpoint_id& endpoint, std::optional<std::uint64_t> fence,
+                         time_point now)
+{
+    implementation_->hold(endpoint, fence, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::declared(const endpoint_id& endpoint, const warmth_declaration& declaration,
+                             time_point now)
+{
+    implementation_->declared(endpoint, declaration);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::heard(const endpoint_id& endpoint, incarnation process, bool cold,
+                          time_point now)
+{
+    implementation_->heard(endpoint, process, cold, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::probed(const endpoint_id& endpoint, bool success, time_point now)
+{
+    implementation_->probed(endpoint, success, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::submit_request(const request_start& request, time_point now)
+{
+    implementation_->submit_request(request, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::submit_call(const call_start& call, time_point now)
+{
+    implementation_->submit_call(call, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::chunk(call_key call, std::uint32_t attempt, time_point now)
+{
+    implementation_->chunk(call, attempt, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::succeeded(const attempt_success& success, time_point now)
+{
+    implementation_->succeeded(success, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::failed(const attempt_failure& failure, time_point now)
+{
+    implementation_->failed(failure, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::finish_request(request_key request, bool completed, time_point now)
+{
+    implementation_->finish_request(request, completed, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::tick(time_point now)
+{
+    implementation_->tick(now);
+    return implementation_->take_actions(now);
+}
+
+std::optional<time_point> dispatcher::next_tick() const
+{
+    return implementation_->next_tick();
+}
+
+explanation dispatcher::explain(request_key request) const
+{
+    return implementation_->explain(request);
+}
+
+std::vector<endpoint_id> dispatcher::wanted_endpoints() const
+{
+    return implementation_->wanted_endpoints();
+}
+
+dispatcher::pool_figures dispatcher::figures(const pool_id& pool) const
+{
+    return implementation_->figures(pool);
+}
+
+} // namespace quetzal::serving
--- /dev/null
+++ b/libs/serving/src/dispatcher_test.cpp
@@ -0,0 +1,388 @@
+#include "dispatcher_harness.hpp"
+
+#include <quetzal/testing/section.hpp>
+
+using namespace quetzal;
+using namespace quetzal::serving;
+using namespace quetzal::serving::testing;
+using quetzal::testing::check;
+using quetzal::testing::section;
+
+namespace {
+
+bool mentions(const explanation& why, const std::string& text)
+{
+    return std::any_of(why.steps.begin(), why.steps.end(),
+                       [&](const auto& step) { return step.what.find(text) != std::string::npos; });
+}
+
+// Returns the share of a customer's ended requests that were completed within `bound`.
+double attainment(const harness& fleet, const std::string& customer, duration bound)
+{
+    double all = 0;
+    double met = 0;
+    for (const auto& [key, request] : fleet.ended) {
+        if (request.customer.name == customer) {
+            all += 1;
+            met += request.completed && request.took <= bound ? 1 : 0;
+        }
+    }
+    return met / all;
+}
+
+} // namespace
+
+// Guards against a request that is lost, answered twice or cannot be explained.
+Test(dispatcher, runs_a_request_through_its_stages)
+{
+    harness fleet;
+    const auto key = fleet.submit("rugs");
+    section("while it runs, the steps so far are explained", [&] {
+        check(mentions(fleet.subject->explain(key), "admitted after 0 ms"), "admission");
+        check(mentions(fleet.subject->explain(key), "stage encode: attempt 1 on"), "routing");
+    });
+    section("when all stages have answered, it is complete", [&] {
+        fleet.run_until(fleet.now + 100ms);
+        check(fleet.result(key) && fleet.result(key)->completed, "completed");
+        check(fleet.result(key)->took == 60ms, "three stages of 20 ms, no wait between them");
+        check(fleet.log.size() == 3, "one attempt for each stage");
+        check(mentions(fleet.subject->explain(key), "completed"), "the explanation is kept");
+        check(fleet.subject->figures(pool_id("rank")).running == 0, "nothing is left running");
+    });
+}
+
+// Guards against refusals that cost something, are untrue or concern work that may be late.
+Test(dispatcher, refuses_before_the_first_stage_what_cannot_be_met)
+{
+    harness fleet;
+    fleet.serve = [](const start_attempt&) { return harness::behaviour{500ms, {}, false}; };
+    section("given stages that take 1.5 s in all", [&] {
+        fleet.load("rugs", 20, 1s);
+        fleet.run_until(fleet.now + 3s);
+        check(fleet.completed() == 20, "2 s suffice");
+    });
+    const auto short_request = [&](const char* work_class) {
+        const auto key = static_cast<request_key>(1'000'000);
+        return fleet.subject->submit_request(
+            {key, class_id(work_class), customer_id("rugs"), fleet.now, fleet.now + 1s}, fleet.now);
+    };
+    section("when a request has only 1 s, it is refused at once", [&] {
+        const auto answer = short_request("ask");
+        const auto* refused = std::get_if<request_refused>(&answer.at(0));
+        check(refused && refused->why.why == reason::deadline_unreachable, "reason");
+        check(refused->why.run == verdict::not_run && refused->why.retry_after, "nothing ran");
+        check(mentions(fleet.subject->explain(refused->request), "needs at least"), "explained");
+    });
+    section("when its class finishes late work, it runs", [&] {
+        const auto answer = short_request("book");
+        check(std::holds_alternative<request_admitted>(answer.at(0)), "admitted");
+    });
+    section("when its class is unknown, it is refused", [&] {
+        const auto answer = short_request("unknown");
+        check(std::get<request_refused>(answer.at(0)).why.why == reason::unknown_class, "reason");
+    });
+}
+
+// Guards against work in a zone out of service: queued, retried and hedged calls are placed anew,
+// and the zone's return must not bring full load at once.
+Test(dispatcher, a_zone_out_of_service_gets_no_new_work)
+{
+    harness fleet;
+    fleet.serve = [](const start_attempt& attempt) {
+        // Some endpoints fail, some crawl, so that there are retries and hedges too.
+        const auto number = attempt.endpoint.name.back() - '0';
+        const bool fails = number == 1 && static_cast<std::uint64_t>(attempt.call) % 3 == 0;
+        return harness::behaviour{
+            number == 2 && static_cast<std::uint64_t>(attempt.call) % 7 == 0 ? 300ms : 30ms,
+            fails ? std::optional(verdict::may_have_run) : std::nullopt, false};
+    };
+    const time_point out = fleet.now + 2s;
+    fleet.load("rugs", 500, 4s);
+    fleet.at(out, [&] { fleet.set_zone("b", config::zone_state::out); });
+    fleet.run_until(out + 3s);
+    section("given a zone that leaves while work is queued", [&] {
+        std::size_t retries = 0;
+        for (const auto& entry : fleet.log) {
+            const bool in_zone = (entry.endpoint.back() - '0') % 3 == 1;
+            check(!in_zone || entry.at <= out, "no attempt starts there after it left");
+            retries += entry.attempt.attempt > 1 && entry.at > out ? 1 : 0;
+        }
+        check(retries > 0, "there were retries and hedges");
+        check(fleet.attempts_on("rank-1") > 0, "there was work before");
+    });
+    section("when it returns, another instance holds the right", [&] {
+        fleet.set_zone("b", config::zone_state::in);
+        const time_point back = fleet.now;
+        fleet.load("rugs", 200, 1s);
+        fleet.run_until(back + 2s);
+        check(fleet.attempts_on("rank-1", back) == 0, "nothing before the holder's declaration");
+        fleet.apply(fleet.subject->declared(endpoint_id("rank-1"), {incarnation{1}, true, 1, 9},
+                                            fleet.now));
+        fleet.load("rugs", 200, 1s);
+        fleet.run_until(fleet.now + 2s);
+        check(fleet.attempts_on("rank-1", back) > 0, "work after it");
+    });
+}
+
+// Guards against a leaving endpoint receiving new work while its running work is cut off.
+Test(dispatcher, a_leaving_endpoint_only_finishes)
+{
+    harness fleet;
+    fleet.load("rugs", 300, 2s);
+    fleet.run_until(fleet.now + 1s);
+    for (auto& endpoint : fleet.list.endpoints) {
+        endpoint.state = endpoint.id.name == "rank-0" ? config::listed_state::leaving
+                                                      : config::listed_state::live;
+    }
+    const time_point leaves = fleet.now;
+    fleet.apply(fleet.subject->update(fleet.list, leaves));
+    fleet.run_until(leaves + 3s);
+    check(fleet.attempts_on("rank-0", leaves) == 0, "no new work");
+    check(fleet.completed() >= 600 && fleet.completed() == fleet.ended.size(),
+          "every request is complete");
+}
+
+// Guards against a retry storm. Without the budget each call is tried four times, and the attempts
+// multiply the load of a pool that fails already.
+Test(dispatcher, an_endpoint_failing_everywhere_causes_no_storm)
+{
+    section("given one pool where everything fails", [] {
+        harness fleet;
+        fleet.serve = [](const start_attempt& attempt) {
+            const bool fails = attempt.endpoint.name.starts_with("rank");
+            return harness::behaviour{
+                20ms, fails ? std::optional(verdict::may_have_run) : std::nullopt, false};
+        };
+        fleet.load("rugs", 100, 5s);
+        fleet.run_until(fleet.now + 8s);
+        std::size_t attempts = 0;
+        for (const auto& entry : fleet.log) {
+            attempts += entry.endpoint.starts_with("rank") ? 1 : 0;
+        }
+        check(attempts <= 501, "one retry in all, by the initial token");
+        check(fleet.ended.size() == 500, "every request ends");
+        for (const auto& [key, request] : fleet.ended) {
+            check(request.why && request.why->run == verdict::may_have_run, "truthfully");
+        }
+    });
+    section("given one failing endpoint in each pool, it is ejected", [] {
+        harness fleet;
+        fleet.serve = [](const start_attempt& attempt) {
+            const bool fails = attempt.endpoint.name.ends_with("-2");
+            return harness::behaviour{
+                20ms, fails ? std::optional(verdict::may_have_run) : std::nullopt, false};
+        };
+        fleet.load("rugs", 100, 10s);
+        fleet.run_until(fleet.now + 12s);
+        check(fleet.probes > 0, "and probed before its return");
+        check(fleet.attempts_on("rank-2") < 40, "it gets few calls");
+        check(fleet.completed() >= 950, "the others answer nearly all");
+    });
+    section("given an endpoint that never answers", [] {
+        harness fleet;
+        fleet.serve = [&](const start_attempt& attempt) -> std::optional<harness::behaviour> {
+            if (attempt.endpoint.name == "rank-2" && fleet.now > time_point(1h + 1s)) {
+                return std::nullopt;
+            }
+            return harness::behaviour{};
+        };
+        fleet.load("rugs", 100, 10s);
+        fleet.run_until(fleet.now + 13s);
+        check(fleet.completed() >= 990, "hedges answer");
+        check(fleet.subject->figures(pool_id("rank")).hedges > 0, "within the budget");
+        check(fleet.attempts_on("rank-2", time_point(1h + 2s)) < 60, "and it is ejected");
+    });
+}
+
+// Guards against an endpoint that restarts under load receiving more than a cold one bears.
+Test(dispatcher, an_endpoint_restarting_at_full_load_ramps_up)
+{
+    harness fleet;
+    fleet.load("rugs", 500, 6s);
+    fleet.run_until(fleet.now + 1s);
+    section("when it restarts, nobody but the holder sends to it", [&] {
+        const time_point restarted = fleet.now;
+        fleet.apply(fleet.subject->connected(endpoint_id("rank-0"), {}, restarted));
+        fleet.apply(fleet.subject->connected(endpoint_id("rank-0"), incarnation{2}, restarted));
+        fleet.run_until(restarted + 1s);
+        check(fleet.attempts_on("rank-0", restarted) == 0, "nothing");
+        check(!fleet.told.empty() && !fleet.told.back().cold, "the holder is asked");
+    });
+    section("when this instance becomes the holder, it doubles on evidence", [&] {
+        const time_point held = fleet.now;
+        fleet.most_in_flight.clear();
+        fleet.apply(fleet.subject->hold(endpoint_id("rank-0"), 5, held));
+        check(!fleet.declarations.back().declaration.warm, "declared cold");
+        fleet.run_until(held + 19ms);
+        check(fleet.most_in_flight["rank-0"] == 1, "one call until the first answer");
+        fleet.run_until(held + 39ms);
+        check(fleet.most_in_flight["rank-0"] <= 2, "two in the second round");
+        fleet.run_until(held + 1s);
+        const auto& last = fleet.declarations.back().declaration;
+        check(last.warm && last.process == incarnation{2} && last.fence == 5, "declared warm");
+    });
+}
+
+// Guards against work that runs twice though it must not, and against untrue verdicts.
+Test(dispatcher, keeps_the_verdicts_true)
+{
+    harness fleet;
+    section("given a stage that must not run twice and may have run", [&] {
+        fleet.serve = [](const start_attempt& attempt) {
+            const bool fails = attempt.endpoint.name.starts_with("rank");
+            return harness::behaviour{
+                20ms, fails ? std::optional(verdict::may_have_run) : std::nullopt, false};
+        };
+        const auto key = fleet.submit("rugs", "book");
+        fleet.run_until(fleet.now + 1s);
+        check(fleet.log.size() == 2, "no second attempt");
+        check(fleet.result(key)->why->run == verdict::may_have_run, "said so");
+    });
+    section("given an endpoint that refuses before it runs", [&] {
+        fleet.serve = [&](const start_attempt& attempt) {
+            const bool refuses = attempt.endpoint.name.starts_with("rank") && attempt.attempt == 1;
+            return harness::behaviour{
+                20ms, refuses ? std::optional(verdict::not_run) : std::nullopt, refuses};
+        };
+        const auto key = fleet.submit("rugs", "book");
+        fleet.run_until(fleet.now + 1s);
+        check(fleet.result(key)->completed, "another endpoint runs it, once");
+        const auto& first = fleet.log[fleet.log.size() - 3].endpoint;
+        const auto& second = fleet.log[fleet.log.size() - 2].endpoint;
+        check(first != second && (first.back() - second.back()) % 3 != 0, "in another zone");
+    });
+    section("given a retry that finds no place before its deadline", [&] {
+        fleet.serve = [](const start_attempt&) { return harness::behaviour{}; };
+        fleet.load("rugs", 100, 1s); // earns the budget for it
+        fleet.run_until(fleet.now + 2s);
+        fleet.serve = [&](const start_attempt& attempt) {
+            if (attempt.endpoint.name.starts_with("rank")) {
+                for (const auto* zone : {"a", "b", "c"}) {
+                    fleet.at(fleet.now,
+                             [&fleet, zone] { fleet.set_zone(zone, config::zone_state::out); });
+                }
+                return harness::behaviour{20ms, verdict::may_have_run, false};
+            }
+            return harness::behaviour{};
+        };
+        fleet.load("rugs", 40, 1s);
+        fleet.run_until(fleet.now + 4s);
+        std::size_t retried = 0;
+        for (const auto& [key, request] : fleet.ended) {
+            const auto why = fleet.subject->explain(key);
+            if (mentions(why, "tried again") && !mentions(why, "not tried again") &&
+                !request.completed) {
+                check(request.why->run == verdict::may_have_run, "the first attempt may have run");
+                ++retried;
+            }
+        }
+        check(retried > 0, "it happened");
+    });
+}
+
+// Guards against a second answer after a hedge, and hedges of work that must not run twice.
+Test(dispatcher, the_first_answer_wins)
+{
+    harness fleet;
+    bool crawl = false;
+    fleet.serve = [&](const start_attempt& attempt) {
+        const bool slow =
+            crawl && attempt.endpoint.name.starts_with("rank") && attempt.attempt == 1;
+        return harness::behaviour{slow ? 900ms : 20ms, {}, false};
+    };
+    fleet.load("rugs", 100, 1s);
+    fleet.run_until(fleet.now + 2s);
+    crawl = true;
+    section("given an idempotent attempt that takes longer than usual", [&] {
+        const auto before = fleet.log.size();
+        const auto key = fleet.submit("rugs");
+        fleet.run_until(fleet.now + 2s);
+        check(fleet.result(key)->completed && fleet.result(key)->took < 150ms, "the hedge answers");
+        check(fleet.log.size() == before + 4 && fleet.cancelled == 1, "the other is cancelled");
+        check(fleet.log[before + 2].attempt.hedge, "marked");
+    });
+    section("given a stage that must not run twice, there is no hedge", [&] {
+        const auto before = fleet.log.size();
+        const auto key = fleet.submit("rugs", "book");
+        fleet.run_until(fleet.now + 2s);
+        check(fleet.result(key)->completed && fleet.log.size() == before + 3, "one attempt each");
+    });
+}
+
+// Guards against work for a withdrawn key, at admission and between two stages.
+Test(dispatcher, checks_the_key_before_each_attempt)
+{
+    bool withdrawn = false;
+    harness fleet(6, {}, [&](const start_context& context) {
+        const bool refuse = withdrawn && context.customer.name == "rugs";
+        return gate_answer{refuse ? start_gate::refuse : start_gate::start, reason::unauthorized,
+                           "key withdrawn"};
+    });
+    const auto running = fleet.submit("rugs");
+    fleet.run_until(fleet.now + 10ms);
+    withdrawn = true;
+    const auto later = fleet.submit("rugs");
+    const auto other = fleet.submit("flags");
+    fleet.run_until(fleet.now + 1s);
+    check(fleet.result(later)->why->why == reason::unauthorized, "refused at admission");
+    check(fleet.result(later)->why->run == verdict::not_run, "not run");
+    check(fleet.result(running)->why->why == reason::unauthorized, "refused at the next stage");
+    check(fleet.result(other)->completed, "other customers go on");
+}
+
+// Guards against first stages run for requests that then wait, and fail, at the bottleneck. Without
+// admission ahead of it all first stages run at once.
+Test(dispatcher, admits_ahead_of_the_bottleneck)
+{
+    harness fleet;
+    fleet.serve = [](const start_attempt& attempt) {
+        const bool generate = attempt.endpoint.name.starts_with("generate");
+        return harness::behaviour{generate ? 200ms : 10ms, {}, false};
+    };
+    fleet.load("rugs", 60, 2s);
+    fleet.run_until(fleet.now + 3s);
+    const auto before = fleet.log.size();
+    const auto ended = fleet.ended.size();
+    section("given twice the load that the last stage bears", [&] {
+        fleet.load("rugs", 240, 6s); // 24 places of 200 ms: 120 a second
+        fleet.run_until(fleet.now + 9s);
+        std::size_t first = 0;
+        std::size_t last = 0;
+        for (std::size_t index = before; index < fleet.log.size(); ++index) {
+            first += fleet.log[index].endpoint.starts_with("encode") ? 1 : 0;
+            last += fleet.log[index].endpoint.starts_with("generate") ? 1 : 0;
+        }
+        check(first <= last + last / 50, "at most 2% of the first stages are in vain");
+        check(last >= 600, "the last stage stays busy");
+        std::size_t completed = 0;
+        for (const auto& [key, request] : fleet.ended) {
+            completed += request.completed ? 1 : 0;
+            check(request.completed || request.why->run == verdict::not_run, "refused unrun");
+        }
+        check(completed >= ended + 600, "what is admitted is answered in time");
+    });
+}
+
+// Guards against one customer's excess reaching the others through any of the queues.
+Test(dispatcher, one_customer_at_five_times_its_rate_affects_no_other)
+{
+    std::map<std::string, double> calm;
+    for (const double factor : {1.0, 5.0}) {
+        harness fleet;
+        fleet.serve = [](const start_attempt& attempt) {
+            const bool generate = attempt.endpoint.name.starts_with("generate");
+            return harness::behaviour{generate ? 200ms : 10ms, {}, false};
+        };
+        fleet.load("large", 25 * factor, 10s);
+        for (const auto* customer : {"b", "c", "d"}) {
+            fleet.load(customer, 25, 10s);
+        }
+        fleet.run_until(fleet.now + 14s);
+        for (const auto* customer : {"b", "c", "d"}) {
+            const double met = attainment(fleet, customer, 2s);
+            check(factor == 1 || met >= calm[customer], "attainment does not fall");
+            check(met >= 0.99, "and is nearly whole");
+            calm[customer] = met;
+        }
+    }
+}
