--- a/libs/config/include/quetzal/config/chunk_store.hpp
+++ b/libs/config/include/quetzal/config/chunk_store.hpp
@@ -5,6 +5,7 @@
 // differs in the next. A rolling hash sets the boundaries, so a local change alters one or two
 // chunks and leaves the others as they were, even when it moves all bytes behind it.
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -47,18 +48,20 @@
 class chunk_store
 {
 public:
-    // Replaces the document in force and forgets the chunks that neither it nor another document
-    // uses, including those fetched for its next version.
+    // Replaces the document in force and forgets all other chunks of this kind, including the
+    // fetched ones. `text` may have up to `max_document_size` bytes; longer ones are a fault of the
+    // caller, because the parsers refuse them.
     void put(document kind, std::uint64_t version, std::string_view text);
 
     // The description of the document in force; null before the first `put`.
     const manifest* describe(document kind) const noexcept;
 
-    // The bytes of a chunk of a document in force, or an empty optional.
-    std::optional<std::string_view> find(const chunk_hash& hash) const;
+    // The bytes of a chunk of the document in force; empty when it has no such chunk. Valid until
+    // the next command.
+    std::optional<std::string_view> find(document kind, const chunk_hash& hash) const;
 
-    // Returns the chunks of the description that neither a document in force nor the fetched chunks
-    // provide, each once.
+    // Returns the chunks of the description that neither the document in force nor the fetched
+    // chunks provide, each once.
     std::vector<chunk_ref> missing(document kind, const manifest& description) const;
 
     // Keeps a chunk fetched for the next version of a document. Returns false, and keeps nothing,
@@ -86,7 +89,7 @@
         std::size_t fetched_size = 0;
     };
 
-    const std::string* look_up(document kind, const chunk_hash& hash) const;
+    const std::string* look_up(document kind, const chunk_ref& chunk) const;
 
     std::array<held_document, document_count> documents_;
 };
--- a/libs/config/include/quetzal/config/config_tracker.hpp
+++ b/libs/config/include/quetzal/config/config_tracker.hpp
@@ -32,7 +32,6 @@
     std::shared_ptr<const std::string> text;
     digest content{};                       // SHA-256 of the text
     std::shared_ptr<const published> value; // null when the checks failed
-    std::uint64_t version = 0; // declared version, 0 when the text does not declare a valid one
     std::optional<parse_error> error;
 };
 
@@ -56,8 +55,8 @@
 {
     refusal_cause cause = refusal_cause::invalid;
     value_source from = value_source::service;
-    std::uint64_t version = 0;
-    std::string detail; // what was expected and found; no content of the value
+    std::uint64_t version = 0; // 0 when it failed the checks
+    std::string detail;        // what was expected and found; no content of the value
     time_point at{};
 };
 
@@ -90,20 +89,17 @@
     // The text of the value in force, for transfer to peers; null before the first one.
     const std::shared_ptr<const std::string>& text() const noexcept { return text_; }
 
-    // The version in force; 0 before the first one. This is what instances tell each other.
+    // The version in force; 0 before the first one. This is what instances tell each other and what
+    // the service is asked for changes after. A version that failed the checks does not count: its
+    // number may be wrong as well, and would hide the corrected value.
     std::uint64_t version() const noexcept { return value_ ? value_->version : 0; }
 
-    // The version to ask the service for changes after: the one in force, or a higher one that
-    // failed the checks. Without this, a watch would return the invalid value again at once.
-    std::uint64_t watch_after() const noexcept;
-
-    // Whether a value of this version would be fetched in vain: not above the one in force, or
-    // already found invalid.
-    bool is_settled(std::uint64_t version) const noexcept { return version <= watch_after(); }
-
     // The last refusal; empty when none occurred since a value was last accepted.
     const std::optional<refused_value>& last_refusal() const noexcept { return refusal_; }
 
+    // Whether this content failed the checks last time, so that it need not be parsed again.
+    bool is_known_invalid(const digest& content) const noexcept;
+
 private:
     refused_value refuse(refusal_cause cause, value_source from, std::uint64_t version,
                          std::string detail, time_point now);
@@ -111,7 +107,7 @@
     std::shared_ptr<const published> value_;
     std::shared_ptr<const std::string> text_;
     digest content_{};
-    std::uint64_t invalid_version_ = 0; // highest version that failed the checks
+    digest invalid_content_{}; // of the last value that failed the checks
     std::optional<refused_value> refusal_;
 };
 
--- a/libs/config/include/quetzal/config/list_tracker.hpp
+++ b/libs/config/include/quetzal/config/list_tracker.hpp
@@ -12,6 +12,7 @@
 // by probes. Until enough instances have made the same step, voters with differing lists may refuse
 // each other, which delays work but never admits too much.
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -54,8 +55,9 @@
 class list_tracker
 {
 public:
-    // Takes a higher revision from any source, and a lower one from the platform by the rule above.
-    // A peer's copy of a revision that the platform took back is refused.
+    // Takes a higher revision from any source. Takes a lower one, or other content under the same
+    // revision, from the platform alone and by the rule above. A peer's copy of a revision that the
+    // platform took back is refused.
     list_outcome offer(const list_candidate& candidate, value_source from, time_point now);
 
     // The list in use; null before the first one.
@@ -67,11 +69,9 @@
     // The revision in use; 0 before the first one.
     std::uint64_t revision() const noexcept { return value_ ? value_->revision : 0; }
 
-    // The revision to ask the platform for changes after.
-    std::uint64_t watch_after() const noexcept { return revision(); }
-
-    // Whether a peer's copy of this revision would be fetched in vain.
-    bool is_settled(std::uint64_t revision) const noexcept;
+    // Peers' copies up to this revision are not worth fetching: the one in use, or a higher one
+    // that the platform took back.
+    std::uint64_t settled() const noexcept { return std::max(revision(), abandoned_revision_); }
 
     // The last refusal; empty when none occurred since a list was last accepted.
     const std::optional<refused_value>& last_refusal() const noexcept { return refusal_; }
@@ -84,9 +84,9 @@
     std::shared_ptr<const instance_list> value_;
     std::shared_ptr<const std::string> text_;
     digest content_{};
-    std::uint64_t abandoned_revision_ = 0;  // highest revision that the platform took back
-    std::uint64_t invalid_revision_ = 0;    // highest revision that a peer sent and that is invalid
-    std::optional<time_point> lower_since_; // first of the platform's uninterrupted lower answers
+    std::uint64_t abandoned_revision_ = 0; // highest revision that the platform took back
+    std::optional<time_point>
+        contrary_since_; // first of the platform's uninterrupted older answers
     std::optional<refused_value> refusal_;
 };
 
--- a/libs/config/include/quetzal/config/reader_schedule.hpp
+++ b/libs/config/include/quetzal/config/reader_schedule.hpp
@@ -37,6 +37,13 @@
     duration start_spread = std::chrono::seconds(1);
     // Next watch after a new value, which ends the watches of all readers at once.
     duration watch_spread = std::chrono::milliseconds(200);
+    // Shortest time between the starts of two reads, whatever the answers: 330 readers stay below
+    // 1,000 calls/s, half of the service's rate.
+    duration shortest_interval = std::chrono::milliseconds(500);
+    // Time between two unconditional reads, drawn from half to one and a half of this. A service
+    // that was restored from an old copy has nothing above the version that a watch asks for; only
+    // this read shows its state. A value of 1 MB costs a reader 1.1 KB/s.
+    duration verify_every = std::chrono::minutes(15);
     // Retries draw from [0, min(largest, base * 2^failures)), full jitter.
     duration retry_base = std::chrono::seconds(1);
     duration retry_largest = std::chrono::seconds(30);
@@ -49,8 +56,10 @@
     duration takeover_hold = std::chrono::minutes(2);
     // Time for one fetch from a peer.
     duration fetch_timeout = std::chrono::seconds(2);
-    // Pause before the next peer is tried, drawn from [0, this).
+    // Pause after a failed fetch, drawn from [0, this * 2^failures) up to `retry_largest`.
     duration fetch_retry = std::chrono::milliseconds(200);
+    // Longest time between two checks of the role.
+    duration role_check = std::chrono::seconds(1);
 };
 
 // A member that may read, as this instance sees it.
@@ -66,8 +75,9 @@
 // for suspected members.
 std::vector<reader_candidate> reader_candidates(const instance_list& list, const published* config);
 
-// Ask the service for a version above `after`, waiting at most `wait`. Report the outcome with
-// `on_service_answer` and `number`; an outcome with another number is ignored.
+// Ask the service for a version above `after`, waiting at most `wait`; `after` 0 asks for any.
+// Report the outcome with `on_service_answer` and `number`; an outcome with another number is
+// ignored.
 struct read_service
 {
     std::uint64_t number = 0;
@@ -95,9 +105,9 @@
 // How a call to the service ended.
 enum class service_answer
 {
-    new_value, // accepted by the tracker, or refused as invalid
-    unchanged, // the wait ended without a change
-    stale,     // a value that the tracker ignores: older, or other content under the same version
+    new_value, // the tracker accepted it
+    unchanged, // the wait ended without a change, or the tracker has this value in force
+    refused,   // the tracker refused it, for whatever cause
     failed     // no answer, an error status, or 429
 };
 
@@ -112,13 +122,12 @@
     std::vector<reader_action> set_members(std::vector<reader_candidate> members, time_point now,
                                            wall_time wall);
 
-    // Records the tracker's `watch_after` and, for followers, that a fetch may be needless.
-    void set_settled(std::uint64_t version) noexcept { settled_ = std::max(settled_, version); }
+    // Records the tracker's state, with every change: the version that watches ask for changes
+    // after, and the version up to which peers' copies are not worth fetching. They differ for a
+    // list that went back (`list_tracker::settled`).
+    void set_known(std::uint64_t watch_after, std::uint64_t settled);
 
-    // The revision went back (`list_accepted::restored`); higher ones are fetched anew.
-    void reset_settled(std::uint64_t version) noexcept { settled_ = version; }
-
-    // Reports the end of a call. Call `set_settled` first when the tracker took a value.
+    // Reports the end of a call. Call `set_known` first when the tracker took a value.
     std::vector<reader_action> on_service_answer(std::uint64_t number, service_answer answer,
                                                  time_point now, wall_time wall);
 
@@ -127,7 +136,8 @@
                                               std::optional<std::chrono::seconds> service_age,
                                               time_point now);
 
-    // Reports the end of a fetch; `settled` as in `set_settled`.
+    // Reports the end of a fetch; it succeeded when the tracker did not refuse the value. Call
+    // `set_known` first when the tracker took a value.
     std::vector<reader_action> on_fetched(std::uint64_t number, bool succeeded, time_point now);
 
     // Starts what is due.
@@ -138,7 +148,7 @@
 
     // Whether this instance reads the service now, and because it took over.
     bool is_reader() const noexcept { return reads_; }
-    bool has_taken_over(time_point now) const noexcept;
+    bool has_taken_over() const noexcept { return reads_ && hold_until_.has_value(); }
 
     // Age of the last service answer known here, to tell peers; empty when there was none.
     // A second is added for the hop, so that an age passed around never becomes younger.
@@ -148,6 +158,7 @@
     struct pending_read
     {
         std::uint64_t number = 0;
+        time_point started_at{};
         time_point fails_at{};
     };
     struct pending_fetch
@@ -158,9 +169,12 @@
     };
 
     duration jitter(duration bound) noexcept;
+    duration backoff(duration base, unsigned failures) noexcept;
     void choose_role(time_point now, wall_time wall);
-    std::size_t rank_in_zone(wall_time wall) const;
-    void note_failure(time_point now);
+    bool is_regular_reader(std::int64_t hour);
+    bool takes_over(time_point now) const noexcept;
+    void schedule_next_read(service_answer answer, time_point started_at, time_point now);
+    void act(std::vector<reader_action>& actions, time_point now);
     void start_read(std::vector<reader_action>& actions, time_point now);
     void start_fetch(std::vector<reader_action>& actions, time_point now);
 
@@ -169,21 +183,23 @@
     reader_options options_;
     random_source random_;
     std::vector<reader_candidate> members_;
+    std::uint64_t watch_after_ = 0;
     std::uint64_t settled_ = 0;
     std::uint64_t next_number_ = 1;
     bool reads_ = false;
-    bool started_ = false;
-    std::size_t rank_ = 0; // in the zone, 0 reads first
-    std::int64_t ranked_hour_ = -1;
-    unsigned failures_ = 0;
-    time_point next_read_{};
-    time_point started_at_{};
+    std::size_t rank_ = 0; // among the members of the zone, 0 reads first
+    unsigned read_failures_ = 0;
+    unsigned fetch_failures_ = 0;
+    std::optional<time_point> started_at_;
     std::optional<time_point> last_answer_; // of the service, to any reader known here
     std::optional<time_point> hold_until_;  // after a takeover
     std::optional<pending_read> read_;
     std::optional<pending_fetch> fetch_;
+    time_point next_read_{};
+    time_point next_verify_{};
     time_point next_fetch_{};
-    std::map<instance_id, std::uint64_t> offers_; // peers with a version that is not settled
+    time_point next_role_check_{};
+    std::map<instance_id, std::uint64_t> offers_; // versions of peers that are not settled
 };
 
 } // namespace quetzal::config
--- a/libs/config/include/quetzal/config/readiness.hpp
+++ b/libs/config/include/quetzal/config/readiness.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,10 +61,11 @@
     // A peer reported the version in force there; 0 means that it has none.
     void on_peer_version(const instance_id& peer, std::uint64_t version, time_point now);
 
-    // Records the tracker's state: the version in force and the highest version that is settled
-    // (`config_tracker::watch_after`). Opens the gate when the rule is met. Returns the questions
-    // that are due again.
-    std::vector<ask_version> update(std::uint64_t in_force, std::uint64_t settled, time_point now);
+    // Records the version in force here and opens the gate when the rule is met. A higher version
+    // that a peer has in force and that fails the checks here keeps the gate closed: it may
+    // withdraw keys that the older one still has. Returns the questions that are due again; call it
+    // with every event above and every `ask_again`.
+    std::vector<ask_version> update(std::uint64_t in_force, time_point now);
 
     // Whether the gate is open; reflects the last `update`.
     const readiness& state() const noexcept { return state_; }
@@ -71,19 +73,23 @@
 private:
     struct peer_state
     {
-        bool asked = false;
         bool answered = false;
+        std::optional<time_point> asked_at;
+    };
+    struct report
+    {
         std::uint64_t version = 0;
-        time_point asked_at{};
-        time_point answered_at{};
+        time_point at{};
     };
 
-    readiness judge(std::uint64_t in_force, std::uint64_t settled, time_point now) const;
+    readiness judge(std::uint64_t in_force, time_point now) const;
+    std::vector<ask_version> due_questions(time_point now);
 
     instance_id self_;
     readiness_options options_;
     random_source random_;
-    std::map<instance_id, peer_state> peers_;
+    std::map<instance_id, peer_state> peers_; // the sample
+    std::map<instance_id, report> highest_;   // reports above the version in force
     bool began_ = false;
     time_point began_at_{};
     readiness state_;
--- a/libs/membership/include/quetzal/membership/prober.hpp
+++ b/libs/membership/include/quetzal/membership/prober.hpp
@@ -39,8 +39,9 @@
     // A gap between ticks beyond this means that the process was paused: probes under way prove
     // nothing about their targets.
     duration pause = std::chrono::seconds(1);
-    // Without any message from a peer for so long, the fault is probably on this side; suspicions
-    // are then kept, but not spread.
+    // Without an answer from any peer for so long, the fault is probably on this side; suspicions
+    // are then kept, but not spread. Otherwise an instance that was cut off would make the whole
+    // fleet refute its suspicions when it returns.
     duration isolation = std::chrono::seconds(3);
 };
 
@@ -143,8 +144,8 @@
     // Replaces the members. This instance may be on the list or not.
     std::vector<prober_action> set_list(const config::instance_list& list, time_point now);
 
-    // Sets what this instance tells about its versions. When a version or revision rises, a few
-    // peers hear of it at once.
+    // Sets what this instance tells about its versions; call it once a second for the ages. When
+    // the version or the revision rises, a few peers hear of it at once.
     std::vector<prober_action> set_versions(const peer::versions& known, time_point now);
 
     // Takes a verified message. Messages other than probes are ignored.
@@ -185,6 +186,7 @@
         std::uint32_t sequence = 0;
         peer::versions known;
         std::optional<time_point> last_heard;
+        bool owes_correction = false; // a former process of this name sent a message
     };
     struct pending_update
     {
@@ -225,12 +227,15 @@
     std::vector<instance_id> sample(std::size_t count, const instance_id& other_than);
     void announce(actions& out);
     instance_id next_target();
+    bool is_isolated(time_point now) const noexcept;
     bool note_sender(actions& out, const peer::received& message, time_point now);
     void apply(actions& out, const peer::member_update& update, bool directly);
     void apply_self(actions& out, const peer::member_update& update);
-    void change(actions& out, const instance_id& id, member& entry, const member& next);
-    void on_probe(actions& out, const instance_id& from, const peer::probe& body);
-    void on_ack(actions& out, const instance_id& from, const peer::probe_ack& body);
+    void apply_all(actions& out, const instance_id& from, const peer::versions& known,
+                   const std::vector<peer::member_update>& updates);
+    void on_probe(actions& out, const instance_id& from, const peer::probe& body,
+                  bool current_process);
+    void on_ack(actions& out, const instance_id& from, const peer::probe_ack& body, time_point now);
     void on_request(actions& out, const instance_id& from, const peer::probe_request& body,
                     time_point now);
 
@@ -250,6 +255,8 @@
     std::map<std::uint32_t, relayed_probe> relays_;
     std::optional<time_point> last_tick_;
     std::optional<time_point> last_contact_;
+    std::optional<time_point> last_ack_;   // proves contact in both directions
+    std::optional<time_point> resumed_at_; // after a pause
     time_point next_probe_{};
     prober_counters counters_;
 };
--- /dev/null
+++ b/libs/peer/src/transfer.cpp
@@ -0,0 +1,158 @@
+#include <quetzal/peer/transfer.hpp>
+
+#include <sstream>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace quetzal {
+
+template <class Archive>
+void serialize(Archive& archive, chunk_ref& value)
+{
+    archive(value.hash, value.size);
+}
+
+template <class Archive>
+void serialize(Archive& archive, manifest& value)
+{
+    archive(value.version, value.whole, value.chunks);
+}
+
+namespace peer {
+
+template <class Archive>
+void serialize(Archive& archive, manifest_request& value)
+{
+    archive(value.kind);
+}
+
+template <class Archive>
+void serialize(Archive& archive, manifest_answer& value)
+{
+    archive(value.kind, value.description);
+}
+
+template <class Archive>
+void serialize(Archive& archive, chunks_request& value)
+{
+    archive(value.kind, value.wanted);
+}
+
+template <class Archive>
+void serialize(Archive& archive, chunk_data& value)
+{
+    archive(value.hash, value.bytes);
+}
+
+template <class Archive>
+void serialize(Archive& archive, chunks_answer& value)
+{
+    archive(value.kind, value.chunks);
+}
+
+namespace {
+
+// Header: magic (2 bytes), format version, key identifier, body size (4 bytes, most significant
+// first), MAC. The MAC covers the first eight bytes and the body.
+constexpr std::string_view magic = "qt";
+constexpr std::size_t prefix_size = 8;
+static_assert(prefix_size + mac_size == transfer_header_size);
+
+mac sign(std::string_view secret, std::string_view prefix, std::string_view body)
+{
+    std::string covered;
+    covered.reserve(prefix.size() + body.size());
+    covered.append(prefix).append(body);
+    return keyed_mac(secret, covered);
+}
+
+const peer_key* select_key(const key_ring& keys, std::uint8_t id)
+{
+    for (const peer_key* key : {&keys.current, &keys.previous}) {
+        if (key->id == id && !key->secret.empty()) {
+            return key;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::string encode_frame(const transfer_message& message, const key_ring& keys)
+{
+    std::ostringstream stream;
+    {
+        cereal::PortableBinaryOutputArchive archive(stream);
+        archive(message);
+    }
+    const std::string body = std::move(stream).str();
+    std::string frame(magic);
+    frame += static_cast<char>(format_version);
+    frame += static_cast<char>(keys.current.id);
+    for (int shift = 24; shift >= 0; shift -= 8) {
+        frame += static_cast<char>(body.size() >> shift);
+    }
+    const mac signature = sign(keys.current.secret, frame, body);
+    frame.append(reinterpret_cast<const char*>(signature.data()), signature.size());
+    return frame + body;
+}
+
+tl::expected<std::size_t, drop_cause> frame_body_size(std::string_view header)
+{
+    if (header.size() < transfer_header_size || header.substr(0, magic.size()) != magic) {
+        return tl::unexpected(drop_cause::too_short);
+    }
+    if (static_cast<std::uint8_t>(header[2]) != format_version) {
+        return tl::unexpected(drop_cause::wrong_version);
+    }
+    std::size_t size = 0;
+    for (const char byte : header.substr(4, 4)) {
+        size = size << 8 | static_cast<std::uint8_t>(byte);
+    }
+    if (size > max_frame_body) {
+        return tl::unexpected(drop_cause::undecodable);
+    }
+    return size;
+}
+
+tl::expected<transfer_message, drop_cause> decode_frame(std::string_view frame,
+                                                        const key_ring& keys)
+{
+    const auto size = frame_body_size(frame);
+    if (!size) {
+        return tl::unexpected(size.error());
+    }
+    if (frame.size() != transfer_header_size + *size) {
+        return tl::unexpected(drop_cause::too_short);
+    }
+    const peer_key* key = select_key(keys, static_cast<std::uint8_t>(frame[3]));
+    if (key == nullptr) {
+        return tl::unexpected(drop_cause::unknown_key);
+    }
+    const std::string_view body = frame.substr(transfer_header_size);
+    const mac expected = sign(key->secret, frame.substr(0, prefix_size), body);
+    const std::string_view carried = frame.substr(prefix_size, mac_size);
+    if (!equal_constant_time(
+            expected, {reinterpret_cast<const std::uint8_t*>(carried.data()), carried.size()}))
+    {
+        return tl::unexpected(drop_cause::wrong_mac);
+    }
+    try {
+        std::istringstream stream{std::string(body)};
+        cereal::PortableBinaryInputArchive archive(stream);
+        transfer_message message;
+        archive(message);
+        return message;
+    } catch (const std::exception&)
+    { // cereal, bad_alloc and length_error: all mean a malformed body
+        return tl::unexpected(drop_cause::undecodable);
+    }
+}
+
+} // namespace peer
+
+} // namespace quetzal
