--- a/libs/config/include/quetzal/config/reader_schedule.hpp
+++ b/libs/config/include/quetzal/config/reader_schedule.hpp
@@ -187,7 +187,9 @@
     std::uint64_t settled_ = 0;
     std::uint64_t next_number_ = 1;
     bool reads_ = false;
-    std::size_t rank_ = 0; // among the members of the zone, 0 reads first
+    std::optional<std::int64_t> ranked_hour_; // for which the next two hold
+    bool regular_ = false;                    // reads without takeover
+    std::size_t rank_ = 0;                    // among the members of the zone, 0 reads first
     unsigned read_failures_ = 0;
     unsigned fetch_failures_ = 0;
     std::optional<time_point> started_at_;
--- a/libs/config/src/reader_schedule.cpp
+++ b/libs/config/src/reader_schedule.cpp
@@ -29,6 +29,7 @@
                                                         time_point now, wall_time wall)
 {
     members_ = std::move(members);
+    ranked_hour_.reset();
     std::vector<reader_action> actions;
     choose_role(now, wall);
     act(actions, now);
@@ -177,7 +178,11 @@
     }
     next_role_check_ = now + options_.role_check;
     const auto hour = std::chrono::floor<std::chrono::hours>(wall).time_since_epoch().count();
-    const bool regular = is_regular_reader(hour);
+    if (ranked_hour_ != hour) {
+        ranked_hour_ = hour;
+        regular_ = is_regular_reader(hour);
+    }
+    const bool regular = regular_;
     if (hold_until_ && now >= *hold_until_) {
         hold_until_.reset();
     }
--- a/libs/config/src/test_documents.hpp
+++ b/libs/config/src/test_documents.hpp
@@ -8,7 +8,6 @@
 #include <string_view>
 
 #include <quetzal/base/digest.hpp>
-#include <quetzal/base/random.hpp>
 
 namespace quetzal::config::test {
 
@@ -79,9 +78,8 @@
     return at == std::string::npos ? std::string() : changed.replace(at, former.size(), next);
 }
 
-// Returns a configuration of the design size: 3,200 customers with two keys each and about 1 MB
-// when `padding` bytes of distinct pools are added. `changed` customers differ from the same text
-// with a lower version by their rate.
+// Returns a configuration of the design size: 3,200 customers with three keys each, about 1 MB.
+// Each version differs from the one before by the rate of one customer.
 inline std::string large_config(std::uint64_t version, std::size_t customers = 3200)
 {
     std::string text =
@@ -89,7 +87,8 @@
     text.resize(text.find("\"customers\""));
     text += "\"customers\": [\n";
     for (std::size_t index = 0; index < customers; ++index) {
-        const std::string name = "customer-" + std::to_string(index);
+        const std::string name =
+            "customer-of-the-north-and-the-south-region-" + std::to_string(index);
         // Each version changes the rate of one customer; the versions before it stay applied.
         const std::uint64_t changes = (version + customers - index) / customers;
         text += "{\"name\": \"" + name + "\", \"rate\": " + std::to_string(10 + changes) +
