--- a/libs/membership/include/quetzal/membership/prober.hpp
+++ b/libs/membership/include/quetzal/membership/prober.hpp
@@ -39,10 +39,6 @@
     // A gap between ticks beyond this means that the process was paused: probes under way prove
     // nothing about their targets.
     duration pause = std::chrono::seconds(1);
-    // Without an answer from any peer for so long, the fault is probably on this side; suspicions
-    // are then kept, but not spread. Otherwise an instance that was cut off would make the whole
-    // fleet refute its suspicions when it returns.
-    duration isolation = std::chrono::seconds(3);
 };
 
 // What is known about a member's process.
@@ -182,6 +178,7 @@
         bool listed_leaving = false;
         bool leaving = false;
         bool suspected = false;
+        bool only_here = false; // the suspicion was not spread: any message of the member ends it
         incarnation process;
         std::uint32_t sequence = 0;
         peer::versions known;
@@ -223,19 +220,20 @@
     void send_probe(actions& out, const instance_id& to, std::uint32_t sequence);
     void start_probe(actions& out, time_point now);
     void send_indirect(actions& out);
-    void judge(actions& out, time_point now);
+    void judge(actions& out);
     std::vector<instance_id> sample(std::size_t count, const instance_id& other_than);
     void announce(actions& out);
     instance_id next_target();
-    bool is_isolated(time_point now) const noexcept;
+    void confirm_suspicion();
     bool note_sender(actions& out, const peer::received& message, time_point now);
     void apply(actions& out, const peer::member_update& update, bool directly);
     void apply_self(actions& out, const peer::member_update& update);
     void apply_all(actions& out, const instance_id& from, const peer::versions& known,
                    const std::vector<peer::member_update>& updates);
+    void end_local_suspicion(actions& out, const instance_id& id);
     void on_probe(actions& out, const instance_id& from, const peer::probe& body,
                   bool current_process);
-    void on_ack(actions& out, const instance_id& from, const peer::probe_ack& body, time_point now);
+    void on_ack(actions& out, const instance_id& from, const peer::probe_ack& body);
     void on_request(actions& out, const instance_id& from, const peer::probe_request& body,
                     time_point now);
 
@@ -255,8 +253,10 @@
     std::map<std::uint32_t, relayed_probe> relays_;
     std::optional<time_point> last_tick_;
     std::optional<time_point> last_contact_;
-    std::optional<time_point> last_ack_;   // proves contact in both directions
-    std::optional<time_point> resumed_at_; // after a pause
+    // The suspicion of the last probe. It is spread when the next probe is answered: without that,
+    // the fault is probably on this side, and an instance that was cut off would make the whole
+    // fleet refute its suspicions when it returns.
+    std::optional<instance_id> unconfirmed_;
     time_point next_probe_{};
     prober_counters counters_;
 };
--- a/libs/membership/src/prober.cpp
+++ b/libs/membership/src/prober.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <utility>
 
 namespace quetzal::membership {
 
@@ -106,7 +107,7 @@
     } else if (!known_sender) {
         return out;
     } else if (const auto* ack = std::get_if<peer::probe_ack>(&message.body)) {
-        on_ack(out, message.from, *ack, now);
+        on_ack(out, message.from, *ack);
     } else if (const auto* request = std::get_if<peer::probe_request>(&message.body)) {
         on_request(out, message.from, *request, now);
     }
@@ -131,12 +132,24 @@
     proof.instance = message.from;
     proof.process = message.from_process;
     proof.sequence = message.from_process == found->second.process ? found->second.sequence : 0;
-    proof.suspected = message.from_process == found->second.process && found->second.suspected;
+    if (found->second.only_here) {
+        end_local_suspicion(out, message.from);
+    }
     apply(out, proof, true);
     found->second.last_heard = now;
     return true;
 }
 
+void prober::end_local_suspicion(actions& out, const instance_id& id)
+{
+    member& entry = members_.at(id);
+    const member_state former = state_of(entry);
+    entry.suspected = entry.only_here = false;
+    if (state_of(entry) != former) {
+        out.emplace_back(member_changed{former, view_of(id, entry)});
+    }
+}
+
 void prober::on_probe(actions& out, const instance_id& from, const peer::probe& body,
                       bool current_process)
 {
@@ -148,10 +161,8 @@
     send(out, from, peer::probe_ack{body.sequence, self_, process_, known_, take_updates(from)});
 }
 
-void prober::on_ack(actions& out, const instance_id& from, const peer::probe_ack& body,
-                    time_point now)
+void prober::on_ack(actions& out, const instance_id& from, const peer::probe_ack& body)
 {
-    last_ack_ = now;
     apply_all(out, from, body.known, body.updates);
     if (const auto relay = relays_.find(body.sequence);
         relay != relays_.end() && relay->second.target == from)
@@ -167,6 +178,7 @@
         body.target_process >= probe_->process)
     {
         probe_.reset();
+        confirm_suspicion();
     }
 }
 
@@ -225,6 +237,7 @@
             entry.suspected = former.suspected || update.suspected;
         }
     }
+    entry.only_here = former.only_here && entry.suspected && !update.suspected;
     // The first contact with a process is no news for others unless it replaces another one.
     const bool first_contact = former.process.value == 0 && !update.suspected && !update.leaving;
     const bool news = entry.process != former.process || entry.sequence != former.sequence ||
@@ -247,10 +260,11 @@
     if (update.process < process_) {
         return;
     }
-    // The highest sequence heard counts, so that a refutation always exceeds the suspicion.
-    if (update.suspected && update.sequence >= own_sequence_) {
-        own_sequence_ = update.sequence + 1;
-        ++counters_.refutations;
+    if (update.suspected) {
+        // Also when a greater sequence has refuted it before: that refutation may have been lost as
+        // often as it was sent.
+        counters_.refutations += update.sequence >= own_sequence_ ? 1 : 0;
+        own_sequence_ = std::max(own_sequence_, update.sequence + 1);
         enqueue(self_);
     }
 }
@@ -266,7 +280,7 @@
         // Answers may have arrived and been dropped while this process did not run.
         ++counters_.pauses;
         probe_.reset();
-        resumed_at_ = now;
+        unconfirmed_.reset();
         next_probe_ = now;
     }
     last_tick_ = now;
@@ -274,7 +288,7 @@
         send_indirect(out);
     }
     if (probe_ && now >= probe_->judged_at) {
-        judge(out, now);
+        judge(out);
     }
     if (!probe_ && now >= next_probe_) {
         start_probe(out, now);
@@ -325,31 +339,39 @@
     }
 }
 
-void prober::judge(actions& out, time_point now)
+void prober::judge(actions& out)
 {
     const own_probe failed = *probe_;
     probe_.reset();
     ++counters_.failed_probes;
     member& entry = members_.at(failed.target);
-    if (entry.process != failed.process || entry.suspected) {
-        return; // it was heard of since, as another process, or is suspected already
+    if (entry.process != failed.process || (entry.suspected && !entry.only_here)) {
+        return; // it was heard of since, as another process, or is suspected by others already
+    }
+    unconfirmed_ = failed.target;
+    if (entry.suspected) {
+        return;
     }
     ++counters_.suspicions;
     const member_state former = state_of(entry);
-    entry.suspected = true;
-    // A process never heard of cannot refute by a greater sequence; its first message will.
-    if (!is_isolated(now) && entry.process.value != 0) {
-        enqueue(failed.target);
-    }
+    entry.suspected = entry.only_here = true;
     if (state_of(entry) != former) {
         out.emplace_back(member_changed{former, view_of(failed.target, entry)});
     }
 }
 
-bool prober::is_isolated(time_point now) const noexcept
+void prober::confirm_suspicion()
 {
-    return !last_ack_ || now - *last_ack_ >= options_.isolation ||
-           (resumed_at_ && now - *resumed_at_ < options_.isolation);
+    if (!unconfirmed_) {
+        return;
+    }
+    const instance_id about = *std::exchange(unconfirmed_, std::nullopt);
+    const auto found = members_.find(about);
+    // A process never heard of cannot refute by a greater sequence; its first message will.
+    if (found != members_.end() && found->second.only_here && found->second.process.value != 0) {
+        found->second.only_here = false;
+        enqueue(about);
+    }
 }
 
 std::vector<prober_action> prober::probe_now(const instance_id& peer, time_point now)
@@ -445,7 +467,7 @@
     std::vector<peer::member_update> taken;
     if (const auto found = members_.find(receiver);
         found != members_.end() && found->second.process.value != 0 &&
-        (found->second.suspected || found->second.owes_correction))
+        ((found->second.suspected && !found->second.only_here) || found->second.owes_correction))
     {
         found->second.owes_correction = false;
         taken.push_back(update_about(receiver));
