--- a/libs/membership/include/quetzal/membership/prober.hpp
+++ b/libs/membership/include/quetzal/membership/prober.hpp
@@ -39,9 +39,6 @@
     // A gap between ticks beyond this means that the process was paused: probes under way prove
     // nothing about their targets.
     duration pause = std::chrono::seconds(1);
-    // Without any message from a peer for so long, the fault is probably on this side; suspicions
-    // are then kept, but not spread.
-    duration isolation = std::chrono::seconds(3);
 };
 
 // What is known about a member's process.
@@ -143,8 +140,8 @@
     // Replaces the members. This instance may be on the list or not.
     std::vector<prober_action> set_list(const config::instance_list& list, time_point now);
 
-    // Sets what this instance tells about its versions. When a version or revision rises, a few
-    // peers hear of it at once.
+    // Sets what this instance tells about its versions; call it once a second for the ages. When
+    // the version or the revision rises, a few peers hear of it at once.
     std::vector<prober_action> set_versions(const peer::versions& known, time_point now);
 
     // Takes a verified message. Messages other than probes are ignored.
@@ -181,10 +178,12 @@
         bool listed_leaving = false;
         bool leaving = false;
         bool suspected = false;
+        bool only_here = false; // the suspicion was not spread: any message of the member ends it
         incarnation process;
         std::uint32_t sequence = 0;
         peer::versions known;
         std::optional<time_point> last_heard;
+        bool owes_correction = false; // a former process of this name sent a message
     };
     struct pending_update
     {
@@ -221,15 +220,19 @@
     void send_probe(actions& out, const instance_id& to, std::uint32_t sequence);
     void start_probe(actions& out, time_point now);
     void send_indirect(actions& out);
-    void judge(actions& out, time_point now);
+    void judge(actions& out);
     std::vector<instance_id> sample(std::size_t count, const instance_id& other_than);
     void announce(actions& out);
     instance_id next_target();
+    void confirm_suspicion();
     bool note_sender(actions& out, const peer::received& message, time_point now);
     void apply(actions& out, const peer::member_update& update, bool directly);
     void apply_self(actions& out, const peer::member_update& update);
-    void change(actions& out, const instance_id& id, member& entry, const member& next);
-    void on_probe(actions& out, const instance_id& from, const peer::probe& body);
+    void apply_all(actions& out, const instance_id& from, const peer::versions& known,
+                   const std::vector<peer::member_update>& updates);
+    void end_local_suspicion(actions& out, const instance_id& id);
+    void on_probe(actions& out, const instance_id& from, const peer::probe& body,
+                  bool current_process);
     void on_ack(actions& out, const instance_id& from, const peer::probe_ack& body);
     void on_request(actions& out, const instance_id& from, const peer::probe_request& body,
                     time_point now);
@@ -250,6 +253,10 @@
     std::map<std::uint32_t, relayed_probe> relays_;
     std::optional<time_point> last_tick_;
     std::optional<time_point> last_contact_;
+    // The suspicion of the last probe. It is spread when the next probe is answered: without that,
+    // the fault is probably on this side, and an instance that was cut off would make the whole
+    // fleet refute its suspicions when it returns.
+    std::optional<instance_id> unconfirmed_;
     time_point next_probe_{};
     prober_counters counters_;
 };
