--- /dev/null
+++ b/apps/quetzalctl/commands.hpp
@@ -0,0 +1,19 @@
+#ifndef QUETZALCTL_COMMANDS_HPP
+#define QUETZALCTL_COMMANDS_HPP
+
+// The commands of quetzalctl. Each returns the exit code.
+
+#include "options.hpp"
+
+namespace quetzal::ctl {
+
+int run_check(const options& chosen);
+int run_status(const options& chosen);
+int run_explain(const options& chosen);
+int run_drain(const options& chosen);
+int run_report(const options& chosen);
+int run_send(const options& chosen);
+
+} // namespace quetzal::ctl
+
+#endif
--- a/examples/standins/endpoint.cpp
+++ b/examples/standins/endpoint.cpp
@@ -32,8 +32,8 @@
 // The part of a call identity that names the request: everything before the last two separators.
 std::string request_of(const std::string& call)
 {
-    const auto attempt = call.rfind('/');
-    const auto stage = attempt == std::string::npos ? attempt : call.rfind('/', attempt - 1);
+    const auto attempt = call.rfind('-');
+    const auto stage = attempt == std::string::npos ? attempt : call.rfind('-', attempt - 1);
     return call.substr(0, stage);
 }
 
@@ -76,20 +76,9 @@
         saw_key_ = saw_key_ || request.headers.find("Authorization").has_value();
         if (request.path == "/v1/run" && request.method == "POST") {
             co_await run(request, response);
-        } else if (request.path.starts_with("/v1/run/") && request.method == "DELETE") {
-            cancelled_.insert(request.path.substr(std::string("/v1/run/").size()));
-            const http_response done{204, {}, {}};
-            co_await response.send(done);
-        } else if (request.path == "/v1/load") {
-            co_await response.send(load());
-        } else if (request.path == "/v1/orders" && request.method == "POST") {
-            co_await response.send(order(request));
-        } else if (request.path == "/v1/cache-events") {
-            co_await response.send(json_response(200, R"({"next":0,"events":[]})"));
-        } else if (request.path == "/control") {
-            co_await response.send(control(request));
         } else {
-            co_await response.send(json_response(404, R"({"detail":"no such path"})"));
+            auto message = respond(request);
+            co_await response.send(std::move(message));
         }
     }
 
@@ -99,6 +88,27 @@
         return std::hash<std::string>{}(name);
     }
 
+    http_response respond(const http_request& request)
+    {
+        if (request.path.starts_with("/v1/run/") && request.method == "DELETE") {
+            cancelled_.insert(request.path.substr(std::string("/v1/run/").size()));
+            return {204, {}, {}};
+        }
+        if (request.path == "/v1/load") {
+            return load();
+        }
+        if (request.path == "/v1/orders" && request.method == "POST") {
+            return order(request);
+        }
+        if (request.path == "/v1/cache-events") {
+            return json_response(200, R"({"next":0,"events":[]})");
+        }
+        if (request.path == "/control") {
+            return control(request);
+        }
+        return json_response(404, R"({"detail":"no such path"})");
+    }
+
     bool warm() const { return finished_since_cold_ >= options_.warm_after; }
 
     asio::awaitable<void> pause(duration time)
@@ -153,14 +163,16 @@
                 co_return;
             }
             const std::string piece = frame(call, sequence, token(text, sequence));
-            if (!co_await response.write(mode_ == "twice" ? piece + piece : piece)) {
+            const std::string text_sent = mode_ == "twice" ? piece + piece : piece;
+            if (!co_await response.write(text_sent)) {
                 co_return;
             }
         }
         if (mode_ == "truncated") {
             co_return;
         }
-        co_await response.write(end_frame(call, options_.tokens));
+        const std::string last = end_frame(call, options_.tokens);
+        co_await response.write(last);
         ++finished_since_cold_;
         co_await response.end();
     }
@@ -244,7 +256,7 @@
     double fail_share_ = 0;
     duration lag_{};
     std::string mode_ = "normal";
-    std::string previous_call_ = "none/none/0";
+    std::string previous_call_ = "0-0-0-0";
     json::array models_;
     std::set<std::string> cancelled_;
     std::map<std::string, std::uint64_t> executions_;
--- a/examples/standins/platform.cpp
+++ b/examples/standins/platform.cpp
@@ -60,7 +60,8 @@
     {
         ++calls_;
         if (request.path == "/control") {
-            co_await response.send(control(request));
+            auto answer = control(request);
+            co_await response.send(std::move(answer));
             co_return;
         }
         co_await pause(lag_);
@@ -73,9 +74,11 @@
                 co_await watch(request, response, options_.instances_file, "revision");
             }
         } else if (request.path.starts_with("/v1/weights/")) {
-            co_await response.send(weights(request));
+            auto answer = weights(request);
+            co_await response.send(std::move(answer));
         } else {
-            co_await response.send(json_response(404, R"({"detail":"no such path"})"));
+            auto answer = json_response(404, R"({"detail":"no such path"})");
+            co_await response.send(std::move(answer));
         }
     }
 
@@ -101,7 +104,8 @@
             }
             std::string text = read_file(file);
             if (number_in(text, version_name) > after) {
-                co_await response.send(json_response(200, std::move(text)));
+                auto answer = json_response(200, std::move(text));
+                co_await response.send(std::move(answer));
                 co_return;
             }
             if (boot_clock::now() >= until) {
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <quetzal/base/digest.hpp>
+#include <quetzal/node/call_on.hpp>
 #include <quetzal/node/log.hpp>
 
 namespace quetzal::node {
@@ -16,7 +17,8 @@
 
 constexpr duration longest_sleep = std::chrono::milliseconds(200);
 constexpr duration shortest_sleep = std::chrono::milliseconds(1);
-// Loss of an exclusive right is checked again before every cold call; this interval only delays a gain.
+// Loss of an exclusive right is checked again before every cold call; this interval only delays a
+// gain.
 constexpr duration hold_check_interval = std::chrono::milliseconds(100);
 
 } // namespace
@@ -31,20 +33,19 @@
     return ring;
 }
 
-control_plane::control_plane(asio::any_io_executor executor, shared_state& state, control_events events)
+control_plane::control_plane(asio::any_io_executor executor, shared_state& state,
+                             control_events events)
     : strand_(asio::make_strand(executor)), state_(state), events_(std::move(events)),
       keys_(make_key_ring(state.settings.peers)),
       socket_(strand_, keys_, [this](const peer::received& message) { on_message(message); }),
       transfers_(executor, keys_,
                  [this](peer::transfer_message request)
                      -> asio::awaitable<std::optional<peer::transfer_message>> {
-                     co_return co_await asio::co_spawn(
-                         strand_,
-                         [this, request = std::move(request)]()
-                             -> asio::awaitable<std::optional<peer::transfer_message>> {
-                             co_return documents_->answer(request);
-                         },
-                         asio::use_awaitable);
+                     auto job = [this, request = std::move(request)] {
+                         return documents_->answer(request);
+                     };
+                     co_return co_await call_on<std::optional<peer::transfer_message>>(
+                         strand_, std::move(job));
                  }),
       prober_(state.settings.instance, state.process, {}, secure_random()),
       rights_({state.settings.instance, state.process, state.settings.zone, boot_clock::now(),
@@ -58,7 +59,8 @@
         const auto now = boot_clock::now();
         apply(prober_.probe_now(peer, now), now);
     };
-    documents_ = std::make_shared<document_follower>(strand_, state_, keys_, std::move(wiring), secure_random());
+    documents_ = std::make_shared<document_follower>(strand_, state_, keys_, std::move(wiring),
+                                                     secure_random());
 }
 
 tl::expected<void, std::string> control_plane::start()
@@ -156,7 +158,8 @@
         }
         if (const auto* member = std::get_if<membership::member_changed>(&action)) {
             log(log_level::info, "member_changed",
-                {{"member", member->now_seen.instance.name}, {"state", to_string(member->now_seen.state)}});
+                {{"member", member->now_seen.instance.name},
+                 {"state", to_string(member->now_seen.state)}});
         }
     }
     if (changed) {
@@ -266,32 +269,26 @@
 
 asio::awaitable<instance_id> control_plane::home_of(customer_id customer)
 {
-    auto self = shared_from_this();
-    co_return co_await asio::co_spawn(
-        strand_,
-        [self, customer = std::move(customer)]() -> asio::awaitable<instance_id> {
-            co_return self->rights_.preferred_home(customer, boot_clock::now());
-        },
-        asio::use_awaitable);
+    auto job = [self = shared_from_this(), customer = std::move(customer)] {
+        return self->rights_.preferred_home(customer, boot_clock::now());
+    };
+    co_return co_await call_on<instance_id>(strand_, std::move(job));
 }
 
 asio::awaitable<control_status> control_plane::status()
 {
-    auto self = shared_from_this();
-    co_return co_await asio::co_spawn(
-        strand_,
-        [self]() -> asio::awaitable<control_status> {
-            control_status status;
-            status.rights = self->rights_.status(boot_clock::now());
-            status.members = self->prober_.view();
-            status.readiness = self->documents_->readiness();
-            status.config_version = self->documents_->config().version();
-            status.list_revision = self->documents_->list().revision();
-            status.last_refusal = self->documents_->config().last_refusal();
-            status.reads_service = self->documents_->reads_config();
-            co_return status;
-        },
-        asio::use_awaitable);
+    auto job = [self = shared_from_this()] {
+        control_status status;
+        status.rights = self->rights_.status(boot_clock::now());
+        status.members = self->prober_.view();
+        status.readiness = self->documents_->readiness();
+        status.config_version = self->documents_->config().version();
+        status.list_revision = self->documents_->list().revision();
+        status.last_refusal = self->documents_->config().last_refusal();
+        status.reads_service = self->documents_->reads_config();
+        return status;
+    };
+    co_return co_await call_on<control_status>(strand_, std::move(job));
 }
 
 } // namespace quetzal::node
--- a/libs/rights/src/fleet_schedule_test.cpp
+++ b/libs/rights/src/fleet_schedule_test.cpp
@@ -66,4 +66,7 @@
 
 // Guards against two holders, falling fencing numbers, exceeded rates and partitions that nobody
 // serves after the faults. QUETZAL_SCHEDULES sets the number of schedules of each test.
-Test(schedules, random_faults_1) { run_seeds(1); }
+Test(schedules, random_faults_1)
+{
+    run_seeds(1);
+}
