rights: repeated renewals no longer extend a vote

Cause: a duplicated renewal that arrived late renewed the vote for a holder that was cut off, so its partitions stayed unserved (harness: 3 instances, every datagram duplicated, none of 2 partitions taken over within 3.6 s). Change: only a renewal newer than the last one extends the vote; a repeated one never renews an expired vote. Conclusion: the running lease covers the grant of an overtaken renewal, since that was sent earlier.

--- a/libs/rights/src/voter.cpp
+++ b/libs/rights/src/voter.cpp
@@ -118,10 +118,11 @@
         return cause::silent;
     }
     if (current.holder == from && current.process == process) {
-        if (!current.released) {
+        const bool newer = earlier(current.sequence, sequence);
+        if (!current.released && (newer || now < current.until)) {
             return std::nullopt;
         }
-        if (earlier(sequence, current.sequence)) {
+        if (!newer) { // repeated or overtaken; a new grant would only block the partition
             return cause::held_by_other;
         }
     }
@@ -168,17 +169,19 @@
             answer.refused.push_back({partition, *why});
             continue;
         }
-        if (current.holder != from || current.process != process) {
+        const bool other = current.holder != from || current.process != process;
+        if (other) {
             current.holder = from;
             current.process = process;
-            current.sequence = request.sequence;
             current.former_fence = current.fence;
-        } else if (earlier(current.sequence, request.sequence)) {
+        }
+        if (other || earlier(current.sequence, request.sequence)) {
+            // An older request was sent earlier, so the running lease covers its grant.
             current.sequence = request.sequence;
+            current.until = now + settings_.lease;
         }
         current.released = false;
         current.reserved = {};
-        current.until = now + settings_.lease;
         if (acquiring) {
             answer.acquired.push_back(
                 {partition, current.former_fence, rounded_up(current.former_until - now)});
