--- a/libs/rights/src/fleet_liveness_test.cpp
+++ b/libs/rights/src/fleet_liveness_test.cpp
@@ -129,17 +129,19 @@
     for (std::size_t customer = 0; customer < customers.size(); ++customer) {
         auto settings = quiet(8);
         settings.customers = customers;
-        settings.loss = 0;
+        settings.loss = settings.late = settings.duplicates = 0;
         fleet_harness fleet(settings);
         fleet.run_until(seconds(12)); // buckets are full
         const auto& bounds = customers[customer];
+        // Clocks differ by up to a tenth. The single token of a burst of 1 is out for two round
+        // trips and their pauses, up to 30 ms of the 100 ms that its refill takes.
+        const double share = bounds.burst > 1 ? 0.9 : 0.7;
         const auto name = "customer " + std::to_string(customer) + ": ";
         section("a full burst on one instance", [&] {
             fleet.call(customer, 4, fleet_harness::callers::on_one);
             const double due = std::min(bounds.burst + bounds.rate, 4 * bounds.rate);
             const auto count = admitted_in(fleet, customer, seconds(1));
-            printf("%f %zu\n",due,count);
-            check(static_cast<double>(count) >= 0.75 * due - 1,
+            check(static_cast<double>(count) >= share * due - 1,
                   name + std::to_string(count) + " admitted in the first second");
         });
         section("after the callers moved", [&] {
@@ -147,8 +149,7 @@
                 fleet.move_callers(customer, node);
                 fleet.run_until(fleet.now() + seconds(1));
                 const auto count = admitted_in(fleet, customer, seconds(2));
-            printf("%f %zu\n",2*bounds.rate,count);
-                check(static_cast<double>(count) >= 0.0 * 2 * bounds.rate - 1,
+                check(static_cast<double>(count) >= share * 2 * bounds.rate - 1,
                       name + std::to_string(count) + " admitted in two seconds");
             }
         });
