--- a/bench/rights_model.cpp
+++ b/bench/rights_model.cpp
@@ -1,7 +1,7 @@
-// Compares four ways to keep a customer's rate over a fleet, as small models in virtual time: static
-// split, one owner by rendezvous hash, majority leases with the owner only, and majority leases with
-// credits (the chosen design). The models share arrivals, faults and the exact reference. Usage:
-// rights_model [seed]; prints a table and JSON lines.
+// Compares four ways to keep a customer's rate over a fleet, as small models in virtual time:
+// static split, one owner by rendezvous hash, majority leases with the owner only, and majority
+// leases with credits (the chosen design). The models share arrivals, faults and the exact
+// reference. Usage: rights_model [seed]; prints a table and JSON lines.
 
 #include <algorithm>
 #include <array>
@@ -91,7 +91,7 @@
 {
     double requests = 0;
     double refused = 0;
-    double over = 0;     // admissions beyond burst + rate * window
+    double over = 0; // admissions beyond burst + rate * window
     double messages = 0;
 };
 
@@ -102,10 +102,9 @@
         : set_(chosen), kind_(kind), random_(seed),
           rate_(requests_per_node * static_cast<double>(chosen.nodes) /
                 static_cast<double>(chosen.customers) / 0.8),
-          burst_(std::max(10.0, rate_)), reference_(chosen.customers),
-          home_(chosen.customers), out_(chosen.customers), ranks_(chosen.customers),
-          holder_(chosen.customers), place_(chosen.customers),
-          detects_(chosen.nodes)
+          burst_(std::max(10.0, rate_)), reference_(chosen.customers), home_(chosen.customers),
+          out_(chosen.customers), ranks_(chosen.customers), holder_(chosen.customers),
+          place_(chosen.customers), detects_(chosen.nodes)
     {
         for (std::size_t customer = 0; customer < set_.customers; ++customer) {
             std::vector<std::pair<std::uint64_t, std::size_t>> scored;
@@ -299,8 +298,7 @@
     {
         bucket& home = home_[customer];
         if (holder_[customer] == node) {
-            return holder_serves(node, customer) &&
-                   take(home, rate_, burst_ - out_[customer]);
+            return holder_serves(node, customer) && take(home, rate_, burst_ - out_[customer]);
         }
         wallet& own = wallets_[node * set_.customers + customer];
         own.demand = own.demand * std::exp(-(now_ - own.used_at) / 0.2) + 1;
@@ -320,8 +318,8 @@
             }
             count(2);
             home.refill(rate_, burst_ - out_[customer], now_);
-            const double granted = std::floor(std::min(
-                {std::ceil(own.demand), home.level, burst_ / 2 - out_[customer]}));
+            const double granted = std::floor(
+                std::min({std::ceil(own.demand), home.level, burst_ / 2 - out_[customer]}));
             if (granted < 1) {
                 own.not_before = now_ + std::clamp((1 - home.level) / rate_, 0.02, 1.0);
                 return false;
--- a/libs/rights/include/quetzal/rights/credit_wallet.hpp
+++ b/libs/rights/include/quetzal/rights/credit_wallet.hpp
@@ -16,13 +16,13 @@
 
 namespace quetzal::rights {
 
-class credit_wallet
+class alignas(64) credit_wallet
 {
 public:
     explicit credit_wallet(const safeguards& safe) : safe_(safe) {}
 
-    // Spends a credit that is valid at `now` and needs no newer configuration than `config`. Returns
-    // whether there was one. Allocates nothing.
+    // Spends a credit that is valid at `now` and needs no newer configuration than `config`.
+    // Returns whether there was one. Allocates nothing.
     bool spend(std::uint64_t config, time_point now);
 
     // Notes that a request waits for a credit.
@@ -79,23 +79,33 @@
         time_point until{};
     };
 
-    void note_demand(time_point now);
+    void note_use(double credits, time_point now);
     double demand(time_point now) const;
     std::uint32_t wanted(bool small, time_point now) const;
     bool report_due(bool small, time_point now) const;
     void add(const lot& entry);
 
+    bool usable(const lot& entry, std::uint64_t config, time_point now) const noexcept
+    {
+        return entry.tokens > 0 && entry.config <= config &&
+               (entry.until > now || !safe_.credit_expiry);
+    }
+    bool select_lot(std::uint64_t config, time_point now);
+
+    // What a successful `spend` writes shares one cache line, which moves between the cores of the
+    // threads that serve one customer.
+    lot current_;       // spent first
+    double demand_ = 0; // credits needed in `prefetch` from `used_at_`, decaying average
+    time_point used_at_{};
+    std::uint32_t spent_ = 0;
+
     safeguards safe_;
-    std::array<lot, 4> lots_; // the two that end first are merged when it is full
-    double demand_ = 0;       // credits needed in `prefetch`, decaying average
-    time_point demand_at_{};
+    std::array<lot, 3> lots_;   // the two that end first are merged when it is full
     std::uint32_t waiting_ = 0; // requests that found no credit since the last request
     time_point waiting_at_{};
     std::uint32_t asked_waiting_ = 0; // `waiting_` at the last request
-    std::uint32_t spent_ = 0;
-    std::uint32_t believed_ = 0; // credits that the home counts as outstanding here
+    std::uint32_t believed_ = 0;      // credits that the home counts as outstanding here
     time_point believed_until_{};
-    time_point last_use_{};
     time_point not_before_{}; // of the next request
     duration home_delay_{};
     bool in_flight_ = false;
--- a/libs/rights/src/credit_shard_benchmark.cpp
+++ b/libs/rights/src/credit_shard_benchmark.cpp
@@ -64,9 +64,9 @@
         static_cast<void>(step);
         const auto& id = ids[next];
         next = next + 1 == ids.size() ? 0 : next + 1;
-        benchmark::DoNotOptimize(shards.with(
-            std::hash<customer_id>{}(id),
-            [&](credit_shard& shard) { return shard.admit(id, now); }));
+        benchmark::DoNotOptimize(
+            shards.with(std::hash<customer_id>{}(id),
+                        [&](credit_shard& shard) { return shard.admit(id, now); }));
     }
     state.SetItemsProcessed(state.iterations());
 }
--- a/libs/rights/src/credit_wallet.cpp
+++ b/libs/rights/src/credit_wallet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace quetzal::rights {
 
@@ -26,36 +27,42 @@
 
 double credit_wallet::demand(time_point now) const
 {
-    if (demand_ <= 0 || now <= demand_at_) {
+    if (demand_ <= 0 || now <= used_at_) {
         return demand_;
     }
-    return demand_ * std::exp(-fraction(now - demand_at_, prefetch));
+    return demand_ * std::exp(-fraction(now - used_at_, prefetch));
 }
 
-void credit_wallet::note_demand(time_point now)
+void credit_wallet::note_use(double credits, time_point now)
 {
-    demand_ = demand(now) + 1;
-    demand_at_ = std::max(demand_at_, now);
+    demand_ = demand(now) + credits;
+    used_at_ = std::max(used_at_, now);
 }
 
-bool credit_wallet::spend(std::uint64_t config, time_point now)
+// Makes the usable lot that ends first the current one.
+bool credit_wallet::select_lot(std::uint64_t config, time_point now)
 {
     lot* first = nullptr;
     for (auto& entry : lots_) {
-        const bool valid = entry.until > now || !safe_.credit_expiry;
-        if (entry.tokens > 0 && valid && entry.config <= config &&
-            (first == nullptr || entry.until < first->until))
-        {
+        if (usable(entry, config, now) && (first == nullptr || entry.until < first->until)) {
             first = &entry;
         }
     }
     if (first == nullptr) {
         return false;
     }
-    --first->tokens;
+    std::swap(current_, *first);
+    return true;
+}
+
+bool credit_wallet::spend(std::uint64_t config, time_point now)
+{
+    if (!usable(current_, config, now) && !select_lot(config, now)) {
+        return false;
+    }
+    --current_.tokens;
     ++spent_;
-    note_demand(now);
-    last_use_ = now;
+    note_use(1, now);
     return true;
 }
 
@@ -63,14 +70,17 @@
 {
     waiting_ = std::min(waiting_ + 1, 1'000'000u);
     waiting_at_ = now;
-    last_use_ = now;
+    note_use(0, now);
 }
 
 std::uint32_t credit_wallet::held(time_point now) const noexcept
 {
-    std::uint32_t sum = 0;
+    const auto count = [&](const lot& entry) {
+        return entry.until > now || !safe_.credit_expiry ? entry.tokens : 0;
+    };
+    std::uint32_t sum = count(current_);
     for (const auto& entry : lots_) {
-        sum += entry.until > now || !safe_.credit_expiry ? entry.tokens : 0;
+        sum += count(entry);
     }
     return sum;
 }
@@ -96,7 +106,7 @@
     if (small && held(now) < believed_) {
         return true; // the refill waits for it
     }
-    return now >= last_use_ + idle_time;
+    return now >= used_at_ + idle_time;
 }
 
 credit_wallet::action credit_wallet::due(bool small, time_point now) const
@@ -122,19 +132,20 @@
         return std::max(not_before_, now);
     }
     if (believed_ > 0 && now < believed_until_) {
-        return std::max(not_before_, std::min(last_use_ + idle_time, believed_until_));
+        return std::max(not_before_, std::min(used_at_ + idle_time, believed_until_));
     }
     return time_point::max();
 }
 
-peer::credit_request credit_wallet::ask(const instance_id& home, std::uint32_t sequence,
-                                        bool small, time_point now)
+peer::credit_request credit_wallet::ask(const instance_id& home, std::uint32_t sequence, bool small,
+                                        time_point now)
 {
     request_ = {};
     request_.sequence = sequence;
     request_.wanted = wanted(small, now);
-    if (request_.wanted == 0 && now >= last_use_ + idle_time) {
-        lots_ = {}; // given back by this report
+    if (request_.wanted == 0 && now >= used_at_ + idle_time) {
+        current_ = {}; // given back by this report
+        lots_ = {};
     }
     request_.held = held(now);
     request_.spent = spent_;
@@ -183,8 +194,7 @@
 bool credit_wallet::on_grant(const instance_id& from, const peer::credit_grant& grant,
                              time_point now)
 {
-    const bool expected =
-        in_flight_ && from == asked_ && grant.sequence == request_.sequence;
+    const bool expected = in_flight_ && from == asked_ && grant.sequence == request_.sequence;
     if (!expected && (safe_.credit_sequence || grant.tokens == 0)) {
         return false;
     }
