--- a/libs/rights/src/holder.cpp
+++ b/libs/rights/src/holder.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t partition_room = 1100;
 constexpr std::size_t refusal_size = 3;   // encoded refused_partition
 constexpr std::size_t acquired_size = 18; // encoded acquired_partition
+constexpr std::size_t tag_size = 5;       // encoded tag of a committee member
 
 } // namespace
 
@@ -131,7 +132,7 @@
 {
     const auto found = members_of_peer_.find(to);
     const bool same = found == members_of_peer_.end() || found->second == committees_->digest();
-    const std::size_t entry_size = 2 + (same ? 0 : 4 * committees_->size());
+    const std::size_t entry_size = 2 + (same ? 0 : tag_size * committees_->size());
     std::size_t next = 0;
     do {
         peer::renew_request body;
--- a/libs/rights/src/rights_test.cpp
+++ b/libs/rights/src/rights_test.cpp
@@ -1,6 +1,8 @@
 #include <quetzal/base/random.hpp>
+#include <quetzal/peer/codec.hpp>
 #include <quetzal/rights/credit_wallet.hpp>
 #include <quetzal/rights/customer_bucket.hpp>
+#include <quetzal/rights/holder.hpp>
 #include <quetzal/rights/voter.hpp>
 
 #include <quetzal/testing/section.hpp>
@@ -156,6 +158,64 @@
     });
 }
 
+// Guards against the use of a right under an outdated configuration or an unknown fencing number,
+// and against datagrams that do not fit.
+Test(holders, use_a_right_only_when_voters_know_its_number_and_the_configuration_is_recent)
+{
+    const auto table = std::make_shared<const committee_table>(members(2), 3);
+    holder rights(instance_id("q-100"), options{});
+    rights.set_committees(table);
+    rights.set_config(1);
+    rights.want(0, true);
+    std::vector<acquisition> completed;
+    const auto round = [&](std::uint64_t config, time_point now) {
+        for (const auto& message : rights.request(false, 1, now)) {
+            const auto& body = std::get<peer::renew_request>(message.body);
+            peer::renew_grant grant{body.sequence,   {config, 1}, milliseconds(2500),
+                                    table->digest(), {},          {}};
+            grant.acquired.push_back({0, 900, {}});
+            const auto more = rights.on_grant(message.to, grant, 500, now);
+            completed.insert(completed.end(), more.begin(), more.end());
+        }
+    };
+    section("grants of voters with a newer configuration do not count", [&] {
+        round(2, start_time);
+        round(2, start_time);
+        check(!rights.holds(0, start_time), "not held");
+    });
+    section("after catching up, the number is chosen and told before it is used", [&] {
+        rights.set_config(2);
+        round(2, start_time);
+        check(!rights.holds(0, start_time) && rights.take_fence_pending(), "number chosen");
+        round(2, start_time);
+        check(rights.holds(0, start_time) && completed.size() == 1, "held");
+        check(rights.fence(0) == 901, "greater than the wall clock and all seen");
+        check(!rights.holds(0, start_time + milliseconds(2250)), "lease less the margin");
+    });
+    section("every message fits a datagram, even with committees for all partitions", [&] {
+        peer::renew_grant other;
+        for (const auto& message : rights.request(true, 1, start_time)) {
+            other.sequence = std::get<peer::renew_request>(message.body).sequence;
+            other.members = 1; // another list
+            rights.on_grant(message.to, other, 0, start_time);
+        }
+        for (partition_index partition = 0; partition < peer::partition_count; ++partition) {
+            rights.want(partition, true);
+        }
+        std::size_t asked = 0;
+        for (const auto& message : rights.request(true, 1, start_time)) {
+            const auto& body = std::get<peer::renew_request>(message.body);
+            check(body.committees.size() == 2 * (body.partitions.size() + body.acquiring.size()),
+                  "committees");
+            asked += body.partitions.size() + body.acquiring.size();
+            const auto datagram =
+                peer::encode({instance_id("q-100"), incarnation{1ull << 63}, body}, {{1, "k"}, {}});
+            check(datagram.size() <= peer::max_datagram_size, std::to_string(datagram.size()));
+        }
+        check(asked == 2 * std::size_t{peer::partition_count}, "all partitions, both voters");
+    });
+}
+
 // Guards against tokens made by repeated, reordered or lost credit messages.
 Test(credits, are_conserved_by_every_order_of_messages)
 {
