--- a/libs/rights/src/holder.cpp
+++ b/libs/rights/src/holder.cpp
@@ -330,6 +330,7 @@
         }
     }
     std::vector<peer::outgoing> messages;
+    messages.reserve(bodies.size());
     for (auto& [peer, body] : bodies) {
         messages.push_back({peer, std::move(body)});
     }
