--- a/libs/rights/include/quetzal/rights/fleet_rights.hpp
+++ b/libs/rights/include/quetzal/rights/fleet_rights.hpp
@@ -27,7 +27,7 @@
     incarnation process;
     zone_id zone;
     time_point started{};
-    std::size_t shards = 16; // of the credits; a power of two above the number of threads
+    std::size_t shards = 64; // of the credits; several times the number of threads
 };
 
 // Figures for operators.
