--- a/libs/serving/include/quetzal/serving/fair_queue.hpp
+++ b/libs/serving/include/quetzal/serving/fair_queue.hpp
@@ -124,6 +124,8 @@
         time_point urgency;
         std::uint64_t sequence = 0;
 
+        // clang-tidy takes the 0 of rewritten comparisons for a null pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         friend auto operator<=>(const order&, const order&) = default;
     };
 
--- a/libs/serving/include/quetzal/serving/pool_control.hpp
+++ b/libs/serving/include/quetzal/serving/pool_control.hpp
@@ -21,7 +21,7 @@
     std::string adapter; // empty: the model itself
     std::string version;
 
-    friend auto operator<=>(const weights&, const weights&) = default;
+    friend bool operator==(const weights&, const weights&) = default;
 };
 
 enum class engine_role
--- a/libs/serving/src/dispatcher_calls.cpp
+++ b/libs/serving/src/dispatcher_calls.cpp
@@ -125,8 +125,7 @@
 {
     if (gate_) {
         const request_start& request = call.request->start;
-        const gate_answer answer =
-            gate_({request.request, request.customer, request.work_class, false});
+        gate_answer answer = gate_({request.request, request.customer, request.work_class, false});
         if (answer.decision != start_gate::start) {
             return answer;
         }
--- a/libs/serving/src/dispatcher_harness.hpp
+++ b/libs/serving/src/dispatcher_harness.hpp
@@ -114,7 +114,7 @@
     request_key submit(const std::string& customer, const std::string& work_class = "ask")
     {
         const auto key = static_cast<request_key>(++last_);
-        requests_[key] = {customer_id(customer), now};
+        requests_[key] = {customer_id(customer), work_class, now};
         apply(subject->submit_request({key, class_id(work_class), customer_id(customer), now, {}},
                                       now));
         return key;
@@ -176,6 +176,9 @@
         return found == ended.end() ? nullptr : &found->second;
     }
 
+    std::size_t submitted() const { return requests_.size(); }
+    const std::string& class_of(request_key key) const { return requests_.at(key).work_class; }
+
     std::size_t completed() const
     {
         return static_cast<std::size_t>(std::count_if(
@@ -193,6 +196,8 @@
     std::map<request_key, ended_request> ended;
     std::vector<declare_endpoint> declarations;
     std::vector<tell_endpoint_holder> told;
+    std::vector<call_failed> failed_calls;
+    std::size_t ends = 0;
     std::size_t cancelled = 0;
     std::size_t probes = 0;
 
@@ -200,6 +205,7 @@
     struct open_request
     {
         customer_id customer;
+        std::string work_class;
         time_point since;
         std::size_t stage = 0;
     };
@@ -217,6 +223,7 @@
 
     void on(const call_failed& item)
     {
+        failed_calls.push_back(item);
         end(item.request, item.why);
         apply(subject->finish_request(item.request, false, now));
     }
@@ -274,6 +281,7 @@
     void end(request_key key, std::optional<failure> why)
     {
         const open_request& request = requests_.at(key);
+        ++ends;
         ended[key] = {request.customer, !why, now - request.since, std::move(why)};
     }
 
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -402,7 +402,7 @@
     }
     for (const endpoint_index endpoint : usable_) {
         const double free = room(endpoints_[endpoint], now);
-        places += free < 0.5 ? 0 : static_cast<std::uint32_t>(free + 0.5);
+        places += free < 0.5 ? 0 : static_cast<std::uint32_t>(std::lround(free));
     }
     return places;
 }
--- a/libs/serving/src/endpoint_subset.cpp
+++ b/libs/serving/src/endpoint_subset.cpp
@@ -117,6 +117,7 @@
 {
     if (endpoints.size() <= limit) {
         std::vector<endpoint_id> all;
+        all.reserve(endpoints.size());
         for (const auto& endpoint : endpoints) {
             all.push_back(endpoint.id);
         }
@@ -125,6 +126,7 @@
     // The order of the instances decides who finds an endpoint full; by hash, an instance that
     // comes or goes affects only those after it, and only at endpoints that are full.
     std::vector<const placed_instance*> order;
+    order.reserve(instances.size());
     for (const auto& instance : instances) {
         order.push_back(&instance);
     }
--- a/libs/serving/src/pool_control.cpp
+++ b/libs/serving/src/pool_control.cpp
@@ -78,6 +78,7 @@
                      [](const auto& a, const auto& b) { return value_of(a) > value_of(b); });
     std::vector<held_engine> copies = engines;
     std::vector<held_engine*> free;
+    free.reserve(copies.size());
     for (held_engine& engine : copies) {
         free.push_back(&engine);
     }
