--- a/libs/serving/src/dispatcher_harness.hpp
+++ b/libs/serving/src/dispatcher_harness.hpp
@@ -1,7 +1,7 @@
 #ifndef QUETZAL_SERVING_SRC_DISPATCHER_HARNESS_HPP
 #define QUETZAL_SERVING_SRC_DISPATCHER_HARNESS_HPP
 
-// Test support: one dispatcher with simulated endpoints in virtual time. Only tests include it.
+// One dispatcher with simulated endpoints in virtual time, for tests and benchmarks only.
 
 #include <algorithm>
 #include <functional>
--- a/libs/serving/src/endpoint_chooser_test.cpp
+++ b/libs/serving/src/endpoint_chooser_test.cpp
@@ -20,7 +20,8 @@
 
 } // namespace
 
-void* operator new(std::size_t size)
+// Not inlined: GCC 12 takes the inlined pair for a mismatch of new and free.
+[[gnu::noinline]] void* operator new(std::size_t size)
 {
     ++allocations;
     if (void* memory = std::malloc(size)) {
@@ -29,12 +30,12 @@
     throw std::bad_alloc();
 }
 
-void operator delete(void* memory) noexcept
+[[gnu::noinline]] void operator delete(void* memory) noexcept
 {
     std::free(memory);
 }
 
-void operator delete(void* memory, std::size_t) noexcept
+[[gnu::noinline]] void operator delete(void* memory, std::size_t) noexcept
 {
     std::free(memory);
 }
