serving: compute subsets only when a held endpoint is new

Cause: hold() recomputed the members of every pool, which takes milliseconds at design size, also for endpoints in use. The contract of the gate did not say when a credit may be consumed.

Change: members are computed when the endpoint is not in use yet or the right is lost; the gate's contract is stated.

--- a/libs/serving/include/quetzal/serving/dispatcher.hpp
+++ b/libs/serving/include/quetzal/serving/dispatcher.hpp
@@ -162,7 +162,10 @@
 };
 
 // Checks key, view and credit at the last moment before an admission or an attempt. `hold` keeps
-// the work in its queue while the deadline allows.
+// the work in its queue while the deadline allows. `start` for an admission always leads to it, so
+// the gate may consume a credit there; `start` for an attempt may be asked again when no endpoint
+// has a free place. Called for the first entry of each waiting customer at every event, so it has
+// to be cheap. It must not call the dispatcher.
 using dispatch_gate = std::function<gate_answer(const start_context&)>;
 
 // Why a request was routed, delayed or refused, in order of time.
--- a/libs/serving/src/dispatcher_endpoints.cpp
+++ b/libs/serving/src/dispatcher_endpoints.cpp
@@ -301,11 +301,14 @@
     } else {
         held_.erase(id);
     }
-    if (endpoint_record* record = find(id)) {
+    endpoint_record* record = find(id);
+    if (record != nullptr) {
         emit(*record, record->ramp.hold(fence, now));
         refresh(*record);
     }
-    if (published_) {
+    // A subset at design size takes milliseconds, and an endpoint in use needs no new place.
+    const bool in_use = fence && record != nullptr && record->wanted;
+    if (published_ && !in_use) {
         update_members(now);
     }
 }
