--- a/libs/config/src/reader_schedule_test.cpp
+++ b/libs/config/src/reader_schedule_test.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdio>
 #include <deque>
 #include <map>
 #include <queue>
@@ -41,15 +42,16 @@
 class fleet
 {
 public:
-    fleet(std::size_t count, std::uint64_t seed) : random_(seed), cut_(count), version_(count)
+    fleet(std::size_t count, std::uint64_t seed, std::size_t zones = 5,
+          document kind = document::configuration)
+        : random_(seed), cut_(count), version_(count)
     {
         for (std::size_t index = 0; index < count; ++index) {
-            members_.push_back({name(index), zone_id("z" + std::to_string(index % 5)),
+            members_.push_back({name(index), zone_id("z" + std::to_string(index % zones)),
                                 region_id(index % 5 < 3 ? "north" : "south"), true});
         }
         for (std::size_t index = 0; index < count; ++index) {
-            nodes_.emplace_back(name(index), document::configuration, reader_options{},
-                                seed + index);
+            nodes_.emplace_back(name(index), kind, reader_options{}, seed + index);
         }
     }
 
@@ -91,6 +93,7 @@
         }
     }
 
+    void forget_members() { members_.clear(); }
     void cut(std::size_t node) { cut_[node] = true; }
 
     std::size_t readers() const
@@ -264,6 +267,7 @@
             section("a whole-fleet restart", [&] {
                 all.start_all();
                 all.run(10s);
+                std::printf("start of all: at most %zu calls/s\n", all.peak_calls());
                 check(all.peak_calls() < service_limit, std::to_string(all.peak_calls()));
                 check(all.readers() == 10, std::to_string(all.readers()) + " readers");
                 check(all.behind() == 0, std::to_string(all.behind()) + " without a value");
@@ -271,6 +275,7 @@
             section("ordinary operation costs two calls a second", [&] {
                 all.forget_calls();
                 all.run(60s);
+                std::printf("ordinary operation: %zu calls/min\n", all.calls());
                 check(all.calls() <= 10 * 60 / 4, std::to_string(all.calls()) + " calls in 60 s");
             });
             section("a change reaches all within 5 s", [&] {
@@ -283,6 +288,8 @@
                 all.set_down(true);
                 all.run(120s);
                 check(all.readers() > 300, std::to_string(all.readers()) + " readers");
+                std::printf("outage: at most %zu calls/s, %zu in 10 ms\n", all.peak_calls(),
+                            all.burst(all.now() - 60s));
                 check(all.peak_calls() < service_limit, std::to_string(all.peak_calls()));
                 check(all.burst(all.now() - 60s) < 20,
                       std::to_string(all.burst(all.now() - 60s)) + " calls within 10 ms");
@@ -294,9 +301,22 @@
                 const time_point returned = all.now();
                 all.run(30s);
                 check(all.behind() == 0, std::to_string(all.behind()) + " behind");
+                std::printf("return: at most %zu calls/s, %zu in 10 ms\n", all.peak_calls(),
+                            all.burst(returned));
                 check(all.peak_calls() < service_limit, std::to_string(all.peak_calls()));
                 check(all.burst(returned) < 40,
                       std::to_string(all.burst(returned)) + " calls within 10 ms");
+            });
+            section("while many still read, a change does not bring them into step", [&] {
+                check(all.readers() > 100, std::to_string(all.readers()) + " readers");
+                const time_point published = all.now();
+                all.publish(4);
+                all.run(2s);
+                std::printf("change: %zu calls in 10 ms\n", all.burst(published));
+                check(all.burst(published) < 60,
+                      std::to_string(all.burst(published)) + " calls within 10 ms");
+            });
+            section("in the end two of each zone read", [&] {
                 all.run(200s);
                 check(all.readers() == 10, std::to_string(all.readers()) + " readers");
             });
@@ -331,8 +351,8 @@
 // ever.
 Test(reader_schedule, small_fleets_read_all_and_readers_rotate)
 {
-    section("8 instances of a region all read", [] {
-        fleet small(8, 5);
+    section("8 instances of a region all read, although two per zone would be fewer", [] {
+        fleet small(8, 5, 2);
         small.start_all();
         small.run(5s);
         check(small.readers() == 8, std::to_string(small.readers()));
@@ -354,6 +374,46 @@
     });
 }
 
+// Guards against a peak of calls when a whole fleet starts without a list: all read it then.
+Test(reader_schedule, a_fleet_without_a_list_reads_it_spread)
+{
+    fleet all(330, 9, 5, document::instance_list);
+    all.forget_members();
+    all.start_all();
+    all.run(3s);
+    std::printf("first list: at most %zu calls/s, %zu in 10 ms\n", all.peak_calls(),
+                all.burst(start));
+    check(all.calls() >= 330 && all.peak_calls() < service_limit, std::to_string(all.peak_calls()));
+    check(all.burst(start) < 20, std::to_string(all.burst(start)) + " calls within 10 ms");
+}
+
+// Guards against an age that becomes younger while two instances pass it to each other, which would
+// prevent the takeover for ever.
+Test(reader_schedule, an_age_passed_around_does_not_become_younger)
+{
+    std::vector<reader_schedule> pair;
+    std::vector<reader_candidate> members;
+    for (int index = 0; index < 20; ++index) {
+        members.push_back({instance_id("q-" + std::to_string(index)), zone_id("a"), {}, true});
+    }
+    for (std::size_t index = 0; index < 20; ++index) {
+        pair.emplace_back(members[index].id, document::configuration, reader_options{}, index);
+        pair.back().set_members(members, start, wall_start);
+    }
+    std::erase_if(pair, [](const reader_schedule& node) { return node.is_reader(); });
+    pair.resize(2, pair.front());
+    pair[0].on_peer_report(members[0].id, 1, 0s, start);
+    for (time_point now = start; now < start + 60s; now += 500ms) {
+        for (std::size_t from = 0; from < 2; ++from) {
+            // 400 ms on the way.
+            const auto age = pair[from].service_age(now);
+            pair[1 - from].on_peer_report(members[0].id, 1, age, now + 400ms);
+            pair[from].tick(now, wall_start);
+        }
+    }
+    check(pair[0].has_taken_over() || pair[1].has_taken_over(), "taken over within 60 s");
+}
+
 // Guards against endless fetches of a version that a peer cannot deliver, and against an answer of
 // a call that was given up.
 Test(reader_schedule, failed_fetches_back_off_and_late_answers_are_ignored)
--- a/libs/membership/include/quetzal/membership/prober.hpp
+++ b/libs/membership/include/quetzal/membership/prober.hpp
@@ -52,6 +52,11 @@
 // Returns the stable lower-case code, e.g. "suspected".
 std::string_view to_string(member_state state) noexcept;
 
+// Convert `reader_schedule::service_age` to and from the ages in `peer::versions`. An age that does
+// not fit counts as unknown.
+std::uint16_t encode_age(std::optional<std::chrono::seconds> age) noexcept;
+std::optional<std::chrono::seconds> decode_age(std::uint16_t age) noexcept;
+
 // One member as this instance sees it.
 struct member_view
 {
--- a/libs/membership/src/document_fetch_test.cpp
+++ b/libs/membership/src/document_fetch_test.cpp
@@ -101,6 +101,13 @@
             }
         });
         check(changed.failure == "a chunk that differs from its description", changed.failure);
+        document_fetch more(store, kind, 2);
+        const auto unasked = run(more, source, [](peer::transfer_message& answer) {
+            if (auto* chunks = std::get_if<peer::chunks_answer>(&answer)) {
+                chunks->chunks.insert(chunks->chunks.begin(), {chunk_hash{1}, "x"});
+            }
+        });
+        check(unasked.failure == "a chunk that was not asked for", unasked.failure);
         document_fetch other(store, kind, 2);
         const auto digest = run(other, source, [](peer::transfer_message& answer) {
             if (auto* described = std::get_if<peer::manifest_answer>(&answer)) {
--- a/libs/membership/src/prober.cpp
+++ b/libs/membership/src/prober.cpp
@@ -26,6 +26,18 @@
     return "live";
 }
 
+std::uint16_t encode_age(std::optional<std::chrono::seconds> age) noexcept
+{
+    return age && age->count() >= 0 && age->count() < peer::unknown_age
+               ? static_cast<std::uint16_t>(age->count())
+               : peer::unknown_age;
+}
+
+std::optional<std::chrono::seconds> decode_age(std::uint16_t age) noexcept
+{
+    return age == peer::unknown_age ? std::nullopt : std::optional(std::chrono::seconds(age));
+}
+
 prober::prober(instance_id self, incarnation process, prober_options options, std::uint64_t seed)
     : self_(std::move(self)), process_(process), options_(options), random_(seed),
       next_sequence_(static_cast<std::uint32_t>(random_()))
--- a/libs/membership/src/prober_test.cpp
+++ b/libs/membership/src/prober_test.cpp
@@ -56,6 +56,14 @@
         fleet.run(10s);
         check(!fleet.node(0).view(fleet.name(3)), "gossip does not bring it back");
     });
+    section("a successor that the platform lists is a member from its first probe on", [&] {
+        fleet.list.instances.push_back({fleet.name(3), "", 0, 0, zone_id("z0")});
+        fleet.set_lists();
+        fleet.restart(3, 2000);
+        fleet.run(10s);
+        check(fleet.seen_as(3, member_state::live) == 7, "live");
+        check(fleet.node(0).view(fleet.name(3))->process == incarnation{2000}, "its process");
+    });
 }
 
 // Guards against suspicions that stick to a live instance after loss or a cut.
@@ -69,6 +77,13 @@
         fleet.run(60s);
         check(fleet.suspicions_seen() == 0, number(fleet.suspicions_seen()));
     });
+    section("slow links lead to indirect probes, but to no suspicion", [] {
+        simulated_fleet fleet(8, 12);
+        fleet.net.latency = 200ms;
+        fleet.run(60s);
+        check(fleet.node(0).counters().indirect_requests > 0, "indirect probes");
+        check(fleet.suspicions_seen() == 0, number(fleet.suspicions_seen()));
+    });
     section("an isolated instance is suspected, and refutes that when it is back", [] {
         simulated_fleet fleet(8, 3);
         fleet.run(5s);
@@ -272,6 +287,49 @@
     });
 }
 
+// Guards against datagrams that grow with the number of changes, against a refutation that waits
+// behind them, and against updates that are sent for ever.
+Test(prober, updates_are_bounded_and_come_to_an_end)
+{
+    simulated_fleet fleet(40, 13);
+    fleet.run(2s);
+    auto& node = fleet.node(0);
+    const auto updates_of_next_probe = [&] {
+        const auto actions = node.probe_now(fleet.name(1), fleet.now);
+        return std::get<peer::probe>(std::get<send_message>(actions.at(0)).message.body).updates;
+    };
+    section("given news about many members and a suspicion against itself", [&] {
+        std::vector<peer::member_update> news;
+        for (std::size_t index = 2; index < 30; ++index) {
+            news.push_back({fleet.name(index), incarnation{1000 + index}, true, false, 1});
+        }
+        news.push_back({fleet.name(0), incarnation{1000}, false, true, 0});
+        const auto actions = node.on_message(
+            {fleet.name(1), incarnation{1001}, peer::probe{1, {}, news}}, fleet.now);
+        section("the answer has a bounded number of updates, the refutation first", [&] {
+            const auto& sent = std::get<send_message>(actions.back()).message.body;
+            const auto& updates = std::get<peer::probe_ack>(sent).updates;
+            check(updates.size() == prober_options{}.updates_per_message, number(updates.size()));
+            check(updates.at(0).instance == fleet.name(0) && !updates.at(0).suspected &&
+                      updates.at(0).sequence == 1,
+                  "refutation");
+        });
+    });
+    section("leaving is final for a process, whatever older news say", [&] {
+        node.on_message({fleet.name(1), incarnation{1001},
+                         peer::probe{2,
+                                     {},
+                                     {{fleet.name(2), incarnation{1002}, false, false, 0},
+                                      {fleet.name(2), incarnation{1002}, false, false, 2}}}},
+                        fleet.now);
+        check(node.view(fleet.name(2))->state == member_state::leaving, "leaving");
+    });
+    section("after a minute without news, messages carry none", [&] {
+        fleet.run(60s);
+        check(updates_of_next_probe().empty(), number(updates_of_next_probe().size()));
+    });
+}
+
 // Guards against any combination of faults that leaves instances with different views for ever.
 Test(prober, views_agree_after_random_faults)
 {
