--- a/libs/membership/src/prober_test.cpp
+++ b/libs/membership/src/prober_test.cpp
@@ -249,7 +249,10 @@
     };
     fleet.net.loss = 0.02;
     known[17] = 2;
-    fleet.perform(17, fleet.node(17).set_versions({2, 1}, fleet.now));
+    const auto announced = fleet.node(17).set_versions({2, 1}, fleet.now);
+    check(announced.size() == prober_options{}.announce_peers, "told to a few peers at once");
+    check(fleet.node(17).set_versions({2, 1, 3, 3}, fleet.now).empty(), "new ages are no news");
+    fleet.perform(17, announced);
     const auto taken = fleet.run_until(
         [&] { return std::all_of(known.begin(), known.end(), [](auto v) { return v == 2; }); },
         20s);
