--- a/libs/config/include/quetzal/config/chunk_store.hpp
+++ b/libs/config/include/quetzal/config/chunk_store.hpp
@@ -67,7 +67,7 @@
     // Keeps a chunk fetched for the next version of a document. Returns false, and keeps nothing,
     // when the bytes do not have this hash or exceed the largest size, or when the fetched chunks
     // of this kind would exceed `max_document_size`.
-    bool add_fetched(document kind, const chunk_ref& chunk, std::string bytes);
+    bool add_fetched(document kind, const chunk_ref& chunk, std::string_view bytes);
 
     // Joins the chunks of a description and verifies the digest of the whole. On error returns what
     // was missing or wrong.
--- a/libs/config/src/chunk_store.cpp
+++ b/libs/config/src/chunk_store.cpp
@@ -136,7 +136,7 @@
     return chunks;
 }
 
-bool chunk_store::add_fetched(document kind, const chunk_ref& chunk, std::string bytes)
+bool chunk_store::add_fetched(document kind, const chunk_ref& chunk, std::string_view bytes)
 {
     auto& held = documents_[index_of(kind)];
     if (bytes.size() != chunk.size || bytes.size() > chunk_sizes{}.largest ||
@@ -144,9 +144,8 @@
     {
         return false;
     }
-    const std::size_t size = bytes.size();
-    if (held.fetched.try_emplace(chunk.hash, std::move(bytes)).second) {
-        held.fetched_size += size;
+    if (held.fetched.try_emplace(chunk.hash, bytes).second) {
+        held.fetched_size += bytes.size();
     }
     return true;
 }
