--- a/libs/base/include/quetzal/base/ids.hpp
+++ b/libs/base/include/quetzal/base/ids.hpp
@@ -23,9 +23,13 @@
     explicit basic_id(std::string value) : name(std::move(value)) {}
 
     bool empty() const noexcept { return name.empty(); }
-    // clang-tidy takes the 0 of rewritten comparisons for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
-    friend auto operator<=>(const basic_id&, const basic_id&) = default;
+    // Not defaulted: clang-tidy 14 takes the comparison with 0 that a defaulted operator implies
+    // for a null pointer (modernize-use-nullptr).
+    friend std::strong_ordering operator<=>(const basic_id& first, const basic_id& second) noexcept
+    {
+        return first.name <=> second.name;
+    }
+    friend bool operator==(const basic_id&, const basic_id&) = default;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -51,9 +55,12 @@
 {
     std::uint64_t value = 0;
 
-    // clang-tidy takes the 0 of rewritten comparisons for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
-    friend auto operator<=>(const incarnation&, const incarnation&) = default;
+    friend std::strong_ordering operator<=>(const incarnation& first,
+                                            const incarnation& second) noexcept
+    {
+        return first.value <=> second.value;
+    }
+    friend bool operator==(const incarnation&, const incarnation&) = default;
 
     template <class Archive>
     void serialize(Archive& archive)
