Share one memory budget over the shards of the request table

Cause: the entry instance makes one table per shard with the default limits, which would multiply the bound by the number of shards; it also takes a reusable connection for a success, although a refusal and a failed check leave one too. Change: copies of table_limits share a budget that is taken atomically; leave_call says whether the answer is whole and what may have run.

--- a/libs/requests/include/quetzal/requests/pipeline_run.hpp
+++ b/libs/requests/include/quetzal/requests/pipeline_run.hpp
@@ -67,12 +67,16 @@
 };
 
 // The call has no more use for its connection: close it, or keep it for another call when
-// `reusable`. `cancel` says to send `DELETE /v1/run/{call}` as well.
+// `reusable`, which it is after a refusal or a failed check too. `cancel` says to send
+// `DELETE /v1/run/{call}` as well. `finished` says that the answer is whole; everything else is a
+// failure of the call, with the verdict `run`.
 struct leave_call
 {
     call_id call;
     bool reusable = false;
     bool cancel = false;
+    bool finished = false;
+    verdict run = verdict::may_have_run;
 };
 
 // Append to the answer log and wake its readers. When the log does not accept it, call `cancel`
--- a/libs/requests/include/quetzal/requests/request_table.hpp
+++ b/libs/requests/include/quetzal/requests/request_table.hpp
@@ -4,6 +4,7 @@
 // The requests of this incarnation by identity: at most one run for non-idempotent work, and one
 // answer that every submission of the same identity shares.
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -16,6 +17,7 @@
 #include <quetzal/requests/answer_log.hpp>
 #include <quetzal/requests/request_identity.hpp>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 
 namespace quetzal::requests {
@@ -23,16 +25,38 @@
 // Time for which a finished answer is kept.
 inline constexpr duration answer_retention = std::chrono::minutes(10);
 
-// Bounds of one table (one shard). The sum over the shards is the bound of the instance. The last
-// quarter of `entries` and `bytes` is left to idempotent work, whose answers are not kept there.
+// Memory that the tables of an instance share. Thread-safe.
+class memory_budget
+{
+public:
+    explicit memory_budget(std::size_t limit) noexcept : limit_(limit) {}
+
+    std::size_t limit() const noexcept { return limit_; }
+    std::size_t used() const noexcept { return used_.load(std::memory_order_relaxed); }
+
+    // Takes bytes if the sum stays within `bound`; returns whether it did.
+    bool take(std::size_t bytes, std::size_t bound) noexcept;
+
+    // Changes what was taken before from one number of bytes to another, whatever the limit.
+    void change(std::size_t before, std::size_t after) noexcept;
+
+private:
+    std::size_t limit_;
+    std::atomic<std::size_t> used_{0};
+};
+
+// Bounds of one table (one shard). Copies share the budget, so that `sharded<request_table>` with
+// one value of this type bounds the whole instance. The last quarter of `entries` and of the budget
+// is left to idempotent work, whose answers are not kept there.
 struct table_limits
 {
-    std::size_t entries = 8192;    // running and finished
-    std::size_t bytes = 96u << 20; // finished answers, and `reserve` for each running request
+    std::size_t entries = 8192; // running and finished
+    std::size_t closed = 8192;  // identities that must not run any more, about 100 bytes each
     // A full answer log of 256 KiB, the same again for its index with the shortest frames, and four
-    // receive blocks.
+    // receive blocks: what a running request counts for.
     std::size_t reserve = 576u << 10;
-    std::size_t closed = 65536; // identities that must not run any more, about 100 bytes each
+    // Finished answers, and `reserve` for each running request.
+    std::shared_ptr<memory_budget> memory = std::make_shared<memory_budget>(96u << 20);
 };
 
 // A request as a caller sent it. The identity has been verified for this customer.
@@ -79,7 +103,10 @@
 class request_table
 {
 public:
-    explicit request_table(table_limits limits = {}) : limits_(limits) {}
+    explicit request_table(table_limits limits = {}) : limits_(std::move(limits)) {}
+    ~request_table();
+    request_table(const request_table&) = delete;
+    request_table& operator=(const request_table&) = delete;
 
     // Decides a submission. Failures:
     // - `not_found`, `may_have_run`: the identity was first used by another customer; the text is
@@ -121,7 +148,7 @@
     std::size_t size() const noexcept { return entries_.size(); }
     std::size_t closed() const noexcept { return closed_.size(); }
 
-    // Bytes counted against the limit.
+    // Bytes that this table has taken of the budget.
     std::size_t memory() const noexcept { return bytes_; }
 
 private:
@@ -154,8 +181,8 @@
     submit_action admit(const submission& request, time_point now);
     std::optional<failure> refusal(const request_identity& identity, const customer_id& customer,
                                    time_point now) const;
-    bool fits(std::size_t entries, std::size_t bytes) const noexcept;
-    bool make_room(time_point now);
+    bool take(std::size_t entries, std::size_t bytes) noexcept;
+    bool take_kept(time_point now);
     bool close(std::uint64_t sequence, const customer_id& customer, verdict run, time_point now);
     bool retire(std::uint64_t sequence, time_point now);
     void drop(std::uint64_t sequence);
--- a/libs/requests/src/pipeline_run.cpp
+++ b/libs/requests/src/pipeline_run.cpp
@@ -307,9 +307,10 @@
         actions.emplace_back(send_call{call, action.offset});
     }
 
-    static void carry_out(const call_id& call, const leave_connection& action, run_actions& actions)
+    void carry_out(const call_id& call, const leave_connection& action, run_actions& actions)
     {
-        actions.emplace_back(leave_call{call, action.reusable, false});
+        const verdict run = find(call)->machine.run();
+        actions.emplace_back(leave_call{call, action.reusable, false, run == verdict::ran, run});
     }
 
     // Follows the `leave_connection` of the same attempt.
--- a/libs/requests/src/pipeline_run_test.cpp
+++ b/libs/requests/src/pipeline_run_test.cpp
@@ -271,7 +271,13 @@
         }
     }
 
-    void act(std::size_t, const leave_call&) {}
+    void act(std::size_t index, const leave_call& action)
+    {
+        const auto& ran = runs_[index]->ran;
+        require(action.finished == (action.run == verdict::ran),
+                "only whole answers are successes");
+        require(!action.finished || ran.contains(action.call.stage), "a success that never ran");
+    }
 
     void act(std::size_t index, const append_answer& action)
     {
--- a/libs/requests/src/request_table.cpp
+++ b/libs/requests/src/request_table.cpp
@@ -31,6 +31,28 @@
 
 } // namespace
 
+bool memory_budget::take(std::size_t bytes, std::size_t bound) noexcept
+{
+    std::size_t before = used();
+    do {
+        if (before + bytes > bound) {
+            return false;
+        }
+    } while (!used_.compare_exchange_weak(before, before + bytes, std::memory_order_relaxed));
+    return true;
+}
+
+void memory_budget::change(std::size_t before, std::size_t after) noexcept
+{
+    // Unsigned wrap-around makes this right for a decrease too.
+    used_.fetch_add(after - before, std::memory_order_relaxed);
+}
+
+request_table::~request_table()
+{
+    limits_.memory->change(bytes_, 0);
+}
+
 submit_action request_table::submit(const submission& request, time_point now)
 {
     if (const auto known = entries_.find(request.identity.sequence); known != entries_.end()) {
@@ -79,7 +101,7 @@
 
 submit_action request_table::admit(const submission& request, time_point now)
 {
-    const bool kept = make_room(now);
+    const bool kept = take_kept(now);
     if (!kept && !request.idempotent) {
         const std::string full = "too many requests and answers are kept";
         if (close(request.identity.sequence, request.customer, verdict::not_run, now)) {
@@ -87,7 +109,7 @@
         }
         return may_have_run(reason::overloaded, full).value();
     }
-    if (!fits(limits_.entries, limits_.bytes)) {
+    if (!kept && !take(limits_.entries, limits_.memory->limit())) {
         return not_run(reason::overloaded, "too many requests are running", std::chrono::seconds(1))
             .value();
     }
@@ -98,24 +120,28 @@
     added.kept = kept;
     added.charge = limits_.reserve + entry_overhead;
     added.answer = std::make_shared<answer_log>();
-    bytes_ += added.charge;
     start_request started{added.answer};
     entries_.emplace(request.identity.sequence, std::move(added));
     return started;
 }
 
-// Whether one more running request keeps the table within these bounds.
-bool request_table::fits(std::size_t entries, std::size_t bytes) const noexcept
+// Takes the memory of one more running request if the table stays within these bounds.
+bool request_table::take(std::size_t entries, std::size_t bytes) noexcept
 {
-    return entries_.size() < entries && bytes_ + limits_.reserve + entry_overhead <= bytes;
+    const std::size_t charge = limits_.reserve + entry_overhead;
+    if (entries_.size() >= entries || !limits_.memory->take(charge, bytes)) {
+        return false;
+    }
+    bytes_ += charge;
+    return true;
 }
 
-// Drops the oldest answers of idempotent work until a request fits that will be kept.
-bool request_table::make_room(time_point now)
+// The same for a request that will be kept. Drops the oldest answers of idempotent work for it.
+bool request_table::take_kept(time_point now)
 {
     const std::size_t entries = limits_.entries - limits_.entries / 4;
-    const std::size_t bytes = limits_.bytes - limits_.bytes / 4;
-    while (!fits(entries, bytes)) {
+    const std::size_t bytes = limits_.memory->limit() - limits_.memory->limit() / 4;
+    while (!take(entries, bytes)) {
         if (droppable_.empty()) {
             return false;
         }
@@ -161,6 +187,7 @@
     const auto found = entries_.find(sequence);
     if (found != entries_.end()) {
         bytes_ -= found->second.charge;
+        limits_.memory->change(found->second.charge, 0);
         entries_.erase(found);
     }
 }
@@ -175,9 +202,10 @@
     const bool ran_nothing = how.run == verdict::not_run;
     ending.running = false;
     ending.answer->end(std::move(how));
-    bytes_ -= ending.charge;
+    const std::size_t reserved = ending.charge;
     ending.charge = entry_overhead + ending.answer->memory();
-    bytes_ += ending.charge;
+    bytes_ = bytes_ - reserved + ending.charge;
+    limits_.memory->change(reserved, ending.charge);
     // When no more identities can be closed, the entry itself stays and keeps a copy from running.
     if ((ran_nothing || !ending.kept) && retire(sequence, now)) {
         return;
--- a/libs/requests/src/request_table_test.cpp
+++ b/libs/requests/src/request_table_test.cpp
@@ -43,7 +43,7 @@
 {
     table_limits limits;
     limits.entries = entries;
-    limits.bytes = 1u << 30;
+    limits.memory = std::make_shared<memory_budget>(1u << 30);
     limits.closed = closed;
     return limits;
 }
@@ -188,3 +188,30 @@
         check(attaches(tiny.submit(booking(1), start)), "the refusal itself is kept instead");
     });
 }
+
+// Guards against shards that together take several times the memory of an instance.
+Test(request_table, shards_share_one_budget)
+{
+    table_limits limits;
+    limits.memory = std::make_shared<memory_budget>(8 * (limits.reserve + 1024));
+    request_table first(limits);
+    {
+        request_table second(limits);
+        for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+            check(starts(first.submit(booking(2 * sequence), start)), "first shard");
+            check(starts(second.submit(booking(2 * sequence + 1), start)), "second shard");
+        }
+        check(fails(first.submit(booking(20), start), reason::overloaded, verdict::not_run),
+              "three quarters are taken");
+        check(starts(first.submit(booking(22, "status", true), start)) &&
+                  starts(second.submit(booking(23, "status", true), start)),
+              "the rest is for idempotent work");
+        check(fails(second.submit(booking(25, "status", true), start), reason::overloaded,
+                    verdict::not_run),
+              "the limit");
+        check(limits.memory->used() == first.memory() + second.memory(), "sum");
+        first.finish(2, whole, start);
+        check(starts(second.submit(booking(27, "status", true), start)), "room for another shard");
+    }
+    check(limits.memory->used() == first.memory(), "given back");
+}
