--- a/bench/src/router.hpp
+++ b/bench/src/router.hpp
@@ -25,8 +25,9 @@
 // What the configuration service and the instance list say, as one instance last read them.
 struct platform_view
 {
-    std::uint64_t version = 1;
+    std::uint64_t config_version = 1;
     std::vector<config::zone_state> zones;
+    std::uint64_t list_revision = 1;
     std::vector<endpoint_status> endpoints;
 };
 
