--- a/bench/src/admission.cpp
+++ b/bench/src/admission.cpp
@@ -21,7 +21,7 @@
         }
     }
 
-    rate_answer take(std::uint32_t instance, std::uint32_t customer) override
+    rate_answer take(std::uint32_t instance, std::uint32_t, std::uint32_t customer) override
     {
         auto& bucket = buckets_[(instance % parts_) * customers_ + customer];
         if (bucket.level(events_.now()) < 1) {
--- a/bench/src/admission.hpp
+++ b/bench/src/admission.hpp
@@ -4,7 +4,9 @@
 // Rate admission of the whole fleet behind one small interface.
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 
 #include "ledger.hpp"
 #include "router.hpp"
@@ -20,7 +22,14 @@
     virtual ~admission() = default;
 
     // Takes a token for a request that arrived at the instance, if there is one.
-    virtual rate_answer take(std::uint32_t instance, std::uint32_t customer) = 0;
+    virtual rate_answer take(std::uint32_t instance, std::uint32_t request,
+                             std::uint32_t customer) = 0;
+
+    // Returns the fencing number while the instance has the exclusive right to the endpoint.
+    virtual std::optional<std::uint64_t> right_to(std::uint32_t, std::uint32_t) const { return {}; }
+
+    // Called with the instance whose waiting requests may get tokens now.
+    std::function<void(std::uint32_t)> on_token = [](std::uint32_t) {};
 };
 
 // Each instance has an equal part of every rate and burst.
@@ -30,6 +39,10 @@
 // over a network; the two better baselines have it so that they are not held back by the rates.
 std::unique_ptr<admission> make_exact(const fleet& installation, event_queue& events);
 
+// The real rights: every instance has its `fleet_rights`, and their messages take the time between
+// zones. `installation` and `events` must outlive it.
+std::unique_ptr<admission> make_rights(const fleet& installation, event_queue& events);
+
 } // namespace quetzal::bench
 
 #endif
--- a/bench/src/dispatcher_router.cpp
+++ b/bench/src/dispatcher_router.cpp
@@ -40,17 +40,11 @@
 
 class dispatcher_router;
 
-// The instances of one fleet. The exclusive right to an endpoint belongs to one fixed instance:
-// package `rights` has a bench of its own.
+// The instances of one fleet.
 struct peer_group
 {
     event_queue& events;
     std::vector<dispatcher_router*> members;
-
-    std::size_t holder(const endpoint_id& endpoint) const
-    {
-        return stable_hash(endpoint.name) % members.size();
-    }
 };
 
 class dispatcher_router : public router
@@ -58,7 +52,7 @@
 public:
     dispatcher_router(const fleet& installation, std::size_t instance, port& actions,
                       std::shared_ptr<peer_group> group, std::uint64_t seed)
-        : fleet_(installation), instance_(instance), port_(actions), group_(std::move(group)),
+        : fleet_(installation), port_(actions), group_(std::move(group)),
           dispatcher_(options(installation, instance, seed),
                       [this](const serving::start_context& context) { return gate(context); })
     {
@@ -66,20 +60,19 @@
             indexes_.emplace(fleet_.endpoints[index].id, index);
         }
         processes_.resize(fleet_.endpoints.size());
+        rights_.resize(fleet_.endpoints.size());
     }
 
     // Called once for all instances before the run: every endpoint has been warm for long.
     void start_warm()
     {
         for (const auto& endpoint : fleet_.endpoints) {
-            if (group_->holder(endpoint.id) == instance_) {
-                carry_out(dispatcher_.hold(endpoint.id, 1, port_.now()));
-            }
             carry_out(dispatcher_.connected(endpoint.id, incarnation{1}, port_.now()));
             carry_out(
                 dispatcher_.declared(endpoint.id, {incarnation{1}, true, 1, 1}, port_.now()));
         }
         processes_.assign(fleet_.endpoints.size(), incarnation{1});
+        refresh_rights();
         schedule();
     }
 
@@ -206,11 +199,18 @@
     {
         if (port_.now() >= next_wake_) {
             next_wake_ = time_point::max();
+            refresh_rights();
             carry_out(dispatcher_.tick(port_.now()));
             schedule();
         }
     }
 
+    void on_token() override
+    {
+        carry_out(dispatcher_.tick(port_.now()));
+        schedule();
+    }
+
 private:
     static serving::dispatcher_options options(const fleet& installation, std::size_t instance,
                                                std::uint64_t seed)
@@ -238,6 +238,16 @@
         return {};
     }
 
+    void refresh_rights()
+    {
+        for (std::uint32_t index = 0; index < rights_.size(); ++index) {
+            if (const auto fence = port_.right_to(index); fence != rights_[index]) {
+                rights_[index] = fence;
+                carry_out(dispatcher_.hold(fleet_.endpoints[index].id, fence, port_.now()));
+            }
+        }
+    }
+
     void carry_out(const serving::actions& todo)
     {
         for (const auto& entry : todo) {
@@ -334,8 +344,14 @@
 
     void perform(const serving::tell_endpoint_holder& action)
     {
-        auto* member = group_->members[group_->holder(action.endpoint)];
-        group_->events.after(peer_delay, [member, action] {
+        const auto index = indexes_.at(action.endpoint);
+        const auto holder =
+            std::find_if(group_->members.begin(), group_->members.end(),
+                         [&](const auto* member) { return member->rights_[index].has_value(); });
+        if (holder == group_->members.end()) {
+            return; // the dispatcher asks again
+        }
+        group_->events.after(peer_delay, [member = *holder, action] {
             member->carry_out(member->dispatcher_.heard(action.endpoint, action.process,
                                                         action.cold, member->port_.now()));
             member->schedule();
@@ -411,12 +427,12 @@
     }
 
     const fleet& fleet_;
-    std::size_t instance_;
     port& port_;
     std::shared_ptr<peer_group> group_;
     serving::dispatcher dispatcher_;
     std::unordered_map<endpoint_id, std::uint32_t> indexes_;
     std::vector<std::optional<incarnation>> processes_; // connected to, by endpoint
+    std::vector<std::optional<std::uint64_t>> rights_;  // fencing number while held, by endpoint
     std::unordered_map<std::uint32_t, arrival> arrivals_; // open requests
     std::unordered_map<std::uint32_t, std::uint32_t> relayed_; // chunks passed on, by request
     std::unordered_map<std::uint64_t, std::pair<call_key, std::uint32_t>> attempts_; // by call id
--- a/bench/src/event_queue.hpp
+++ b/bench/src/event_queue.hpp
@@ -16,6 +16,9 @@
 // Start of every run. Not zero, so that a time in the past of the start can be expressed.
 inline constexpr time_point start_of_run = time_point(std::chrono::hours(1));
 
+// Time before the start in which the instances find each other.
+inline constexpr duration pre_roll = std::chrono::seconds(10);
+
 // Discrete-event queue. Actions of equal time run in the order in which they were added, so a run
 // depends on its seed alone.
 class event_queue
@@ -60,7 +63,7 @@
         }
     };
 
-    time_point now_ = start_of_run;
+    time_point now_ = start_of_run - pre_roll;
     std::uint64_t next_ = 0;
     std::priority_queue<entry> entries_;
 };
--- a/bench/src/router.hpp
+++ b/bench/src/router.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,9 @@
     // Asks for a token of the rate of the request's customer and takes it when there is one.
     virtual rate_answer take_token(std::uint32_t request) = 0;
 
+    // Returns the fencing number while this instance has the exclusive right to the endpoint.
+    virtual std::optional<std::uint64_t> right_to(std::uint32_t endpoint) const = 0;
+
     // Builds the call of a stage, with a new identifier.
     virtual call make_call(std::uint32_t request, std::uint32_t stage, std::uint32_t endpoint) = 0;
     virtual void send(const call& work) = 0;
@@ -90,6 +94,9 @@
     virtual void on_unreachable(std::uint32_t) {}
     virtual void on_cache(std::uint32_t, const cache_event&) {}
     virtual void wake() {}
+
+    // A request for which `take_token` answered `wait` may get its token now.
+    virtual void on_token() {}
 };
 
 // Policies of the bench.
--- a/bench/src/world.cpp
+++ b/bench/src/world.cpp
@@ -39,6 +39,7 @@
 
     time_point now() const override;
     rate_answer take_token(std::uint32_t request) override;
+    std::optional<std::uint64_t> right_to(std::uint32_t endpoint) const override;
     call make_call(std::uint32_t request, std::uint32_t stage, std::uint32_t endpoint) override;
     void send(const call& work) override;
     void cancel(const call& work) override;
@@ -117,16 +118,20 @@
             ports_.push_back(std::make_unique<instance_port>(*this, index));
             ports.push_back(ports_.back().get());
         }
-        admission_ = which == policy::round_robin ? make_static_split(fleet_, events_)
-                                                  : make_exact(fleet_, events_);
         if (which == policy::quetzallever) {
+            admission_ = make_rights(fleet_, events_);
+            admission_->on_token = [this](std::uint32_t index) { routers_[index]->on_token(); };
+            events_.run_until(start_of_run);
             routers_ = make_dispatcher_routers(fleet_, events_, ports, options_.seed);
         } else {
+            admission_ = which == policy::round_robin ? make_static_split(fleet_, events_)
+                                                      : make_exact(fleet_, events_);
             for (std::size_t index = 0; index < ports.size(); ++index) {
                 routers_.push_back(make_baseline(which, fleet_, *ports[index],
                                                  combine_hash(options_.seed, index)));
             }
         }
+        events_.run_until(start_of_run);
         known_.assign(routers_.size(), view_);
         for (const auto& entry : routers_) {
             entry->update(view_);
@@ -378,13 +383,18 @@
 rate_answer instance_port::take_token(std::uint32_t request)
 {
     const auto answer =
-        world_.admission_->take(instance_, world_.ledger_.at(request).what.customer);
+        world_.admission_->take(instance_, request, world_.ledger_.at(request).what.customer);
     if (answer == rate_answer::taken) {
         world_.ledger_.admit(request, now());
     }
     return answer;
 }
 
+std::optional<std::uint64_t> instance_port::right_to(std::uint32_t endpoint) const
+{
+    return world_.admission_->right_to(instance_, endpoint);
+}
+
 call instance_port::make_call(std::uint32_t request, std::uint32_t stage, std::uint32_t endpoint)
 {
     const auto& what = world_.ledger_.at(request).what;
