--- a/bench/src/ledger.cpp
+++ b/bench/src/ledger.cpp
@@ -1,6 +1,7 @@
 #include "ledger.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace quetzal::bench {
 
@@ -81,6 +82,7 @@
 {
     auto& record = requests_[request];
     record.end = outcome::refused;
+    record.why = why;
     record.ended = now;
     ++result_.refused;
     const bool has_run = std::any_of(record.executions.begin(), record.executions.end(),
@@ -198,6 +200,9 @@
         ++customers[record.what.customer].due;
         ++classes[record.what.work].due;
         classes[record.what.work].met += good ? 1 : 0;
+        if (!good) {
+            ++sum.endings[ending(record)];
+        }
         const auto& stages = line(record).stages;
         for (std::size_t index = 0; index < stages.size(); ++index) {
             auto& stage = sum.stages[stages[index].id.name];
@@ -216,7 +221,43 @@
             share(classes[index].met, classes[index].due);
     }
     sum.attainment = share(sum.met, sum.within_rate);
+    add_timeline(sum, from, to);
     return sum;
 }
 
+std::string ledger::ending(const request_record& record)
+{
+    switch (record.end) {
+    case outcome::open:
+        return "open";
+    case outcome::refused:
+        return "refused_" + std::string(to_string(record.why));
+    case outcome::failed:
+        return "failed";
+    case outcome::abandoned:
+        return record.admitted ? "abandoned" : "abandoned_before_admission";
+    case outcome::answered:
+        return "answered_late";
+    }
+    return "unknown";
+}
+
+void ledger::add_timeline(figures& sum, duration from, duration to) const
+{
+    constexpr std::size_t parts = 10;
+    std::array<std::uint64_t, parts> due{};
+    std::array<std::uint64_t, parts> done{};
+    for (const auto& record : requests_) {
+        if (record.within_rate && record.what.at >= from && record.what.at < to) {
+            const auto part =
+                static_cast<std::size_t>((record.what.at - from) * parts / (to - from));
+            ++due[part];
+            done[part] += met(record) ? 1 : 0;
+        }
+    }
+    for (std::size_t part = 0; part < parts; ++part) {
+        sum.timeline.push_back(share(done[part], due[part]));
+    }
+}
+
 } // namespace quetzal::bench
--- a/bench/src/ledger.hpp
+++ b/bench/src/ledger.hpp
@@ -60,6 +60,8 @@
     std::uint64_t late_zone_sends = 0; // calls sent to a zone or leaving endpoint after 3 s
     std::uint64_t false_not_run = 0;   // refusals that say "not run" of a request that had run
     double cache_hit_rate = 0;
+    std::vector<double> timeline;                   // attainment by tenth of the run
+    std::map<std::string, std::uint64_t> endings; // due requests that missed, by how they ended
 
     std::uint64_t misses() const noexcept { return within_rate - met; }
 };
@@ -83,6 +85,7 @@
     bool within_rate = false;
     bool admitted = false;
     outcome end = outcome::open;
+    reason why = reason::internal_error; // of a refusal
     time_point ended;
     time_point first_chunk; // start_of_run: none yet
     time_point last_chunk;
@@ -125,6 +128,8 @@
 
 private:
     bool met(const request_record& record) const;
+    static std::string ending(const request_record& record);
+    void add_timeline(figures& sum, duration from, duration to) const;
     const config::pipeline& line(const request_record& record) const;
 
     const fleet& fleet_;
--- a/bench/src/report.cpp
+++ b/bench/src/report.cpp
@@ -61,6 +61,18 @@
         text += format("%s\"%s\":%.5f", separator, name.c_str(), attainment);
         separator = ",";
     }
+    text += "},\"timeline\":[";
+    separator = "";
+    for (const auto attainment : run.timeline) {
+        text += format("%s%.4f", separator, attainment);
+        separator = ",";
+    }
+    text += "],\"missed_by_ending\":{";
+    separator = "";
+    for (const auto& [name, count] : run.endings) {
+        text += format("%s\"%s\":%llu", separator, name.c_str(), number(count));
+        separator = ",";
+    }
     text += "},\"stages\":{";
     separator = "";
     for (const auto& [name, stage] : run.stages) {
@@ -152,6 +164,16 @@
     for (const auto& [which, run] : result.runs) {
         text += format("  %-18s", to_string(which).c_str()) + stage_rows(run) + "\n";
     }
+    for (const auto& [which, run] : result.runs) {
+        text += format("  %-18s by tenth of the run:", to_string(which).c_str());
+        for (const auto attainment : run.timeline) {
+            text += format(" %.1f", 100 * attainment);
+        }
+        for (const auto& [name, count] : run.endings) {
+            text += format(" %s %llu", name.c_str(), number(count));
+        }
+        text += "\n";
+    }
     return text;
 }
 
