serving: stricter evidence in the cold ramp; keep cold endpoints busy

And the ramp doubled too early, because a cold endpoint that runs one call beats 1.2 times the 95th percentile of a loaded pool. Change: a cold endpoint's room is its ramp limit alone; normal means at most the pool's median, three times in a row.

--- a/libs/serving/src/dispatcher_attempts.cpp
+++ b/libs/serving/src/dispatcher_attempts.cpp
@@ -12,7 +12,7 @@
 constexpr duration hedge_retry = std::chrono::milliseconds(20);
 // Bounds of a normal and of a slow answer, as factors of the pool's 95th percentile. Three answers
 // in a row beyond twice that percentile are unlikely for a warm endpoint.
-constexpr double normal_bound = 1.2;
+constexpr double normal_quantile = 0.5;
 constexpr double slow_bound = 2.0;
 constexpr std::uint32_t known_samples = 20; // answers before a pool's percentile is used
 constexpr double share_of_p95 = 0.95;
@@ -106,7 +106,8 @@
         const bool known = pool.chooser.latency_samples() >= known_samples;
         const duration p95 = pool.chooser.normal_latency(share_of_p95);
         const bool normal =
-            outcome.success && (!known || outcome.latency <= scaled(p95, normal_bound));
+            outcome.success &&
+            (!known || outcome.latency <= pool.chooser.normal_latency(normal_quantile));
         const bool slow = outcome.success && known && outcome.latency > scaled(p95, slow_bound) &&
                           may_turn_cold(pool);
         emit(record, record.ramp.answered(normal, slow, attempt.started, now));
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -194,6 +194,11 @@
     if (state.in_flight >= own) {
         return 0;
     }
+    if (state.limit < options_.concurrency) {
+        // Only this instance sends to a cold endpoint, so the pool's mean says nothing about it and
+        // its batch size, which shrank when it was slow, would never grow again.
+        return static_cast<double>(own - state.in_flight);
+    }
     const double in_batch = std::floor(state.batch) - state.in_flight - others_now(state, now);
     return std::min(static_cast<double>(own - state.in_flight), in_batch);
 }
