serving: give cold endpoints work that bears the delay

It warms up by work alone. Change: the holder's cold endpoint with a free place comes first for calls whose deadline and first-token target bear twice the usual (95th percentile) time of the stage, and last for all others.

--- a/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string>
@@ -57,6 +58,8 @@
     std::span<const prompt_prefix> prefixes; // ascending length; empty: no prompt
     std::span<const endpoint_index> avoid;   // endpoints already tried
     std::optional<std::uint32_t> avoid_zone; // zone number of a failed attempt
+    // How many times its usual time the call may take without endangering its targets.
+    double slowdown = std::numeric_limits<double>::infinity();
 };
 
 // A chosen endpoint and the figures behind the choice.
@@ -216,6 +219,7 @@
     double wait(const endpoint_state& state, const choice_request& request,
                 time_point now) const noexcept;
     std::uint32_t own_limit(const endpoint_state& state) const noexcept;
+    bool ramping(const endpoint_state& state) const noexcept;
     double others_now(const endpoint_state& state, time_point now) const noexcept;
     double room(const endpoint_state& state, time_point now) const noexcept;
     void set_excluded(endpoint_index endpoint, std::uint8_t excluded);
@@ -230,6 +234,7 @@
     std::vector<endpoint_index> free_positions_;
     std::size_t present_ = 0;
     std::size_t ejected_ = 0;
+    std::size_t ramping_ = 0; // endpoints with a limit between 0 and the concurrency
     latency_quantiles latency_;
     double pool_latency_ = 0; // mean over successful answers, ns
     double others_mean_ = 0;  // mean work of other instances over reports
--- a/libs/serving/src/cold_ramp.cpp
+++ b/libs/serving/src/cold_ramp.cpp
@@ -11,9 +11,6 @@
 // most likely sent before the declaration arrived there.
 constexpr duration settle_time = std::chrono::seconds(2);
 
-// Normal answers in a row that count as evidence. One or two may be small requests.
-constexpr std::uint32_t least_evidence = 3;
-
 // Whether the cause is something that this instance saw at the endpoint. Otherwise it knows no more
 // than the holder and only asks: an instance that has just started must not make the holder ramp
 // up every endpoint again.
@@ -128,7 +125,7 @@
     }
     // A round is as many normal answers in a row as the endpoint may run at once.
     evidence_ = normal ? evidence_ + 1 : 0;
-    if (evidence_ < std::max(limit_, least_evidence)) {
+    if (evidence_ < limit_) {
         return {};
     }
     evidence_ = 0;
--- a/libs/serving/src/dispatcher_calls.cpp
+++ b/libs/serving/src/dispatcher_calls.cpp
@@ -3,6 +3,7 @@
 #include "dispatcher_state.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace quetzal::serving {
 
@@ -99,12 +100,32 @@
     call.pool->calls.push(std::move(entry));
 }
 
+// Returns how many times slower than usual the call may be and still meet its targets.
+double dispatcher::implementation::bearable_slowdown(const call_state& call, time_point now)
+{
+    constexpr double usual = 0.95; // quantile
+    const request_state& request = *call.request;
+    const auto ratio = [](duration left, duration needed) {
+        return needed > duration::zero() ? seconds(left) / seconds(needed)
+                                         : std::numeric_limits<double>::infinity();
+    };
+    const duration whole = request.pipeline->budget.stage_latency(call.start.stage, usual);
+    double bearable = ratio(call.limits.give_up - now, whole);
+    const auto& first_token = request.work_class.objective.first_token;
+    if (first_token && call.start.stage + 1 == request.done.size()) {
+        const duration first = call.pool->chooser.normal_latency(usual);
+        bearable = std::min(bearable, ratio(request.start.arrived + *first_token - now, first));
+    }
+    return bearable;
+}
+
 std::optional<choice> dispatcher::implementation::choose(const call_state& call, time_point now)
 {
     choice_request request;
     request.prefixes = call.start.prefixes;
     request.avoid = call.tried;
     request.avoid_zone = call.failed_zone;
+    request.slowdown = bearable_slowdown(call, now);
     const endpoint_chooser& chooser = call.pool->chooser;
     if (auto chosen = chooser.choose(request, random_, now)) {
         return chosen;
--- a/libs/serving/src/dispatcher_state.hpp
+++ b/libs/serving/src/dispatcher_state.hpp
@@ -189,6 +189,7 @@
     void queue_call(call_state& call, time_point expires);
     void pump_calls(pool_state& pool, time_point now);
     gate_answer check_start(const call_state& call, time_point now, std::optional<choice>& chosen);
+    static double bearable_slowdown(const call_state& call, time_point now);
     std::optional<choice> choose(const call_state& call, time_point now);
     void start(call_state& call, const choice& chosen, bool hedge, time_point now);
     void set_timer(call_state& call);
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -27,6 +27,11 @@
 // Latency assumed before the first answer; it only scales the scores.
 constexpr double unknown_latency = 1e8; // ns
 
+// A call that would meet its targets even if its stage took this many times its 95th percentile may
+// warm up a cold endpoint.
+constexpr double warm_up_slowdown = 2;
+constexpr double too_slow_cost = 1e9; // ns, above any expected wait worth having
+
 double nanoseconds(duration value)
 {
     return static_cast<double>(value.count());
@@ -77,6 +82,7 @@
 {
     exclude(endpoint, exclusion::ejected, false);
     exclude(endpoint, exclusion::leaving, true);
+    limit(endpoint, 0);
     endpoints_[endpoint].present = false;
     free_positions_.push_back(endpoint);
     --present_;
@@ -119,7 +125,10 @@
 
 void endpoint_chooser::limit(endpoint_index endpoint, std::uint32_t calls)
 {
-    endpoints_[endpoint].limit = calls;
+    endpoint_state& state = endpoints_[endpoint];
+    ramping_ -= ramping(state) ? 1 : 0;
+    state.limit = calls;
+    ramping_ += ramping(state) ? 1 : 0;
     full_until_ = {};
 }
 
@@ -173,6 +182,12 @@
     return state.returning == 0 ? limit : std::min(limit, state.returning);
 }
 
+// Whether the endpoint is cold and this instance has the right to warm it up.
+bool endpoint_chooser::ramping(const endpoint_state& state) const noexcept
+{
+    return state.present && state.limit > 0 && state.limit < options_.concurrency;
+}
+
 // Old news of one endpoint tends to the mean over the pool, at the pace at which calls end.
 double endpoint_chooser::others_now(const endpoint_state& state, time_point now) const noexcept
 {
@@ -194,7 +209,7 @@
     if (state.in_flight >= own) {
         return 0;
     }
-    if (state.limit < options_.concurrency) {
+    if (ramping(state)) {
         // Only this instance sends to a cold endpoint, so the pool's mean says nothing about it and
         // its batch size, which shrank when it was slow, would never grow again.
         return static_cast<double>(own - state.in_flight);
@@ -286,6 +301,11 @@
     if (request.avoid_zone && *request.avoid_zone == state.zone) {
         cost += service; // a failed attempt's zone is the last resort
     }
+    if (ramping(state)) {
+        // Work is what warms it up, and nobody else sends it any; so it comes first for calls that
+        // bear the delay, and last for others.
+        return request.slowdown >= warm_up_slowdown ? 0 : cost + too_slow_cost;
+    }
     return cost;
 }
 
@@ -323,6 +343,11 @@
     for (std::size_t index = 0; index < std::min(count, options_.choices); ++index) {
         consider(usable_[count <= options_.choices ? index : random.below(count)]);
     }
+    for (std::size_t index = 0; ramping_ > 0 && index < count; ++index) {
+        if (ramping(endpoints_[usable_[index]])) {
+            consider(usable_[index]);
+        }
+    }
     for (std::size_t index = 0; index < view.count; ++index) {
         const auto& holding = view.holding[index];
         for (std::size_t holder = 0; holder < holding.count; ++holder) {
