--- a/bench/src/report.cpp
+++ b/bench/src/report.cpp
@@ -52,10 +52,10 @@
                run.worst_customer, number(run.refused), number(run.wrongful_rate),
                number(run.wrongful_capacity));
     text += format("\"duplicated\":%llu,\"over_admissions\":%llu,\"cold_overloads\":%llu,"
-                   "\"late_zone_sends\":%llu,\"false_not_run\":%llu,\"cache_hit_rate\":%.3f,"
+                   "\"undetected_overloads\":%llu,\"late_zone_sends\":%llu,\"false_not_run\":%llu,\"cache_hit_rate\":%.3f,"
                    "\"classes\":{",
                    number(run.duplicated), number(run.over_admissions), number(run.cold_overloads),
-                   number(run.late_zone_sends), number(run.false_not_run), run.cache_hit_rate);
+                   number(run.undetected_overloads), number(run.late_zone_sends), number(run.false_not_run), run.cache_hit_rate);
     const char* separator = "";
     for (const auto& [name, attainment] : run.by_class) {
         text += format("%s\"%s\":%.5f", separator, name.c_str(), attainment);
--- a/bench/src/stage_model.cpp
+++ b/bench/src/stage_model.cpp
@@ -12,6 +12,10 @@
 constexpr double warm_up_rounds = 1.5;                        // full batches until warm
 constexpr duration failure_after = std::chrono::milliseconds(3); // a failing call fails fast
 
+// An endpoint that turns cold without warning shows it in its next load report, which is taken up
+// to 200 ms later and arrives up to 190 ms after that; 10 ms are for calls on their way.
+constexpr duration detection_time = std::chrono::milliseconds(400);
+
 double seconds(duration value) noexcept { return std::chrono::duration<double>(value).count(); }
 
 duration from_seconds(double value) noexcept
@@ -147,7 +151,8 @@
     entry.milestone = progress_ + (entry.fails ? seconds(failure_after) : demand);
     running_.push_back(entry);
     if (!warm() && static_cast<double>(running_.size()) > borne()) {
-        ++cold_overloads_;
+        const bool known = events_.now() - turned_cold_ > detection_time;
+        ++(known ? cold_overloads_ : undetected_overloads_);
         warmth_ /= 2;
     }
     if (on_execution) {
@@ -214,6 +219,7 @@
 {
     advance();
     warmth_ = 0;
+    turned_cold_ = events_.now();
     clear_cache();
     schedule();
 }
--- a/bench/src/stage_model.hpp
+++ b/bench/src/stage_model.hpp
@@ -121,6 +121,7 @@
 
     // Counters of the run.
     std::uint64_t cold_overloads() const noexcept { return cold_overloads_; }
+    std::uint64_t undetected_overloads() const noexcept { return undetected_overloads_; }
     std::uint64_t cache_hits() const noexcept { return cache_hits_; }
     std::uint64_t cache_misses() const noexcept { return cache_misses_; }
 
@@ -169,7 +170,9 @@
     double warmth_ = 1;
     double slow_ = 1;
     double failing_ = 0;
+    time_point turned_cold_ = start_of_run - pre_roll; // without a new process
     std::uint64_t cold_overloads_ = 0;
+    std::uint64_t undetected_overloads_ = 0; // too soon after turning cold for anyone to know
     std::uint64_t cache_hits_ = 0;
     std::uint64_t cache_misses_ = 0;
 };
--- a/bench/src/world.cpp
+++ b/bench/src/world.cpp
@@ -87,6 +87,7 @@
         std::uint64_t uses = 0;
         for (const auto& endpoint : endpoints_) {
             result.cold_overloads += endpoint->cold_overloads();
+            result.undetected_overloads += endpoint->undetected_overloads();
             hits += endpoint->cache_hits();
             uses += endpoint->cache_hits() + endpoint->cache_misses();
         }
