--- a/bench/src/ledger.cpp
+++ b/bench/src/ledger.cpp
@@ -41,6 +41,7 @@
         arrivals_.emplace_back(customer.rate, customer.burst);
         admissions_.emplace_back(customer.rate, customer.burst);
     }
+    rates_.resize(installation.config.customers.size());
 }
 
 const config::pipeline& ledger::line(const request_record& record) const
@@ -61,6 +62,7 @@
     if (record.within_rate) {
         bucket.take(now);
         ++result_.within_rate;
+        ++rates_[what.customer].due;
     }
     requests_.push_back(std::move(record));
     return static_cast<std::uint32_t>(requests_.size() - 1);
@@ -70,6 +72,7 @@
 {
     auto& record = requests_[request];
     record.admitted = true;
+    ++rates_[record.what.customer].admitted;
     auto& bucket = admissions_[record.what.customer];
     if (bucket.level(now) < 1 - rounding) {
         ++result_.over_admissions;
@@ -96,7 +99,7 @@
     // Without a token the request could not have run, whatever the reason given.
     const bool token = admissions_[record.what.customer].level(now) >= 1;
     if (is_rate_reason(why)) {
-        result_.wrongful_rate += token ? 1 : 0;
+        rates_[record.what.customer].refused_with_token += token ? 1 : 0;
     } else {
         result_.wrongful_capacity += token && capacity_left ? 1 : 0;
     }
@@ -210,6 +213,10 @@
             stage.completed += index < record.stages_done ? 1 : 0;
         }
     }
+    // Which requests of a customer beyond its rate are refused is open; how many are not.
+    for (const auto& [rightful, admitted, refused] : rates_) {
+        sum.wrongful_rate += std::min(refused, rightful - std::min(rightful, admitted));
+    }
     sum.worst_customer = 1;
     for (const auto& [due, done] : customers) {
         const auto counted = std::min(due, done);
--- a/bench/src/ledger.hpp
+++ b/bench/src/ledger.hpp
@@ -137,6 +137,13 @@
     std::vector<request_record> requests_;
     std::vector<exact_bucket> arrivals_;   // by customer; decides `within_rate`
     std::vector<exact_bucket> admissions_; // by customer; finds over-admissions
+    struct rate_counts
+    {
+        std::uint64_t due = 0;
+        std::uint64_t admitted = 0;
+        std::uint64_t refused_with_token = 0;
+    };
+    std::vector<rate_counts> rates_; // by customer
     figures result_;
 };
 
--- a/bench/src/router.hpp
+++ b/bench/src/router.hpp
@@ -37,6 +37,7 @@
 {
     taken,
     wait,  // not known yet; ask again
+    none,  // there was no token a moment ago; ask again
     beyond // the customer is beyond its rate
 };
 
--- a/libs/rights/include/quetzal/rights/credit_shard.hpp
+++ b/libs/rights/include/quetzal/rights/credit_shard.hpp
@@ -27,6 +27,7 @@
 {
     time_point retry_at{};
     time_point until{};
+    bool exhausted = false; // the home's bucket was empty a moment ago, or is empty here
 };
 
 // The request may not run; it has not been counted.
--- a/libs/rights/include/quetzal/rights/token_queue.hpp
+++ b/libs/rights/include/quetzal/rights/token_queue.hpp
@@ -15,7 +15,7 @@
 class token_queue
 {
 public:
-    // Notes that a request found no credit.
+    // Notes that a request found no credit because the customer's bucket is exhausted.
     void found_none(time_point now) noexcept
     {
         if (now - short_at_ > memory) {
@@ -44,7 +44,7 @@
 
 private:
     static constexpr duration memory = std::chrono::milliseconds(500);
-    static constexpr duration settling = std::chrono::milliseconds(200);
+    static constexpr duration settling = std::chrono::milliseconds(500);
 
     time_point short_at_{}; // last time a request found no credit
     time_point shortage_since_{};
--- a/libs/rights/src/credit_shard.cpp
+++ b/libs/rights/src/credit_shard.cpp
@@ -62,7 +62,7 @@
     if (delay > longest_wait) {
         return refused{delay, false};
     }
-    return wait{now + delay, now + longest_wait};
+    return wait{now + delay, now + longest_wait, true};
 }
 
 admission credit_shard::wait_for_credit(entry& state, time_point now)
@@ -75,7 +75,8 @@
     }
     // A home that does not answer is replaced within a lease, the voters' margin and one second.
     return wait{state.wallet.retry_at(now),
-                now + lengthened(settings_.lease) + std::chrono::seconds(1)};
+                now + lengthened(settings_.lease) + std::chrono::seconds(1),
+                delay > duration::zero()};
 }
 
 admission credit_shard::admit(const customer_id& customer, time_point now)
