serving: each instance takes its share of the free places that a load report shows

After turning cold, the holder added calls to those that other instances still had there. Change: an instance starts at an endpoint at most its share of the reported free places until the next report, plus one for each own call that ends unless the endpoint is overfull; calls of others count at a cold endpoint.

--- a/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -176,6 +176,8 @@
         std::uint32_t returning = 0; // calls allowed after an ejection; 0: no such limit
         std::uint8_t excluded = 0;
         bool has_report = false;
+        bool overfull = false; // by the last report
+        double quota = 0;      // calls that may start until the next report
         bool distant = false;
         bool present = false;
         double batch = 0;      // adapted concurrency
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -167,6 +167,12 @@
     state.others = std::max(0.0, total - state.in_flight);
     state.reported = now - report.age;
     state.has_report = true;
+    // All instances see the same free places. Each takes its share of them until the next report;
+    // otherwise they would fill them several times over.
+    const double free = std::floor(state.batch) - state.in_flight - state.others;
+    const double share = std::min(1.0, (state.in_flight + 1.0) / (total + 1.0));
+    state.quota = free > 0 ? std::max(1.0, free * share) : 0;
+    state.overfull = free < 0;
     full_until_ = {};
     others_mean_ += (state.others - others_mean_) * pool_smoothing;
 }
@@ -211,11 +217,14 @@
     }
     if (ramping(state)) {
         // Only this instance sends to a cold endpoint, so the pool's mean says nothing about it and
-        // its batch size, which shrank when it was slow, would never grow again.
-        return static_cast<double>(own - state.in_flight);
+        // its batch size, which shrank when it was slow, would never grow again. Calls of others are
+        // those from before it turned cold.
+        return static_cast<double>(own - state.in_flight) - state.others;
     }
     const double in_batch = std::floor(state.batch) - state.in_flight - others_now(state, now);
-    return std::min(static_cast<double>(own - state.in_flight), in_batch);
+    const bool known = state.has_report && now - state.reported <= stale_report;
+    return std::min({static_cast<double>(own - state.in_flight), in_batch,
+                     known ? state.quota : in_batch});
 }
 
 double endpoint_chooser::expected_load(endpoint_index endpoint, time_point now) const
@@ -377,7 +386,9 @@
 
 void endpoint_chooser::started(endpoint_index endpoint, time_point)
 {
-    ++endpoints_[endpoint].in_flight;
+    endpoint_state& state = endpoints_[endpoint];
+    ++state.in_flight;
+    state.quota -= 1;
 }
 
 void endpoint_chooser::learn(endpoint_state& state, const attempt_outcome& outcome, time_point now)
@@ -401,6 +412,7 @@
 {
     endpoint_state& state = endpoints_[endpoint];
     state.in_flight -= state.in_flight > 0 ? 1 : 0;
+    state.quota += state.overfull ? 0 : 1; // the place that this call leaves
     freed_ = endpoint;
     full_until_ = {};
     if (!outcome.counts) {
