serving: the cold ramp falls back after a slow round and needs three normal answers

Change: a round has at least three answers; after a round of slow answers the limit is halved. The test now demands three normal answers where it demanded one, and the fall.

--- a/libs/serving/include/quetzal/serving/cold_ramp.hpp
+++ b/libs/serving/include/quetzal/serving/cold_ramp.hpp
@@ -121,6 +121,7 @@
     cold_cause cause_ = cold_cause::new_incarnation;
     std::uint32_t limit_ = 0;    // while cold, for the holder
     std::uint32_t evidence_ = 0; // normal answers since the limit changed
+    std::uint32_t abnormal_ = 0; // answers in a row that were not normal
     std::uint32_t slow_in_row_ = 0;
     time_point limit_since_{};
     std::optional<time_point> ask_at_;
--- a/libs/serving/src/cold_ramp.cpp
+++ b/libs/serving/src/cold_ramp.cpp
@@ -11,6 +11,10 @@
 // most likely sent before the declaration arrived there.
 constexpr duration settle_time = std::chrono::seconds(2);
 
+// Answers in a row that make a round at least. One or two may be those of small requests, which are
+// quick even on a cold endpoint.
+constexpr std::uint32_t least_evidence = 3;
+
 // Whether the cause is something that this instance saw at the endpoint. Otherwise it knows no more
 // than the holder and only asks: an instance that has just started must not make the holder ramp
 // up every endpoint again.
@@ -45,6 +49,7 @@
     limit_ = std::clamp(options_.cold_concurrency, 1u, std::max(options_.concurrency, 1u));
     limit_since_ = now;
     evidence_ = 0;
+    abnormal_ = 0;
     slow_in_row_ = 0;
     if (!process_) {
         return {};
@@ -125,7 +130,14 @@
     }
     // A round is as many normal answers in a row as the endpoint may run at once.
     evidence_ = normal ? evidence_ + 1 : 0;
-    if (evidence_ < limit_) {
+    abnormal_ = normal ? 0 : abnormal_ + 1;
+    if (abnormal_ >= std::max(limit_, least_evidence)) {
+        // The last doubling was too early; its load may keep the endpoint from warming up at all.
+        limit_ = std::max(limit_ / 2, std::min(options_.cold_concurrency, limit_));
+        limit_since_ = now;
+        abnormal_ = 0;
+    }
+    if (evidence_ < std::max(limit_, least_evidence)) {
         return {};
     }
     evidence_ = 0;
--- a/libs/serving/src/cold_ramp_test.cpp
+++ b/libs/serving/src/cold_ramp_test.cpp
@@ -58,12 +58,26 @@
         holder.answered(false, true, start, start + 1s);
         check(holder.allowed() == 1, "slow");
         holder.answered(true, false, start, start + 1s);
-        check(holder.allowed() == 2, "normal");
+        holder.answered(true, false, start, start + 1s);
+        check(holder.allowed() == 1, "two may be small requests");
+        holder.answered(true, false, start, start + 1s);
+        check(holder.allowed() == 2, "three normal ones in a row");
         for (int answer = 0; answer < 8; ++answer) {
             holder.answered(true, false, start, start + 2s);
         }
         check(holder.allowed() == 2, "answers to calls that started at the lower limit");
     });
+    section("when a round is slow again, the limit falls back and rises again", [&] {
+        for (int answer = 0; answer < 3; ++answer) {
+            check(holder.allowed() == 2, "not before the round is over");
+            holder.answered(false, false, start + 2s, start + 2s);
+        }
+        check(holder.allowed() == 1, "half");
+        for (int answer = 0; answer < 3; ++answer) {
+            holder.answered(true, false, start + 2s, start + 2s);
+        }
+        check(holder.allowed() == 2, "normal again");
+    });
     section("when rounds of answers are normal, the limit doubles until it is warm", [&] {
         check(ramp_up(holder, start + 3s) == std::vector<std::uint32_t>{2, 4}, "doubles");
         check(holder.warm() && holder.allowed() == 8, "warm at the concurrency");
