serving: eject failing endpoints earlier, avoid stalled ones

Change: ejection at a failure share of 0.25 (two failures of a few calls), where an attempt cancelled for its slowness counts half, so that slowness needs four in a row as before; an endpoint with calls in flight that has not answered for three times the mean whole answer is the last resort.

--- a/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -32,7 +32,7 @@
     // An endpoint is an outlier when its mean latency exceeds that of the other endpoints by this
     // factor, or when more than this share of its answers fail.
     double outlier_latency = 3.0;
-    double outlier_failures = 0.5;
+    double outlier_failures = 0.25;
     std::uint32_t outlier_samples = 5;
     duration ejection = std::chrono::seconds(5); // doubles with each ejection in a row
     duration max_ejection = std::chrono::seconds(60);
@@ -82,6 +82,7 @@
 struct attempt_outcome
 {
     bool success = false;
+    bool too_slow = false; // cancelled for its slowness; failed only in so far
     bool counts = true; // false: cancelled or refused before running; no evidence on the endpoint
     duration latency{}; // to the first chunk for streams, else whole
     duration whole{};
@@ -176,6 +177,7 @@
         std::uint32_t returning = 0; // calls allowed after an ejection; 0: no such limit
         std::uint8_t excluded = 0;
         bool has_report = false;
+        time_point quiet_since{}; // last answer, or start of the only calls in flight
         bool overfull = false; // by the last report
         double quota = 0;      // calls that may start until the next report
         bool distant = false;
@@ -238,6 +240,7 @@
     std::size_t ejected_ = 0;
     std::size_t ramping_ = 0; // endpoints with a limit between 0 and the concurrency
     latency_quantiles latency_;
+    double pool_whole_ = 0;        // mean time to the whole answer, ns
     double pool_latency_ = 0; // mean over successful answers, ns
     double others_mean_ = 0;  // mean work of other instances over reports
     prefix_cache_map cache_;
--- a/libs/serving/src/dispatcher_attempts.cpp
+++ b/libs/serving/src/dispatcher_attempts.cpp
@@ -125,6 +125,7 @@
     out_.emplace_back(cancel_attempt{call.start.call, attempt.number, attempt.endpoint->id});
     attempt_outcome outcome;
     outcome.counts = too_slow;
+    outcome.too_slow = too_slow;
     end_attempt(call, position, outcome, now);
 }
 
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -30,6 +30,11 @@
 // A call that would meet its targets even if its stage took this many times its 95th percentile may
 // warm up a cold endpoint.
 constexpr double warm_up_slowdown = 2;
+// Slowness is weaker evidence than an error: it takes four in a row instead of two for an ejection.
+constexpr double too_slow_failure = 0.5;
+// An endpoint with calls in flight that has not answered for this many times the mean time of a
+// whole answer has stalled.
+constexpr double stalled_after = 3;
 constexpr double too_slow_cost = 1e9; // ns, above any expected wait worth having
 
 double nanoseconds(duration value)
@@ -310,6 +315,11 @@
     if (request.avoid_zone && *request.avoid_zone == state.zone) {
         cost += service; // a failed attempt's zone is the last resort
     }
+    const bool stalled = state.in_flight > 0 && pool_whole_ > 0 &&
+                         nanoseconds(now - state.quiet_since) > stalled_after * pool_whole_;
+    if (stalled) {
+        return cost + too_slow_cost;
+    }
     if (ramping(state)) {
         // Work is what warms it up, and nobody else sends it any; so it comes first for calls that
         // bear the delay, and last for others.
@@ -384,20 +394,25 @@
     return best;
 }
 
-void endpoint_chooser::started(endpoint_index endpoint, time_point)
+void endpoint_chooser::started(endpoint_index endpoint, time_point now)
 {
     endpoint_state& state = endpoints_[endpoint];
+    state.quiet_since = state.in_flight == 0 ? now : state.quiet_since;
     ++state.in_flight;
     state.quota -= 1;
 }
 
 void endpoint_chooser::learn(endpoint_state& state, const attempt_outcome& outcome, time_point now)
 {
-    state.failures += ((outcome.success ? 0.0 : 1.0) - state.failures) * smoothing;
+    const double failure = outcome.too_slow ? too_slow_failure : 1.0;
+    state.failures += ((outcome.success ? 0.0 : failure) - state.failures) * smoothing;
     ++state.samples;
     if (!outcome.success) {
         return;
     }
+    state.quiet_since = now;
+    const double whole = nanoseconds(outcome.whole);
+    pool_whole_ += pool_whole_ > 0 ? (whole - pool_whole_) * pool_smoothing : whole;
     const double latency = nanoseconds(outcome.latency);
     state.latency += state.latency > 0 ? (latency - state.latency) * smoothing : latency;
     if (state.limit < options_.concurrency) {
--- a/libs/serving/src/endpoint_outliers.cpp
+++ b/libs/serving/src/endpoint_outliers.cpp
@@ -19,12 +19,13 @@
 bool endpoint_chooser::outlier(endpoint_index endpoint) const noexcept
 {
     const endpoint_state& state = endpoints_[endpoint];
-    if (state.samples < options_.outlier_samples) {
-        return false;
-    }
+    // A single failure stays below the bound; the second of a few calls exceeds it.
     if (state.failures > options_.outlier_failures) {
         return true;
     }
+    if (state.samples < options_.outlier_samples) {
+        return false;
+    }
     if (state.latency <= options_.outlier_latency * pool_latency_ / 2) {
         return false; // far from the bound; spares the loop below
     }
