--- a/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string>
@@ -31,7 +32,7 @@
     // An endpoint is an outlier when its mean latency exceeds that of the other endpoints by this
     // factor, or when more than this share of its answers fail.
     double outlier_latency = 3.0;
-    double outlier_failures = 0.5;
+    double outlier_failures = 0.25;
     std::uint32_t outlier_samples = 5;
     duration ejection = std::chrono::seconds(5); // doubles with each ejection in a row
     duration max_ejection = std::chrono::seconds(60);
@@ -57,6 +58,8 @@
     std::span<const prompt_prefix> prefixes; // ascending length; empty: no prompt
     std::span<const endpoint_index> avoid;   // endpoints already tried
     std::optional<std::uint32_t> avoid_zone; // zone number of a failed attempt
+    // How many times its usual time the call may take without endangering its targets.
+    double slowdown = std::numeric_limits<double>::infinity();
 };
 
 // A chosen endpoint and the figures behind the choice.
@@ -79,6 +82,7 @@
 struct attempt_outcome
 {
     bool success = false;
+    bool too_slow = false; // cancelled for its slowness; failed only in so far
     bool counts = true; // false: cancelled or refused before running; no evidence on the endpoint
     duration latency{}; // to the first chunk for streams, else whole
     duration whole{};
@@ -173,6 +177,9 @@
         std::uint32_t returning = 0; // calls allowed after an ejection; 0: no such limit
         std::uint8_t excluded = 0;
         bool has_report = false;
+        time_point quiet_since{}; // last answer, or start of the only calls in flight
+        bool overfull = false; // by the last report
+        double quota = 0;      // calls that may start until the next report
         bool distant = false;
         bool present = false;
         double batch = 0;      // adapted concurrency
@@ -216,6 +223,7 @@
     double wait(const endpoint_state& state, const choice_request& request,
                 time_point now) const noexcept;
     std::uint32_t own_limit(const endpoint_state& state) const noexcept;
+    bool ramping(const endpoint_state& state) const noexcept;
     double others_now(const endpoint_state& state, time_point now) const noexcept;
     double room(const endpoint_state& state, time_point now) const noexcept;
     void set_excluded(endpoint_index endpoint, std::uint8_t excluded);
@@ -230,7 +238,9 @@
     std::vector<endpoint_index> free_positions_;
     std::size_t present_ = 0;
     std::size_t ejected_ = 0;
+    std::size_t ramping_ = 0; // endpoints with a limit between 0 and the concurrency
     latency_quantiles latency_;
+    double pool_whole_ = 0;        // mean time to the whole answer, ns
     double pool_latency_ = 0; // mean over successful answers, ns
     double others_mean_ = 0;  // mean work of other instances over reports
     prefix_cache_map cache_;
