Refuse counts beyond the message before memory is taken for them

Cause: under the address sanitizer codec_test ended in an allocation of more than the process may have. cereal takes the count of a string or vector from the message and allocates before it reads; a damaged count in a signed message could allocate and fill gigabytes. Change: an input archive for the same format that compares each count with the bytes that are left, used for datagrams and frames; a test of the peak memory. Conclusion: memory for a message is bounded by its size.

--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -8,6 +8,8 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "bounded_archive.hpp"
+
 namespace quetzal::peer {
 
 template <class Archive>
@@ -195,8 +197,7 @@
         return tl::unexpected(drop_cause::wrong_mac);
     }
     try {
-        std::istringstream stream{std::string(body)};
-        cereal::PortableBinaryInputArchive archive(stream);
+        internal::bounded_archive archive(body);
         received message;
         archive(message);
         return message;
--- a/libs/peer/src/codec_test.cpp
+++ b/libs/peer/src/codec_test.cpp
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <quetzal/base/random.hpp>
 #include <quetzal/peer/codec.hpp>
 
@@ -21,6 +23,24 @@
     return {instance_id("q-1"), incarnation{42}, grant};
 }
 
+// Signs a body as it is.
+std::string signed_datagram(const std::string& body)
+{
+    std::string datagram("qz");
+    datagram += static_cast<char>(format_version);
+    datagram += static_cast<char>(ring.current.id);
+    const mac signature = keyed_mac(ring.current.secret, datagram + body);
+    datagram.append(reinterpret_cast<const char*>(signature.data()), signature.size());
+    return datagram + body;
+}
+
+long peak_memory() // KiB
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
 } // namespace
 
 // Guards against accepting datagrams of strangers, and against a crash on malformed ones.
@@ -56,12 +76,13 @@
             for (auto& byte : body) {
                 byte = static_cast<char>(random());
             }
-            std::string prefix("qz");
-            prefix += static_cast<char>(format_version);
-            prefix += static_cast<char>(ring.current.id);
-            const mac signature = keyed_mac(ring.current.secret, prefix + body);
-            prefix.append(reinterpret_cast<const char*>(signature.data()), signature.size());
-            static_cast<void>(decode(prefix + body, ring));
+            static_cast<void>(decode(signed_datagram(body), ring));
         }
     });
+    section("a signed count beyond the body is refused before memory is taken for it", [&] {
+        const long before = peak_memory();
+        const std::string gibibyte("\x01\0\0\0\x40\0\0\0\0", 9); // little endian, size of a name
+        check(decode(signed_datagram(gibibyte), ring).error() == drop_cause::undecodable, "count");
+        check(peak_memory() - before < 64 * 1024, "memory");
+    });
 }
--- a/libs/peer/src/transfer.cpp
+++ b/libs/peer/src/transfer.cpp
@@ -8,6 +8,8 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "bounded_archive.hpp"
+
 namespace quetzal {
 
 template <class Archive>
@@ -142,8 +144,7 @@
         return tl::unexpected(drop_cause::wrong_mac);
     }
     try {
-        std::istringstream stream{std::string(body)};
-        cereal::PortableBinaryInputArchive archive(stream);
+        internal::bounded_archive archive(body);
         transfer_message message;
         archive(message);
         return message;
