--- a/libs/node/include/quetzal/node/running_request.hpp
+++ b/libs/node/include/quetzal/node/running_request.hpp
@@ -43,6 +43,7 @@
     std::uint32_t attempt = 0; // number at the dispatcher
     std::uint32_t priority = 0;
     bool cold = false;
+    std::optional<time_point> start_by; // of a call that the endpoint's holder lent
     time_point give_up{};
     time_point started{};
     std::unique_ptr<net::http_connection> connection;
@@ -62,6 +63,7 @@
     std::uint32_t attempt = 0;
     std::uint32_t priority = 0;
     bool cold = false;
+    std::optional<time_point> start_by;
     time_point give_up{};
 };
 
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -114,6 +114,24 @@
     archive(value.endpoint, value.process, value.warmth, value.fence, value.sequence);
 }
 
+template <class Archive>
+void serialize(Archive& archive, cold_slot_request& value)
+{
+    archive(value.endpoint, value.process, value.sequence);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cold_slot_grant& value)
+{
+    archive(value.endpoint, value.process, value.sequence, value.start_within);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cold_slot_return& value)
+{
+    archive(value.endpoint, value.process, value.sequence, value.how);
+}
+
 template <class Archive>
 void serialize(Archive& archive, received& value)
 {
--- a/libs/rights/src/fleet_rights.cpp
+++ b/libs/rights/src/fleet_rights.cpp
@@ -535,6 +535,12 @@
     return holds(partition, now) ? self_.id : home_of(partition);
 }
 
+instance_id fleet_rights::preferred_holder(const endpoint_id& endpoint, time_point now) const
+{
+    const auto partition = partition_of(endpoint, settings_);
+    return holds(partition, now) ? self_.id : home_of(partition);
+}
+
 void fleet_rights::begin_leave(time_point now)
 {
     leaving_ = true;
--- a/libs/serving/include/quetzal/serving/dispatcher.hpp
+++ b/libs/serving/include/quetzal/serving/dispatcher.hpp
@@ -21,6 +21,7 @@
 #include <quetzal/config/instance_list.hpp>
 #include <quetzal/config/published.hpp>
 #include <quetzal/serving/cold_ramp.hpp>
+#include <quetzal/serving/cold_slots.hpp>
 #include <quetzal/serving/deadline_budget.hpp>
 #include <quetzal/serving/endpoint_chooser.hpp>
 #include <quetzal/serving/fair_queue.hpp>
@@ -55,7 +56,8 @@
     time_point give_up;         // end of the attempt's time
     std::uint32_t priority = 0; // 0 is the most urgent; by slack
     bool hedge = false;
-    bool cold = false; // evidence for the cold ramp
+    bool cold = false; // the endpoint is cold: the exclusive right or a lent call is needed
+    std::optional<time_point> start_by; // of a lent call: send nothing later than this
 };
 
 // Stop an attempt whose answer is not wanted any more.
@@ -109,9 +111,37 @@
     bool cold = true;
 };
 
+// Ask the holder of a cold endpoint for one of its calls.
+struct ask_cold_slot
+{
+    endpoint_id endpoint;
+    incarnation process;
+    std::uint32_t sequence = 0;
+};
+
+// Tell the borrower that it may start a call.
+struct grant_cold_slot
+{
+    instance_id to;
+    endpoint_id endpoint;
+    incarnation process;
+    std::uint32_t sequence = 0;
+    duration start_within{};
+};
+
+// Give a lent call back to the holder.
+struct return_cold_slot
+{
+    endpoint_id endpoint;
+    incarnation process;
+    std::uint32_t sequence = 0;
+    slot_result how = slot_result::unused;
+};
+
 using action =
     std::variant<request_admitted, request_refused, start_attempt, cancel_attempt, use_attempt,
-                 call_done, call_failed, probe_endpoint, declare_endpoint, tell_endpoint_holder>;
+                 call_done, call_failed, probe_endpoint, declare_endpoint, tell_endpoint_holder,
+                 ask_cold_slot, grant_cold_slot, return_cold_slot>;
 using actions = std::vector<action>;
 
 // A request as it arrives.
@@ -225,6 +255,13 @@
                      time_point now);
     // The holder hears of an endpoint from another instance.
     actions heard(const endpoint_id& endpoint, incarnation process, bool cold, time_point now);
+    // Messages of the other side of a lent call, see `cold_slots.hpp`.
+    actions slot_asked(const endpoint_id& endpoint, const instance_id& from, incarnation process,
+                       std::uint32_t sequence, time_point now);
+    actions slot_granted(const endpoint_id& endpoint, incarnation process, std::uint32_t sequence,
+                         duration start_within, time_point now);
+    actions slot_returned(const endpoint_id& endpoint, const instance_id& from, std::uint32_t sequence,
+                          slot_result how, time_point now);
     actions probed(const endpoint_id& endpoint, bool success, time_point now);
 
     actions submit_request(const request_start& request, time_point now);
--- a/libs/serving/src/dispatcher_attempts.cpp
+++ b/libs/serving/src/dispatcher_attempts.cpp
@@ -102,6 +102,7 @@
     call.running.erase(call.running.begin() + static_cast<std::ptrdiff_t>(position));
     --pool.running;
     pool.chooser.finished(record.index, outcome, now);
+    auto how = slot_result::unused;
     if (outcome.counts) {
         const bool known = pool.chooser.latency_samples() >= known_samples;
         const duration p95 = pool.chooser.normal_latency(share_of_p95);
@@ -112,6 +113,12 @@
                           may_turn_cold(pool);
         emit(record, record.ramp.answered(normal, slow, attempt.started, now));
         refresh(record);
+        how = normal ? slot_result::normal : slot_result::slow;
+    }
+    if (attempt.borrowed) {
+        if (const auto sequence = record.borrowed.finished()) {
+            give_back(record, *sequence, how);
+        }
     }
     drop_if_idle(record);
 }
--- a/libs/serving/src/dispatcher_calls.cpp
+++ b/libs/serving/src/dispatcher_calls.cpp
@@ -191,6 +191,7 @@
     attempt.last_chunk = now;
     attempt.expected_prefix = chosen.expected_prefix;
     attempt.hedge = hedge;
+    attempt.borrowed = !record.ramp.warm() && !record.ramp.holder();
     call.running.push_back(attempt);
     if (call.start.stage == request.bottleneck) {
         leave_bottleneck(request);
@@ -214,6 +215,10 @@
         priority_of(call.limits.urgent_by - now, request.work_class.objective.deadline);
     action.hedge = hedge;
     action.cold = !record.ramp.warm();
+    if (attempt.borrowed) {
+        action.start_by = record.borrowed.start_by();
+        action.give_up = std::min(action.give_up, record.borrowed.take(now));
+    }
     out_.emplace_back(std::move(action));
 }
 
@@ -362,6 +367,7 @@
 void dispatcher::implementation::tick(time_point now)
 {
     tick_endpoints(now);
+    tick_slots(now);
     while (!timers_.empty() && timers_.begin()->first <= now) {
         apply_timer(calls_.at(timers_.begin()->second), now);
     }
--- a/libs/serving/src/dispatcher_endpoints.cpp
+++ b/libs/serving/src/dispatcher_endpoints.cpp
@@ -223,8 +223,9 @@
 void dispatcher::implementation::refresh(endpoint_record& record)
 {
     endpoint_chooser& chooser = record.pool->chooser;
-    chooser.limit(record.index, record.ramp.allowed());
-    chooser.exclude(record.index, exclusion::cold, record.ramp.allowed() == 0);
+    const std::uint32_t places = places_of(record);
+    chooser.limit(record.index, places);
+    chooser.exclude(record.index, exclusion::cold, places == 0);
     chooser.exclude(record.index, exclusion::unconnected, !record.connected);
     chooser.exclude(record.index, exclusion::leaving, !record.wanted);
     chooser.exclude(record.index, exclusion::zone_out, !record.zone_in);
@@ -255,6 +256,8 @@
         if (record->ramp.process() != process) {
             record->pool->chooser.restarted(record->index);
             record->refusing_until.reset();
+            record->lent.clear();
+            record->borrowed.reset();
         }
         emit(*record, record->ramp.connected(*process, now));
     }
--- a/libs/serving/src/dispatcher_requests.cpp
+++ b/libs/serving/src/dispatcher_requests.cpp
@@ -206,7 +206,7 @@
 bool dispatcher::implementation::can_admit(const pool_state& pool, time_point now) const
 {
     if (pool.chooser.usable() == 0) {
-        return false;
+        return pool.upstream < borrowable(pool);
     }
     // Little's law: what the pool starts during the delay from an admission to the call there.
     const double rate = pool.mean_cost > 0 ? static_cast<double>(pool.running) / pool.mean_cost : 0;
@@ -223,7 +223,7 @@
         const request_state& request = requests_.at(static_cast<request_key>(entry.key));
         const auto& pools = request.pipeline->pools;
         const bool usable = std::all_of(pools.begin(), pools.end(), [](const auto& needed) {
-            return needed->chooser.usable() > 0;
+            return needed->chooser.usable() > 0 || borrowable(*needed) > 0;
         });
         if (!usable) {
             return {start_gate::hold, {}, {}};
--- a/libs/serving/src/dispatcher_state.hpp
+++ b/libs/serving/src/dispatcher_state.hpp
@@ -29,6 +29,8 @@
     pool_state* pool = nullptr;
     endpoint_index index = no_endpoint_index;
     cold_ramp ramp;
+    lent_slots lent;        // while this instance holds the exclusive right
+    borrowed_slot borrowed; // while another one does
     bool wanted = true; // listed as live, in the subset or held
     bool connected = false;
     bool zone_in = true;
@@ -83,6 +85,7 @@
     time_point last_chunk;
     prompt_prefix expected_prefix;
     bool hedge = false;
+    bool borrowed = false; // runs in a slot that the endpoint's holder lent
 };
 
 struct call_state
@@ -126,6 +129,12 @@
     void hold(const endpoint_id& id, std::optional<std::uint64_t> fence, time_point now);
     void declared(const endpoint_id& id, const warmth_declaration& declaration);
     void heard(const endpoint_id& id, incarnation process, bool cold, time_point now);
+    void slot_asked(const endpoint_id& id, const instance_id& from, incarnation process,
+                    std::uint32_t sequence, time_point now);
+    void slot_granted(const endpoint_id& id, incarnation process, std::uint32_t sequence,
+                      duration start_within);
+    void slot_returned(const endpoint_id& id, const instance_id& from, std::uint32_t sequence,
+                       slot_result how, time_point now);
     void probed(const endpoint_id& id, bool success, time_point now);
 
     void submit_request(const request_start& start, time_point now);
@@ -169,6 +178,13 @@
     bool may_turn_cold(const pool_state& pool) const;
     void tick_endpoints(time_point now);
 
+    // Lent calls of cold endpoints.
+    static std::uint32_t places_of(const endpoint_record& record);
+    static bool can_borrow(const endpoint_record& record);
+    static std::size_t borrowable(const pool_state& pool);
+    void tick_slots(time_point now);
+    void give_back(endpoint_record& record, std::uint32_t sequence, slot_result how);
+
     // Requests.
     void refuse_request(request_key key, failure why, time_point now);
     std::vector<duration> expected_waits(const pipeline_state& pipeline,
