--- a/apps/quetzalctl/main.cpp
+++ b/apps/quetzalctl/main.cpp
@@ -1,1 +1,1 @@
-int main(){}
+int main() {}
--- a/apps/quetzallever/main.cpp
+++ b/apps/quetzallever/main.cpp
@@ -1,6 +1,6 @@
-// The entry instance: `quetzallever --config FILE`. Exit codes: 0 after a planned stop, 1 when a port or file
-// cannot be used, 2 for wrong options or settings. SIGTERM and SIGINT start a planned stop, SIGHUP reads the
-// certificates again.
+// The entry instance: `quetzallever --config FILE`. Exit codes: 0 after a planned stop, 1 when a
+// port or file cannot be used, 2 for wrong options or settings. SIGTERM and SIGINT start a planned
+// stop, SIGHUP reads the certificates again.
 
 #include <cstdio>
 #include <fstream>
@@ -28,8 +28,8 @@
     poptContext context = poptGetContext("quetzallever", argc, argv, options, 0);
     const int code = poptGetNextOpt(context);
     if (code < -1) {
-        std::fprintf(stderr, "quetzallever: %s: %s\n", poptBadOption(context, POPT_BADOPTION_NOALIAS),
-                     poptStrerror(code));
+        std::fprintf(stderr, "quetzallever: %s: %s\n",
+                     poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(code));
     } else if (path == nullptr) {
         poptPrintUsage(context, stderr, 0);
     }
--- a/libs/net/include/quetzal/net/http_client.hpp
+++ b/libs/net/include/quetzal/net/http_client.hpp
@@ -54,8 +54,8 @@
     // connection.
     bool reusable() const noexcept;
 
-    // Whether the server has closed the connection, as far as the kernel knows. A server that closes right after
-    // this query is noticed only by the next operation.
+    // Whether the server has closed the connection, as far as the kernel knows. A server that
+    // closes right after this query is noticed only by the next operation.
     bool closed_by_server() const noexcept;
 
     // Aborts the operation in progress. Call it on the connection's executor.
--- a/libs/net/include/quetzal/net/transfer.hpp
+++ b/libs/net/include/quetzal/net/transfer.hpp
@@ -23,8 +23,8 @@
 class transfer_server
 {
 public:
-    // Answers one request; empty closes the connection. Runs on the executor, one call at a time for each
-    // connection.
+    // Answers one request; empty closes the connection. Runs on the executor, one call at a time
+    // for each connection.
     using responder = std::function<boost::asio::awaitable<std::optional<peer::transfer_message>>(
         peer::transfer_message request)>;
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -178,7 +178,8 @@
 bool http_connection::closed_by_server() const noexcept
 {
     char byte = 0;
-    const auto received = ::recv(body_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto received =
+        ::recv(body_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
--- a/libs/net/src/transfer.cpp
+++ b/libs/net/src/transfer.cpp
@@ -29,7 +29,8 @@
 
 // Reads one frame. Nothing on a broken connection or a frame that is not authentic.
 asio::awaitable<std::optional<peer::transfer_message>>
-read_frame(beast::tcp_stream& stream, const peer::key_ring& keys, std::atomic<std::uint64_t>* dropped)
+read_frame(beast::tcp_stream& stream, const peer::key_ring& keys,
+           std::atomic<std::uint64_t>* dropped)
 {
     boost::system::error_code error;
     std::string frame(peer::transfer_header_size, '\0');
@@ -40,7 +41,8 @@
     const auto size = peer::frame_body_size(frame);
     if (size) {
         frame.resize(peer::transfer_header_size + *size);
-        co_await asio::async_read(stream, asio::buffer(frame.data() + peer::transfer_header_size, *size),
+        co_await asio::async_read(stream,
+                                  asio::buffer(frame.data() + peer::transfer_header_size, *size),
                                   await_with(error));
         if (error) {
             co_return std::nullopt;
@@ -69,15 +71,18 @@
 struct transfer_server::implementation : std::enable_shared_from_this<implementation>
 {
     implementation(asio::any_io_executor where, peer::key_ring ring, responder function)
-        : executor(std::move(where)), keys(std::move(ring)), respond(std::move(function)), acceptor(executor)
-    {}
+        : executor(std::move(where)), keys(std::move(ring)), respond(std::move(function)),
+          acceptor(executor)
+    {
+    }
 
     asio::awaitable<void> accept()
     {
         auto self = shared_from_this();
         while (!stopping) {
             boost::system::error_code error;
-            tcp::socket socket = co_await acceptor.async_accept(asio::make_strand(executor), await_with(error));
+            tcp::socket socket =
+                co_await acceptor.async_accept(asio::make_strand(executor), await_with(error));
             if (error || stopping) {
                 co_return;
             }
@@ -116,11 +121,17 @@
     std::atomic<std::uint64_t> dropped{0};
 };
 
-transfer_server::transfer_server(asio::any_io_executor executor, peer::key_ring keys, responder respond)
-    : body_(std::make_shared<implementation>(std::move(executor), std::move(keys), std::move(respond)))
-{}
+transfer_server::transfer_server(asio::any_io_executor executor, peer::key_ring keys,
+                                 responder respond)
+    : body_(std::make_shared<implementation>(std::move(executor), std::move(keys),
+                                             std::move(respond)))
+{
+}
 
-transfer_server::~transfer_server() { stop(); }
+transfer_server::~transfer_server()
+{
+    stop();
+}
 
 tl::expected<std::uint16_t, std::string> transfer_server::listen(const std::string& address,
                                                                  std::uint16_t port)
@@ -133,8 +144,10 @@
     const tcp::endpoint local(ip, port);
     auto& acceptor = body_->acceptor;
     if (acceptor.open(local.protocol(), error) ||
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error) || acceptor.bind(local, error) ||
-        acceptor.listen(asio::socket_base::max_listen_connections, error)) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error) ||
+        acceptor.bind(local, error) ||
+        acceptor.listen(asio::socket_base::max_listen_connections, error))
+    {
         return tl::unexpected("cannot listen on " + address + ":" + std::to_string(port) + ": " +
                               error.message());
     }
@@ -153,25 +166,32 @@
     });
 }
 
-std::uint64_t transfer_server::dropped() const noexcept { return body_->dropped; }
+std::uint64_t transfer_server::dropped() const noexcept
+{
+    return body_->dropped;
+}
 
 struct transfer_connection::implementation
 {
     implementation(asio::any_io_executor executor, peer::key_ring ring)
         : stream(std::move(executor)), keys(std::move(ring))
-    {}
+    {
+    }
 
     beast::tcp_stream stream;
     peer::key_ring keys;
 };
 
-transfer_connection::transfer_connection(std::unique_ptr<implementation> body) : body_(std::move(body)) {}
+transfer_connection::transfer_connection(std::unique_ptr<implementation> body)
+    : body_(std::move(body))
+{
+}
 
 transfer_connection::~transfer_connection() = default;
 
 asio::awaitable<result<std::unique_ptr<transfer_connection>>>
-transfer_connection::connect(asio::any_io_executor executor, std::string address, std::uint16_t port,
-                             peer::key_ring keys, duration timeout)
+transfer_connection::connect(asio::any_io_executor executor, std::string address,
+                             std::uint16_t port, peer::key_ring keys, duration timeout)
 {
     boost::system::error_code error;
     const auto ip = asio::ip::make_address(address, error);
@@ -182,7 +202,8 @@
     body->stream.expires_after(timeout);
     co_await body->stream.async_connect(tcp::endpoint(ip, port), await_with(error));
     if (error) {
-        co_return not_run(reason::endpoint_failed, "cannot connect to the peer: " + error.message());
+        co_return not_run(reason::endpoint_failed,
+                          "cannot connect to the peer: " + error.message());
     }
     co_return std::unique_ptr<transfer_connection>(new transfer_connection(std::move(body)));
 }
--- a/libs/node/include/quetzal/node/caller_api.hpp
+++ b/libs/node/include/quetzal/node/caller_api.hpp
@@ -26,7 +26,8 @@
     caller_api(boost::asio::any_io_executor executor, shared_state& state, control_plane& control,
                request_engine& engine);
 
-    boost::asio::awaitable<void> handle(const net::http_request& request, net::response_stream& response);
+    boost::asio::awaitable<void> handle(const net::http_request& request,
+                                        net::response_stream& response);
 
 private:
     // Who calls, as far as the key tells.
@@ -37,7 +38,8 @@
         bool has_key = false;
     };
 
-    result<caller> authenticate(const net::http_request& request, const config::published& config) const;
+    result<caller> authenticate(const net::http_request& request,
+                                const config::published& config) const;
     result<caller_request> check_submission(const net::http_request& request);
     result<void> add_identity(const net::http_request& request, caller_request& submission);
 
@@ -45,12 +47,16 @@
                                                 net::response_stream& response);
     boost::asio::awaitable<void> issue_identity(const net::http_request& request,
                                                 net::response_stream& response);
-    boost::asio::awaitable<void> submit(const net::http_request& request, net::response_stream& response);
-    boost::asio::awaitable<void> resume(const net::http_request& request, net::response_stream& response);
-    boost::asio::awaitable<void> cancel(const net::http_request& request, net::response_stream& response);
-    boost::asio::awaitable<void> stream(answer_ticket ticket, std::uint64_t offset, std::string identity,
+    boost::asio::awaitable<void> submit(const net::http_request& request,
+                                        net::response_stream& response);
+    boost::asio::awaitable<void> resume(const net::http_request& request,
+                                        net::response_stream& response);
+    boost::asio::awaitable<void> cancel(const net::http_request& request,
                                         net::response_stream& response);
-    boost::asio::awaitable<void> pass_on(const net::http_request& request, requests::placement placement,
+    boost::asio::awaitable<void> stream(answer_ticket ticket, std::uint64_t offset,
+                                        std::string identity, net::response_stream& response);
+    boost::asio::awaitable<void> pass_on(const net::http_request& request,
+                                         requests::placement placement,
                                          net::response_stream& response);
     boost::asio::awaitable<void> relay(const net::http_request& request, requests::relay_to target,
                                        net::response_stream& response);
--- a/libs/node/include/quetzal/node/control_plane.hpp
+++ b/libs/node/include/quetzal/node/control_plane.hpp
@@ -1,7 +1,8 @@
 #ifndef QUETZAL_NODE_CONTROL_PLANE_HPP
 #define QUETZAL_NODE_CONTROL_PLANE_HPP
 
-// The part of an instance that talks to the other instances: membership, rights and the spread of documents.
+// The part of an instance that talks to the other instances: membership, rights and the spread of
+// documents.
 
 #include <functional>
 #include <memory>
@@ -45,7 +46,8 @@
 class control_plane : public std::enable_shared_from_this<control_plane>
 {
 public:
-    control_plane(boost::asio::any_io_executor executor, shared_state& state, control_events events);
+    control_plane(boost::asio::any_io_executor executor, shared_state& state,
+                  control_events events);
 
     // Binds the peer port and starts. Returns an error text when the port cannot be used.
     tl::expected<void, std::string> start();
@@ -57,15 +59,18 @@
 
     // Admission, rights and freshness; thread-safe, see `fleet_rights`.
     rights::admission admit(const customer_id& customer, time_point now);
-    bool holds(const endpoint_id& endpoint, time_point now) const { return rights_.holds(endpoint, now); }
+    bool holds(const endpoint_id& endpoint, time_point now) const
+    {
+        return rights_.holds(endpoint, now);
+    }
     std::uint64_t fence(const endpoint_id& endpoint, time_point now) const
     {
         return rights_.fence(endpoint, now);
     }
     bool fresh(time_point now) const { return rights_.fresh(now); }
 
-    // Sends an endpoint message: declarations to all live peers, observations too, because the holder may be
-    // any of them while a partition moves.
+    // Sends an endpoint message: declarations to all live peers, observations too, because the
+    // holder may be any of them while a partition moves.
     void broadcast(peer::message body);
 
     // Members as last seen; thread-safe.
--- a/libs/node/include/quetzal/node/credentials.hpp
+++ b/libs/node/include/quetzal/node/credentials.hpp
@@ -1,8 +1,8 @@
 #ifndef QUETZAL_NODE_CREDENTIALS_HPP
 #define QUETZAL_NODE_CREDENTIALS_HPP
 
-// The digest of the key that came with each running request, so that it can be checked again whenever queued
-// work starts. A lock of its own lets the dispatcher's gate read it.
+// The digest of the key that came with each running request, so that it can be checked again
+// whenever queued work starts. A lock of its own lets the dispatcher's gate read it.
 
 #include <mutex>
 #include <optional>
@@ -32,7 +32,8 @@
 
     void add(serving::request_key request, credential value)
     {
-        shards_.with(hash(request), [&](table& entries) { entries[hash(request)] = std::move(value); });
+        shards_.with(hash(request),
+                     [&](table& entries) { entries[hash(request)] = std::move(value); });
     }
 
     void remove(serving::request_key request)
@@ -60,13 +61,16 @@
 private:
     using table = std::unordered_map<std::uint64_t, credential>;
 
-    static std::uint64_t hash(serving::request_key request) { return static_cast<std::uint64_t>(request); }
+    static std::uint64_t hash(serving::request_key request)
+    {
+        return static_cast<std::uint64_t>(request);
+    }
 
     sharded<table> shards_;
 };
 
-// Whether the credential is valid in a configuration: an open route is still open, or the key still belongs to
-// the same customer.
+// Whether the credential is valid in a configuration: an open route is still open, or the key still
+// belongs to the same customer.
 bool is_valid(const credential& value, const config::published& config);
 
 } // namespace quetzal::node
--- a/libs/node/include/quetzal/node/document_follower.hpp
+++ b/libs/node/include/quetzal/node/document_follower.hpp
@@ -1,8 +1,8 @@
 #ifndef QUETZAL_NODE_DOCUMENT_FOLLOWER_HPP
 #define QUETZAL_NODE_DOCUMENT_FOLLOWER_HPP
 
-// Keeps the published configuration and the instance list up to date: reads the platform's services or fetches
-// from peers, as the schedules say, and offers every value to the trackers.
+// Keeps the published configuration and the instance list up to date: reads the platform's services
+// or fetches from peers, as the schedules say, and offers every value to the trackers.
 
 #include <functional>
 #include <memory>
@@ -12,8 +12,8 @@
 #include <quetzal/config/chunk_store.hpp>
 #include <quetzal/config/config_tracker.hpp>
 #include <quetzal/config/list_tracker.hpp>
-#include <quetzal/config/readiness.hpp>
 #include <quetzal/config/reader_schedule.hpp>
+#include <quetzal/config/readiness.hpp>
 #include <quetzal/membership/prober.hpp>
 #include <quetzal/node/shared_state.hpp>
 #include <quetzal/peer/codec.hpp>
--- a/libs/node/include/quetzal/node/endpoint_links.hpp
+++ b/libs/node/include/quetzal/node/endpoint_links.hpp
@@ -1,8 +1,9 @@
 #ifndef QUETZAL_NODE_ENDPOINT_LINKS_HPP
 #define QUETZAL_NODE_ENDPOINT_LINKS_HPP
 
-// Connections to endpoints. Every connection is bound to the incarnation that its load report named: a TCP
-// connection cannot outlive its process, so work that is sent over it reaches that incarnation or nobody.
+// Connections to endpoints. Every connection is bound to the incarnation that its load report
+// named: a TCP connection cannot outlive its process, so work that is sent over it reaches that
+// incarnation or nobody.
 
 #include <memory>
 #include <mutex>
@@ -23,20 +24,23 @@
 class endpoint_links : public std::enable_shared_from_this<endpoint_links>
 {
 public:
-    endpoint_links(boost::asio::any_io_executor executor, shared_state& state, serving_front& front);
+    endpoint_links(boost::asio::any_io_executor executor, shared_state& state,
+                   serving_front& front);
 
     // Starts to read the load reports and cache events of the endpoints that the dispatcher wants.
     void start();
     void stop() { stopped_ = true; }
 
-    // Returns a connection to the given process of the endpoint, a kept one or a new one on `executor`. Fails
-    // with `not_run` when the endpoint cannot be reached or another process answers.
+    // Returns a connection to the given process of the endpoint, a kept one or a new one on
+    // `executor`. Fails with `not_run` when the endpoint cannot be reached or another process
+    // answers.
     boost::asio::awaitable<result<std::unique_ptr<net::http_connection>>>
     acquire(boost::asio::any_io_executor executor, endpoint_id endpoint, incarnation process);
 
-    // Keeps a connection whose last response was read to its end, for later calls on the same executor.
-    void keep(const boost::asio::any_io_executor& executor, const endpoint_id& endpoint, incarnation process,
-              std::unique_ptr<net::http_connection> connection);
+    // Keeps a connection whose last response was read to its end, for later calls on the same
+    // executor.
+    void keep(const boost::asio::any_io_executor& executor, const endpoint_id& endpoint,
+              incarnation process, std::unique_ptr<net::http_connection> connection);
 
     // Tells the endpoint on a connection of its own to stop a call; failures are ignored.
     void cancel_call(const endpoint_id& endpoint, const std::string& call);
@@ -45,8 +49,8 @@
     void probe(const endpoint_id& endpoint);
 
 private:
-    // A connection belongs to the executor that it was made on and is used only there, because its timers are
-    // not thread-safe.
+    // A connection belongs to the executor that it was made on and is used only there, because its
+    // timers are not thread-safe.
     struct idle_connection
     {
         boost::asio::any_io_executor executor;
@@ -69,8 +73,10 @@
     };
 
     std::unique_ptr<net::http_connection> take_idle(const boost::asio::any_io_executor& executor,
-                                                    const endpoint_id& endpoint, incarnation process);
-    boost::asio::awaitable<report_outcome> open(boost::asio::any_io_executor executor, endpoint_id endpoint);
+                                                    const endpoint_id& endpoint,
+                                                    incarnation process);
+    boost::asio::awaitable<report_outcome> open(boost::asio::any_io_executor executor,
+                                                endpoint_id endpoint);
     static boost::asio::awaitable<report_outcome>
     read_report(std::unique_ptr<net::http_connection> connection);
     boost::asio::awaitable<void> poll_reports();
--- a/libs/node/include/quetzal/node/entry_instance.hpp
+++ b/libs/node/include/quetzal/node/entry_instance.hpp
@@ -21,8 +21,8 @@
     // Opens all ports. Returns an error text when one cannot be used; nothing runs then.
     tl::expected<void, std::string> start();
 
-    // Planned stop: refuses new requests, hands over its rights, lets accepted requests finish, and then stops
-    // the context. A second call changes nothing.
+    // Planned stop: refuses new requests, hands over its rights, lets accepted requests finish, and
+    // then stops the context. A second call changes nothing.
     void drain();
 
     // Reads the certificate files again.
--- a/libs/node/include/quetzal/node/log.hpp
+++ b/libs/node/include/quetzal/node/log.hpp
@@ -1,8 +1,8 @@
 #ifndef QUETZAL_NODE_LOG_HPP
 #define QUETZAL_NODE_LOG_HPP
 
-// Structured log: one record a line with an event name and named fields, as key=value pairs or JSON. No field
-// ever holds a customer's key or a payload.
+// Structured log: one record a line with an event name and named fields, as key=value pairs or
+// JSON. No field ever holds a customer's key or a payload.
 
 #include <initializer_list>
 #include <string>
@@ -19,7 +19,8 @@
     log_field(std::string_view field, const char* text) : name(field), value(text) {}
     log_field(std::string_view field, std::uint64_t number)
         : name(field), value(std::to_string(number)), numeric(true)
-    {}
+    {
+    }
 
     std::string_view name;
     std::string value;
--- a/libs/node/include/quetzal/node/operator_api.hpp
+++ b/libs/node/include/quetzal/node/operator_api.hpp
@@ -1,7 +1,8 @@
 #ifndef QUETZAL_NODE_OPERATOR_API_HPP
 #define QUETZAL_NODE_OPERATOR_API_HPP
 
-// The HTTP interface to operators, docs/operations.md: health, metrics, status, explanations, burn, drain.
+// The HTTP interface to operators, docs/operations.md: health, metrics, status, explanations, burn,
+// drain.
 
 #include <functional>
 
@@ -15,13 +16,14 @@
 class operator_api
 {
 public:
-    operator_api(shared_state& state, control_plane& control, request_engine& engine, serving_front& front,
-                 std::function<void()> drain);
+    operator_api(shared_state& state, control_plane& control, request_engine& engine,
+                 serving_front& front, std::function<void()> drain);
 
     // Adds the counters of a server to the metrics under a name. Call it before the first request.
     void watch_server(std::string name, const net::server_counters& counters);
 
-    boost::asio::awaitable<void> handle(const net::http_request& request, net::response_stream& response);
+    boost::asio::awaitable<void> handle(const net::http_request& request,
+                                        net::response_stream& response);
 
 private:
     net::http_response health() const;
--- a/libs/node/include/quetzal/node/request_engine.hpp
+++ b/libs/node/include/quetzal/node/request_engine.hpp
@@ -1,8 +1,9 @@
 #ifndef QUETZAL_NODE_REQUEST_ENGINE_HPP
 #define QUETZAL_NODE_REQUEST_ENGINE_HPP
 
-// Runs requests: joins the request table, the pipeline runs, the dispatcher and the calls to endpoints. Every
-// request belongs to a shard; all changes of a shard happen on its strand and under its lock.
+// Runs requests: joins the request table, the pipeline runs, the dispatcher and the calls to
+// endpoints. Every request belongs to a shard; all changes of a shard happen on its strand and
+// under its lock.
 
 #include <functional>
 #include <memory>
@@ -40,8 +41,9 @@
 class request_engine : public std::enable_shared_from_this<request_engine>
 {
 public:
-    request_engine(boost::asio::any_io_executor executor, shared_state& state, control_plane& control,
-                   serving_front& front, endpoint_links& links, credential_registry& credentials);
+    request_engine(boost::asio::any_io_executor executor, shared_state& state,
+                   control_plane& control, serving_front& front, endpoint_links& links,
+                   credential_registry& credentials);
 
     // Starts the timers.
     void start();
@@ -55,7 +57,8 @@
                                                          customer_id customer,
                                                          boost::asio::any_io_executor reader);
 
-    // Returns the next chunks from an offset; empty without `end` means to wait for `ticket.reader`.
+    // Returns the next chunks from an offset; empty without `end` means to wait for
+    // `ticket.reader`.
     result<answer_page> read(const answer_ticket& ticket, std::uint64_t offset);
 
     // The connection has passed on everything before the offset.
@@ -65,7 +68,8 @@
     void leave(const answer_ticket& ticket);
 
     // Ends a request for a caller who asked for it. Fails when it is not known.
-    boost::asio::awaitable<result<void>> cancel(requests::request_identity identity, customer_id customer);
+    boost::asio::awaitable<result<void>> cancel(requests::request_identity identity,
+                                                customer_id customer);
 
     // Passes a dispatcher's action to the request it concerns. Only posts.
     void route(const serving::action& action);
@@ -88,7 +92,8 @@
 
     strand& strand_of(std::uint64_t sequence) { return strands_[sequence % strands_.size()]; }
     result<answer_ticket> submit_here(caller_request request, boost::asio::any_io_executor reader);
-    void begin(request_shard& shard, caller_request request, std::shared_ptr<requests::answer_log> answer);
+    void begin(request_shard& shard, caller_request request,
+               std::shared_ptr<requests::answer_log> answer);
     answer_ticket make_ticket(request_shard& shard, std::uint64_t sequence,
                               std::shared_ptr<requests::answer_log> answer,
                               boost::asio::any_io_executor reader);
@@ -97,18 +102,22 @@
     void with_request(std::uint64_t sequence, Function&& function);
     template <class Function>
     void change(std::uint64_t sequence, Function&& function);
-    void on_strand(std::uint64_t sequence, std::function<void(request_shard&, const request_ptr&)> function);
+    void on_strand(std::uint64_t sequence,
+                   std::function<void(request_shard&, const request_ptr&)> function);
 
     void perform(request_shard& shard, const request_ptr& request,
                  const std::vector<requests::run_action>& actions);
-    void perform(request_shard&, const request_ptr& request, const requests::choose_endpoint& action);
+    void perform(request_shard&, const request_ptr& request,
+                 const requests::choose_endpoint& action);
     void perform(request_shard&, const request_ptr& request, const requests::open_call& action);
     void perform(request_shard&, const request_ptr& request, const requests::check_call& action);
     void perform(request_shard&, const request_ptr& request, const requests::send_call& action);
     void perform(request_shard&, const request_ptr& request, const requests::leave_call& action);
     void perform(request_shard&, const request_ptr& request, const requests::append_answer& action);
-    void perform(request_shard& shard, const request_ptr& request, const requests::finish_answer& action);
-    void perform(request_shard& shard, const request_ptr& request, const requests::refuse_answer& action);
+    void perform(request_shard& shard, const request_ptr& request,
+                 const requests::finish_answer& action);
+    void perform(request_shard& shard, const request_ptr& request,
+                 const requests::refuse_answer& action);
 
     void start_attempt(const serving::start_attempt& action);
     void cancel_attempt(const serving::cancel_attempt& action);
@@ -122,10 +131,12 @@
     boost::asio::awaitable<void> read_answer(request_ptr request, call_ptr call);
     boost::asio::awaitable<void> wait_for_room(request_ptr request, call_ptr call);
     boost::asio::awaitable<void> run_timers();
-    void raise(const request_ptr& request, const call_ptr& call, const requests::attempt_event& event);
-    std::optional<requests::check_failed> final_check(const running_request& request, const stage_call& call,
-                                                      time_point now) const;
-    net::http_request make_call_request(const running_request& request, const stage_call& call) const;
+    void raise(const request_ptr& request, const call_ptr& call,
+               const requests::attempt_event& event);
+    std::optional<requests::check_failed> final_check(const running_request& request,
+                                                      const stage_call& call, time_point now) const;
+    net::http_request make_call_request(const running_request& request,
+                                        const stage_call& call) const;
     void expire(time_point now);
 
     boost::asio::any_io_executor executor_;
--- a/libs/node/include/quetzal/node/running_request.hpp
+++ b/libs/node/include/quetzal/node/running_request.hpp
@@ -1,8 +1,8 @@
 #ifndef QUETZAL_NODE_RUNNING_REQUEST_HPP
 #define QUETZAL_NODE_RUNNING_REQUEST_HPP
 
-// The records of requests that run at this instance. A shard's strand changes them; its lock guards what
-// connections read.
+// The records of requests that run at this instance. A shard's strand changes them; its lock guards
+// what connections read.
 
 #include <map>
 #include <memory>
@@ -70,8 +70,10 @@
 {
     running_request(caller_request from, requests::run_request work,
                     std::shared_ptr<requests::answer_log> into)
-        : request(std::move(from)), pipeline(work.pipeline), run(std::move(work)), answer(std::move(into))
-    {}
+        : request(std::move(from)), pipeline(work.pipeline), run(std::move(work)),
+          answer(std::move(into))
+    {
+    }
 
     caller_request request;
     std::shared_ptr<const config::pipeline> pipeline;
--- a/libs/node/include/quetzal/node/serving_front.hpp
+++ b/libs/node/include/quetzal/node/serving_front.hpp
@@ -11,8 +11,8 @@
 
 namespace quetzal::node {
 
-// Thread-safe. `route` is called under the lock, so that two threads cannot reorder the actions of one request;
-// it must only hand the action on (post), never call back.
+// Thread-safe. `route` is called under the lock, so that two threads cannot reorder the actions of
+// one request; it must only hand the action on (post), never call back.
 class serving_front
 {
 public:
@@ -20,7 +20,8 @@
 
     serving_front(serving::dispatcher_options options, serving::dispatch_gate gate)
         : dispatcher_(std::move(options), std::move(gate))
-    {}
+    {
+    }
 
     // Sets where actions go. Call it before the first command.
     void set_router(router route) { route_ = std::move(route); }
--- a/libs/node/include/quetzal/node/shared_state.hpp
+++ b/libs/node/include/quetzal/node/shared_state.hpp
@@ -28,7 +28,8 @@
 public:
     explicit shared_state(config::settings values)
         : settings(std::move(values)), process(new_incarnation())
-    {}
+    {
+    }
 
     const config::settings settings;
     const incarnation process;
@@ -55,8 +56,8 @@
     }
 
 private:
-    // Returns wall milliseconds in the upper bits and 20 random bits below, so that a later start has a
-    // greater value and two starts within one millisecond differ.
+    // Returns wall milliseconds in the upper bits and 20 random bits below, so that a later start
+    // has a greater value and two starts within one millisecond differ.
     static incarnation new_incarnation();
 
     mutable std::mutex mutex_;
--- a/libs/node/include/quetzal/node/wakeup.hpp
+++ b/libs/node/include/quetzal/node/wakeup.hpp
@@ -14,8 +14,8 @@
 
 namespace quetzal::node {
 
-// One sleeper. `notify` is thread-safe; `wait` belongs to the coroutine, which must run on `executor`, a
-// strand or a single thread. A notification before the wait is not lost.
+// One sleeper. `notify` is thread-safe; `wait` belongs to the coroutine, which must run on
+// `executor`, a strand or a single thread. A notification before the wait is not lost.
 class wakeup : public std::enable_shared_from_this<wakeup>
 {
 public:
--- a/libs/node/src/call_runner.cpp
+++ b/libs/node/src/call_runner.cpp
@@ -21,16 +21,18 @@
     return std::max<duration>(until - boot_clock::now(), shortest_timeout);
 }
 
-// Body of a stage call: the caller's request as a string and the results of earlier stages, each a list of the
-// JSON values of its frames.
+// Body of a stage call: the caller's request as a string and the results of earlier stages, each a
+// list of the JSON values of its frames.
 std::string call_body(const running_request& request, std::size_t stage)
 {
-    std::string body = "{\"request\":" + boost::json::serialize(boost::json::value(request.request.body)) +
-                       ",\"results\":{";
+    std::string body =
+        "{\"request\":" + boost::json::serialize(boost::json::value(request.request.body)) +
+        ",\"results\":{";
     bool first = true;
     for (const auto& result : request.run.inputs(stage)) {
         body += std::exchange(first, false) ? "" : ",";
-        body += boost::json::serialize(boost::json::value(request.pipeline->stages[result.stage].id.name));
+        body += boost::json::serialize(
+            boost::json::value(request.pipeline->stages[result.stage].id.name));
         body += ":[";
         for (std::size_t index = 0; index < result.frames.size(); ++index) {
             body += index == 0 ? "" : ",";
@@ -61,30 +63,37 @@
     message.headers.add("Content-Type", "application/json");
     message.headers.add("Quetzal-Call-Id", to_string(call.id));
     message.headers.add("Quetzal-Priority", std::to_string(call.priority));
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left(call.give_up));
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(time_left(call.give_up));
     message.headers.add("Quetzal-Deadline", std::to_string(left.count()) + "ms");
     message.body = call_body(request, call.id.stage);
     return message;
 }
 
-std::optional<requests::check_failed>
-request_engine::final_check(const running_request& request, const stage_call& call, time_point now) const
+std::optional<requests::check_failed> request_engine::final_check(const running_request& request,
+                                                                  const stage_call& call,
+                                                                  time_point now) const
 {
     const auto [config, list] = state_.current();
     const auto* endpoint = list ? list->find(call.endpoint) : nullptr;
     const auto& from = request.request;
     if (!control_.fresh(now)) {
-        return requests::check_failed{reason::stale_view, "this instance has lost contact to its peers"};
+        return requests::check_failed{reason::stale_view,
+                                      "this instance has lost contact to its peers"};
     }
-    if (!config || !is_valid({from.customer, from.key, from.open, from.work_class.id, {}}, *config)) {
+    if (!config || !is_valid({from.customer, from.key, from.open, from.work_class.id, {}}, *config))
+    {
         return requests::check_failed{reason::unauthorized, "the key is not valid any more"};
     }
     if (endpoint == nullptr || endpoint->state != config::listed_state::live ||
-        !config->accepts_work(endpoint->zone)) {
-        return requests::check_failed{reason::no_endpoint, "the endpoint may not receive new work any more"};
+        !config->accepts_work(endpoint->zone))
+    {
+        return requests::check_failed{reason::no_endpoint,
+                                      "the endpoint may not receive new work any more"};
     }
     if (call.cold && !control_.holds(call.endpoint, now)) {
-        return requests::check_failed{reason::no_endpoint, "the exclusive right to the endpoint has ended"};
+        return requests::check_failed{reason::no_endpoint,
+                                      "the exclusive right to the endpoint has ended"};
     }
     if (now >= call.give_up) {
         return requests::check_failed{reason::deadline_passed, "the time of the call has passed"};
@@ -144,7 +153,8 @@
 {
     const auto now = boot_clock::now();
     front_.command([&](serving::dispatcher& dispatcher) {
-        return dispatcher.chunk(serving::call_key{call.id.request * 8 + call.id.stage}, call.attempt, now);
+        return dispatcher.chunk(serving::call_key{call.id.request * 8 + call.id.stage},
+                                call.attempt, now);
     });
     if (call.id.stage + 1 != request->pipeline->stages.size()) {
         return;
@@ -152,7 +162,8 @@
     if (!request->first_token) {
         request->first_token = now - request->request.arrived;
     } else {
-        request->longest_gap = std::max(request->longest_gap.value_or(duration{}), now - request->last_frame);
+        request->longest_gap =
+            std::max(request->longest_gap.value_or(duration{}), now - request->last_frame);
     }
     request->last_frame = now;
 }
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -50,8 +50,9 @@
 {
     std::string text;
     if (end.whole()) {
-        append_event(text, {}, "end",
-                     json::serialize(json::object{{"verdict", to_string(end.run)}, {"bytes", size}}));
+        append_event(
+            text, {}, "end",
+            json::serialize(json::object{{"verdict", to_string(end.run)}, {"bytes", size}}));
     } else {
         append_event(text, {}, "refusal", refusal_json(*end.why));
     }
@@ -67,7 +68,8 @@
 
 net::http_response identity_response(const std::string& text)
 {
-    const auto valid = std::chrono::milliseconds(requests::identity_validity / std::chrono::milliseconds(1));
+    const auto valid =
+        std::chrono::milliseconds(requests::identity_validity / std::chrono::milliseconds(1));
     return net::json_response(
         200, json::serialize(json::object{{"identity", text}, {"valid_ms", valid.count()}}));
 }
@@ -86,7 +88,8 @@
 
 tl::unexpected<failure> not_ready()
 {
-    return not_run(reason::stale_view, "this instance is not ready", std::chrono::milliseconds(1000));
+    return not_run(reason::stale_view, "this instance is not ready",
+                   std::chrono::milliseconds(1000));
 }
 
 } // namespace
@@ -142,7 +145,8 @@
                        request_engine& engine)
     : executor_(std::move(executor)), state_(state), control_(control), engine_(engine),
       identities_(state.settings.instance, state.process, make_secrets(state.settings.peers))
-{}
+{
+}
 
 asio::awaitable<void> caller_api::refuse(const failure& why, net::response_stream& response)
 {
@@ -154,7 +158,8 @@
     co_await response.send(std::move(message));
 }
 
-asio::awaitable<void> caller_api::handle(const net::http_request& request, net::response_stream& response)
+asio::awaitable<void> caller_api::handle(const net::http_request& request,
+                                         net::response_stream& response)
 {
     if (request.path == "/v1/address" && request.method == "GET") {
         co_await answer_address(request, response);
@@ -215,7 +220,8 @@
                                                  net::response_stream& response)
 {
     const auto [config, list] = state_.current();
-    const auto known = config && list ? authenticate(request, *config) : result<caller>(not_ready());
+    const auto known =
+        config && list ? authenticate(request, *config) : result<caller>(not_ready());
     if (!known) {
         co_await refuse(known.error(), response);
         co_return;
@@ -249,8 +255,8 @@
     }
     const auto answer = serving::answer_address(question, candidates);
     if (!answer) {
-        const failure none{verdict::not_run, reason::overloaded, "no instance can take requests now",
-                           std::chrono::milliseconds(1000)};
+        const failure none{verdict::not_run, reason::overloaded,
+                           "no instance can take requests now", std::chrono::milliseconds(1000)};
         co_await refuse(none, response);
         co_return;
     }
@@ -281,7 +287,8 @@
 {
     const auto config = state_.current().config;
     if (!config || !state_.ready) {
-        return state_.stopping ? not_run(reason::stopping, "this instance is stopping") : not_ready();
+        return state_.stopping ? not_run(reason::stopping, "this instance is stopping")
+                               : not_ready();
     }
     auto known = authenticate(request, *config);
     if (!known) {
@@ -290,7 +297,8 @@
     const auto name = request.headers.find("Quetzal-Class");
     const auto* work_class = name ? config->find(class_id(std::string(*name))) : nullptr;
     if (work_class == nullptr) {
-        return not_run(reason::unknown_class, "the Quetzal-Class header must name a declared class");
+        return not_run(reason::unknown_class,
+                       "the Quetzal-Class header must name a declared class");
     }
     if (!known->has_key && !work_class->open) {
         return not_run(reason::unauthorized, "the class needs a key in the Authorization header");
@@ -318,9 +326,10 @@
     const customer_id owner = submission.open ? customer_id() : submission.customer;
     const std::lock_guard lock(identities_mutex_);
     if (!given && !submission.work_class.idempotent) {
-        return not_run(reason::identity_required,
-                       "the class is not idempotent: get an identity by POST /v1/identities first and send it "
-                       "as Quetzal-Request-Id");
+        return not_run(
+            reason::identity_required,
+            "the class is not idempotent: get an identity by POST /v1/identities first and send it "
+            "as Quetzal-Request-Id");
     }
     submission.identity_given = given.has_value();
     submission.identity_text =
@@ -334,7 +343,8 @@
 }
 
 std::optional<requests::placement>
-caller_api::place_elsewhere(const requests::request_identity& identity, const net::http_request& request) const
+caller_api::place_elsewhere(const requests::request_identity& identity,
+                            const net::http_request& request) const
 {
     requests::issuer_view issuer;
     const auto list = state_.current().list;
@@ -356,7 +366,8 @@
     return placement;
 }
 
-asio::awaitable<void> caller_api::pass_on(const net::http_request& request, requests::placement placement,
+asio::awaitable<void> caller_api::pass_on(const net::http_request& request,
+                                          requests::placement placement,
                                           net::response_stream& response)
 {
     if (const auto* target = std::get_if<requests::relay_to>(&placement)) {
@@ -366,7 +377,8 @@
     }
 }
 
-asio::awaitable<void> caller_api::submit(const net::http_request& request, net::response_stream& response)
+asio::awaitable<void> caller_api::submit(const net::http_request& request,
+                                         net::response_stream& response)
 {
     auto submission = check_submission(request);
     const auto identified = submission ? add_identity(request, *submission)
@@ -389,7 +401,8 @@
     co_await stream(std::move(*ticket), 0, identity, response);
 }
 
-asio::awaitable<void> caller_api::resume(const net::http_request& request, net::response_stream& response)
+asio::awaitable<void> caller_api::resume(const net::http_request& request,
+                                         net::response_stream& response)
 {
     const std::string text = request.path.substr(requests_path.size());
     const auto identity = identity_of(request, text);
@@ -409,11 +422,13 @@
         co_await refuse(ticket.error(), response);
         co_return;
     }
-    const auto offset = std::strtoull(request.parameter("offset").value_or("0").c_str(), nullptr, 10);
+    const auto offset =
+        std::strtoull(request.parameter("offset").value_or("0").c_str(), nullptr, 10);
     co_await stream(std::move(*ticket), offset, text, response);
 }
 
-asio::awaitable<void> caller_api::cancel(const net::http_request& request, net::response_stream& response)
+asio::awaitable<void> caller_api::cancel(const net::http_request& request,
+                                         net::response_stream& response)
 {
     const std::string text = request.path.substr(requests_path.size());
     const auto identity = identity_of(request, text);
@@ -436,8 +451,8 @@
 
 // Streams.
 
-asio::awaitable<void> caller_api::stream(answer_ticket ticket, std::uint64_t offset, std::string identity,
-                                         net::response_stream& response)
+asio::awaitable<void> caller_api::stream(answer_ticket ticket, std::uint64_t offset,
+                                         std::string identity, net::response_stream& response)
 {
     const net::header_list headers = stream_headers(identity);
     auto closed = std::make_shared<std::atomic<bool>>(false);
@@ -449,7 +464,8 @@
     bool open = true;
     while (open && !*closed) {
         auto page = engine_.read(ticket, offset);
-        const bool refused_first = !page || (page->end && !page->end->whole() && page->chunks.empty());
+        const bool refused_first =
+            !page || (page->end && !page->end->whole() && page->chunks.empty());
         if (!begun && refused_first) {
             engine_.leave(ticket);
             co_await refuse(page ? *page->end->why : page.error(), response);
@@ -490,8 +506,10 @@
 {
     const auto list = state_.current().list;
     const auto* listed = list ? list->find(target.instance) : nullptr;
-    const failure gone{verdict::may_have_run, reason::instance_gone,
-                       "the instance that issued the identity cannot be reached", {}};
+    const failure gone{verdict::may_have_run,
+                       reason::instance_gone,
+                       "the instance that issued the identity cannot be reached",
+                       {}};
     if (listed == nullptr) {
         co_await refuse(gone, response);
         co_return;
@@ -499,8 +517,8 @@
     net::http_request forwarded = request;
     forwarded.headers.add(relayed_header, state_.settings.instance.name);
     const std::string address = listed->address;
-    auto connection = co_await net::http_connection::connect(co_await asio::this_coro::executor, address,
-                                                             listed->caller_port, relay_timeout);
+    auto connection = co_await net::http_connection::connect(
+        co_await asio::this_coro::executor, address, listed->caller_port, relay_timeout);
     if (!connection) {
         co_await refuse(gone, response);
         co_return;
@@ -513,7 +531,8 @@
         co_return;
     }
     net::header_list headers;
-    for (const auto* name : {"Content-Type", "Retry-After", "Quetzal-Request-Id", "Cache-Control"}) {
+    for (const auto* name : {"Content-Type", "Retry-After", "Quetzal-Request-Id", "Cache-Control"})
+    {
         if (const auto value = head->headers.find(name)) {
             headers.add(name, std::string(*value));
         }
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -16,7 +16,8 @@
 
 constexpr duration longest_sleep = std::chrono::milliseconds(200);
 constexpr duration shortest_sleep = std::chrono::milliseconds(1);
-// Loss of an exclusive right is checked again before every cold call; this interval only delays a gain.
+// Loss of an exclusive right is checked again before every cold call; this interval only delays a
+// gain.
 constexpr duration hold_check_interval = std::chrono::milliseconds(100);
 
 } // namespace
@@ -31,7 +32,8 @@
     return ring;
 }
 
-control_plane::control_plane(asio::any_io_executor executor, shared_state& state, control_events events)
+control_plane::control_plane(asio::any_io_executor executor, shared_state& state,
+                             control_events events)
     : strand_(asio::make_strand(executor)), state_(state), events_(std::move(events)),
       keys_(make_key_ring(state.settings.peers)),
       socket_(strand_, keys_, [this](const peer::received& message) { on_message(message); }),
@@ -58,7 +60,8 @@
         const auto now = boot_clock::now();
         apply(prober_.probe_now(peer, now), now);
     };
-    documents_ = std::make_shared<document_follower>(strand_, state_, keys_, std::move(wiring), secure_random());
+    documents_ = std::make_shared<document_follower>(strand_, state_, keys_, std::move(wiring),
+                                                     secure_random());
 }
 
 tl::expected<void, std::string> control_plane::start()
@@ -156,7 +159,8 @@
         }
         if (const auto* member = std::get_if<membership::member_changed>(&action)) {
             log(log_level::info, "member_changed",
-                {{"member", member->now_seen.instance.name}, {"state", to_string(member->now_seen.state)}});
+                {{"member", member->now_seen.instance.name},
+                 {"state", to_string(member->now_seen.state)}});
         }
     }
     if (changed) {
--- a/libs/node/src/document_follower.cpp
+++ b/libs/node/src/document_follower.cpp
@@ -26,7 +26,8 @@
     net::http_request request;
     request.method = "GET";
     request.path = kind == document::configuration ? "/v1/config" : "/v1/instances";
-    request.query = "after=" + std::to_string(read.after) + "&wait=" + std::to_string(read.wait.count());
+    request.query =
+        "after=" + std::to_string(read.after) + "&wait=" + std::to_string(read.wait.count());
     return request;
 }
 
@@ -48,13 +49,15 @@
 
 } // namespace
 
-document_follower::document_follower(asio::any_io_executor strand, shared_state& state, peer::key_ring keys,
-                                     follower_events events, std::uint64_t seed)
+document_follower::document_follower(asio::any_io_executor strand, shared_state& state,
+                                     peer::key_ring keys, follower_events events,
+                                     std::uint64_t seed)
     : strand_(std::move(strand)), state_(state), keys_(std::move(keys)), events_(std::move(events)),
       config_schedule_(state.settings.instance, document::configuration, {}, seed),
       list_schedule_(state.settings.instance, document::instance_list, {}, seed + 1),
       gate_(state.settings.instance, {}, seed + 2)
-{}
+{
+}
 
 config::reader_schedule& document_follower::schedule(document kind) noexcept
 {
@@ -68,7 +71,8 @@
     update_gate(now);
 }
 
-void document_follower::set_members(const std::vector<membership::member_view>& view, time_point now)
+void document_follower::set_members(const std::vector<membership::member_view>& view,
+                                    time_point now)
 {
     members_ = view;
     if (!list_.in_use()) {
@@ -76,9 +80,10 @@
     }
     auto candidates = config::reader_candidates(*list_.in_use(), config_.in_force().get());
     for (auto& candidate : candidates) {
-        const auto known = std::find_if(view.begin(), view.end(), [&](const membership::member_view& entry) {
-            return entry.instance == candidate.id;
-        });
+        const auto known =
+            std::find_if(view.begin(), view.end(), [&](const membership::member_view& entry) {
+                return entry.instance == candidate.id;
+            });
         if (known != view.end() && known->state != membership::member_state::live) {
             candidate.eligible = false;
         }
@@ -92,7 +97,8 @@
     ask(gate_.set_peers(names, now));
 }
 
-void document_follower::on_versions(const instance_id& from, const peer::versions& known, time_point now)
+void document_follower::on_versions(const instance_id& from, const peer::versions& known,
+                                    time_point now)
 {
     gate_.on_peer_version(from, known.config, now);
     perform(document::configuration,
@@ -108,7 +114,8 @@
             to_age(list_schedule_.service_age(now))};
 }
 
-std::optional<peer::transfer_message> document_follower::answer(const peer::transfer_message& request) const
+std::optional<peer::transfer_message>
+document_follower::answer(const peer::transfer_message& request) const
 {
     return membership::answer_transfer(chunks_, request);
 }
@@ -121,7 +128,8 @@
         } else if (const auto* from_peer = std::get_if<config::fetch_from_peer>(&action)) {
             asio::co_spawn(strand_, fetch(kind, *from_peer), asio::detached);
         }
-        // `abandon_read` needs nothing: the call ends by its own timeout and its number is ignored then.
+        // `abandon_read` needs nothing: the call ends by its own timeout and its number is ignored
+        // then.
     }
 }
 
@@ -132,8 +140,10 @@
     const auto& address =
         kind == document::configuration ? platform.configuration : platform.instance_list;
     const auto request = watch_request(kind, read);
-    state_.figures.count("quetzal_platform_calls_total", {{"document", std::string(name_of(kind))}});
-    auto response = co_await net::fetch(strand_, address.address, address.port, request, read.timeout);
+    state_.figures.count("quetzal_platform_calls_total",
+                         {{"document", std::string(name_of(kind))}});
+    auto response =
+        co_await net::fetch(strand_, address.address, address.port, request, read.timeout);
     auto answer = config::service_answer::failed;
     if (response && response->status == 200) {
         answer = offer(kind, std::move(response->body), config::value_source::service);
@@ -141,9 +151,11 @@
         answer = config::service_answer::unchanged;
     }
     if (answer == config::service_answer::failed) {
-        state_.figures.count("quetzal_platform_failures_total", {{"document", std::string(name_of(kind))}});
+        state_.figures.count("quetzal_platform_failures_total",
+                             {{"document", std::string(name_of(kind))}});
         log(log_level::debug, "platform_read_failed",
-            {{"document", name_of(kind)}, {"detail", response ? "unexpected status" : response.error().detail}});
+            {{"document", name_of(kind)},
+             {"detail", response ? "unexpected status" : response.error().detail}});
     }
     const auto now = boot_clock::now();
     perform(kind, schedule(kind).on_service_answer(read.number, answer, now, wall_now()));
@@ -158,13 +170,14 @@
     const auto* listed = list_.in_use() ? list_.in_use()->find(fetch.peer) : nullptr;
     if (listed != nullptr) {
         const std::string address = listed->address;
-        auto connection =
-            co_await net::transfer_connection::connect(strand_, address, listed->peer_port, keys_, step_timeout);
+        auto connection = co_await net::transfer_connection::connect(
+            strand_, address, listed->peer_port, keys_, step_timeout);
         membership::document_fetch transfer(chunks_, kind, fetch.version);
         auto step = transfer.begin();
         while (connection && std::holds_alternative<membership::send_request>(step)) {
-            auto answer = co_await (*connection)->exchange(std::get<membership::send_request>(step).request,
-                                                           step_timeout);
+            auto answer =
+                co_await (*connection)
+                    ->exchange(std::get<membership::send_request>(step).request, step_timeout);
             if (!answer) {
                 break;
             }
@@ -180,7 +193,8 @@
     update_gate(now);
 }
 
-config::service_answer document_follower::offer(document kind, std::string text, config::value_source from)
+config::service_answer document_follower::offer(document kind, std::string text,
+                                                config::value_source from)
 {
     const auto now = boot_clock::now();
     if (kind == document::configuration) {
@@ -229,8 +243,9 @@
 
 void document_follower::report_refusal(std::string_view what, const config::refused_value& refused)
 {
-    state_.figures.count("quetzal_documents_refused_total",
-                         {{"document", std::string(what)}, {"cause", std::string(to_string(refused.cause))}});
+    state_.figures.count(
+        "quetzal_documents_refused_total",
+        {{"document", std::string(what)}, {"cause", std::string(to_string(refused.cause))}});
     log(log_level::warning, "document_refused",
         {{"document", what},
          {"cause", to_string(refused.cause)},
--- a/libs/node/src/endpoint_links.cpp
+++ b/libs/node/src/endpoint_links.cpp
@@ -21,8 +21,8 @@
 constexpr duration connect_timeout = std::chrono::milliseconds(500);
 constexpr duration report_timeout = std::chrono::seconds(1);
 constexpr duration shortest_poll_interval = std::chrono::milliseconds(250);
-// Bound on the reports read a second by one instance, so that the cost does not grow with the subset sizes of
-// all pools; each is about 400 bytes with its headers.
+// Bound on the reports read a second by one instance, so that the cost does not grow with the
+// subset sizes of all pools; each is about 400 bytes with its headers.
 constexpr double reports_per_second = 40;
 constexpr std::size_t report_size_limit = 64u << 10; // bytes
 
@@ -50,7 +50,8 @@
     report.waiting = static_cast<std::uint32_t>(number(object, "waiting"));
     report.age = std::chrono::milliseconds(number(object, "age_ms"));
     report.fence = number(object, "fence");
-    if (const auto* models = object.if_contains("models"); models != nullptr && models->is_array()) {
+    if (const auto* models = object.if_contains("models"); models != nullptr && models->is_array())
+    {
         for (const auto& model : models->get_array()) {
             if (model.is_string()) {
                 report.models.emplace_back(model.get_string());
@@ -65,24 +66,30 @@
 
 } // namespace
 
-endpoint_links::endpoint_links(asio::any_io_executor executor, shared_state& state, serving_front& front)
+endpoint_links::endpoint_links(asio::any_io_executor executor, shared_state& state,
+                               serving_front& front)
     : executor_(std::move(executor)), state_(state), front_(front)
-{}
+{
+}
 
-void endpoint_links::start() { asio::co_spawn(executor_, poll_reports(), asio::detached); }
+void endpoint_links::start()
+{
+    asio::co_spawn(executor_, poll_reports(), asio::detached);
+}
 
-std::unique_ptr<net::http_connection> endpoint_links::take_idle(const asio::any_io_executor& executor,
-                                                                const endpoint_id& endpoint,
-                                                                incarnation process)
+std::unique_ptr<net::http_connection>
+endpoint_links::take_idle(const asio::any_io_executor& executor, const endpoint_id& endpoint,
+                          incarnation process)
 {
     const std::lock_guard lock(mutex_);
     auto& kept = idle_[endpoint];
     std::erase_if(kept, [process](const idle_connection& entry) {
         return entry.process != process || entry.connection->closed_by_server();
     });
-    const auto found = std::find_if(kept.begin(), kept.end(), [&executor](const idle_connection& entry) {
-        return entry.executor == executor;
-    });
+    const auto found =
+        std::find_if(kept.begin(), kept.end(), [&executor](const idle_connection& entry) {
+            return entry.executor == executor;
+        });
     if (found == kept.end()) {
         return nullptr;
     }
@@ -101,8 +108,8 @@
         co_return outcome;
     }
     const std::string address = listed->address;
-    auto connection =
-        co_await net::http_connection::connect(std::move(executor), address, listed->port, connect_timeout);
+    auto connection = co_await net::http_connection::connect(std::move(executor), address,
+                                                             listed->port, connect_timeout);
     if (!connection) {
         co_return outcome;
     }
@@ -134,7 +141,8 @@
     auto outcome = co_await open(std::move(executor), endpoint);
     tell(endpoint, outcome.report);
     if (!outcome.report) {
-        co_return not_run(reason::endpoint_failed, "endpoint " + endpoint.name + " cannot be reached");
+        co_return not_run(reason::endpoint_failed,
+                          "endpoint " + endpoint.name + " cannot be reached");
     }
     if (outcome.report->process != process || !outcome.connection->reusable()) {
         co_return not_run(reason::endpoint_failed, "endpoint " + endpoint.name + " has restarted");
@@ -150,7 +158,8 @@
     }
     const std::lock_guard lock(mutex_);
     auto& kept = idle_[endpoint];
-    std::erase_if(kept, [process](const idle_connection& entry) { return entry.process != process; });
+    std::erase_if(kept,
+                  [process](const idle_connection& entry) { return entry.process != process; });
     if (kept.size() < max_idle_connections) {
         kept.push_back({executor, process, std::move(connection)});
     }
@@ -169,8 +178,8 @@
     asio::co_spawn(
         asio::make_strand(executor_),
         [address = listed->address, port = listed->port, request]() -> asio::awaitable<void> {
-            static_cast<void>(co_await net::fetch(co_await asio::this_coro::executor, address, port, request,
-                                                  report_timeout));
+            static_cast<void>(co_await net::fetch(co_await asio::this_coro::executor, address, port,
+                                                  request, report_timeout));
         },
         asio::detached);
 }
@@ -189,7 +198,8 @@
         asio::detached);
 }
 
-void endpoint_links::tell(const endpoint_id& endpoint, const std::optional<serving::load_report>& report)
+void endpoint_links::tell(const endpoint_id& endpoint,
+                          const std::optional<serving::load_report>& report)
 {
     const auto now = boot_clock::now();
     front_.command([&](serving::dispatcher& dispatcher) {
@@ -216,19 +226,23 @@
             const std::lock_guard lock(mutex_);
             auto& state = polled_[endpoint];
             if (state == nullptr) {
-                state = std::make_shared<poller>(poller{asio::make_strand(executor_), false, nullptr});
+                state =
+                    std::make_shared<poller>(poller{asio::make_strand(executor_), false, nullptr});
             }
             if (!std::exchange(state->running, true)) {
                 asio::co_spawn(state->strand, poll_endpoint(endpoint, state), asio::detached);
             }
         }
-        const std::chrono::duration<double> round(static_cast<double>(wanted.size()) / reports_per_second);
-        timer.expires_after(std::max(shortest_poll_interval, std::chrono::duration_cast<duration>(round)));
+        const std::chrono::duration<double> round(static_cast<double>(wanted.size()) /
+                                                  reports_per_second);
+        timer.expires_after(
+            std::max(shortest_poll_interval, std::chrono::duration_cast<duration>(round)));
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
 }
 
-asio::awaitable<void> endpoint_links::poll_endpoint(endpoint_id endpoint, std::shared_ptr<poller> state)
+asio::awaitable<void> endpoint_links::poll_endpoint(endpoint_id endpoint,
+                                                    std::shared_ptr<poller> state)
 {
     auto self = shared_from_this();
     report_outcome outcome;
--- a/libs/node/src/entry_instance.cpp
+++ b/libs/node/src/entry_instance.cpp
@@ -31,7 +31,8 @@
 
 serving::warmth_declaration to_declaration(const peer::endpoint_declaration& message)
 {
-    return {message.process, message.warmth == peer::endpoint_warmth::warm, message.fence, message.sequence};
+    return {message.process, message.warmth == peer::endpoint_warmth::warm, message.fence,
+            message.sequence};
 }
 
 } // namespace
@@ -86,10 +87,12 @@
     const auto executor = context.get_executor();
     control = std::make_shared<control_plane>(executor, state, make_control_events());
     links = std::make_shared<endpoint_links>(executor, state, front);
-    engine = std::make_shared<request_engine>(executor, state, *control, front, *links, credentials);
+    engine =
+        std::make_shared<request_engine>(executor, state, *control, front, *links, credentials);
     front.set_router([this](const serving::action& action) { route(action); });
     callers = std::make_unique<caller_api>(executor, state, *control, *engine);
-    operators = std::make_unique<operator_api>(state, *control, *engine, front, [this] { drain(); });
+    operators =
+        std::make_unique<operator_api>(state, *control, *engine, front, [this] { drain(); });
 }
 
 serving::gate_answer entry_instance::parts::check_start(const serving::start_context& start)
@@ -104,7 +107,8 @@
         return {serving::start_gate::refuse, reason::unauthorized, "the key is not valid any more"};
     }
     if (!control->fresh(now)) {
-        return {serving::start_gate::hold, reason::stale_view, "this instance has lost contact to its peers"};
+        return {serving::start_gate::hold, reason::stale_view,
+                "this instance has lost contact to its peers"};
     }
     return start.admission ? check_rate(start, *known, now) : serving::gate_answer{};
 }
@@ -117,12 +121,14 @@
         return {};
     }
     if (std::holds_alternative<rights::wait>(answer)) {
-        return {serving::start_gate::hold, reason::no_credit, "the customer's home has not answered yet"};
+        return {serving::start_gate::hold, reason::no_credit,
+                "the customer's home has not answered yet"};
     }
     const auto& refused = std::get<rights::refused>(answer);
     credentials.set_retry_after(start.request, refused.retry_after);
     if (refused.unknown_customer) {
-        return {serving::start_gate::refuse, reason::unauthorized, "the customer is not known any more"};
+        return {serving::start_gate::refuse, reason::unauthorized,
+                "the customer is not known any more"};
     }
     return {serving::start_gate::refuse, reason::rate_exceeded, "the customer's rate is exceeded"};
 }
@@ -142,8 +148,9 @@
         }
     };
     events.list_changed = [this](std::shared_ptr<const config::instance_list> list) {
-        front.command(
-            [&](serving::dispatcher& dispatcher) { return dispatcher.update(*list, boot_clock::now()); });
+        front.command([&](serving::dispatcher& dispatcher) {
+            return dispatcher.update(*list, boot_clock::now());
+        });
     };
     events.hold_changed = [this](const endpoint_id& endpoint, std::optional<std::uint64_t> fence) {
         front.command([&](serving::dispatcher& dispatcher) {
@@ -152,13 +159,14 @@
     };
     events.endpoint_observed = [this](const peer::endpoint_observation& seen) {
         front.command([&](serving::dispatcher& dispatcher) {
-            return dispatcher.heard(seen.endpoint, seen.process, seen.seen == peer::endpoint_warmth::cold,
-                                    boot_clock::now());
+            return dispatcher.heard(seen.endpoint, seen.process,
+                                    seen.seen == peer::endpoint_warmth::cold, boot_clock::now());
         });
     };
     events.endpoint_declared = [this](const peer::endpoint_declaration& declared) {
         front.command([&](serving::dispatcher& dispatcher) {
-            return dispatcher.declared(declared.endpoint, to_declaration(declared), boot_clock::now());
+            return dispatcher.declared(declared.endpoint, to_declaration(declared),
+                                       boot_clock::now());
         });
     };
     return events;
@@ -170,13 +178,14 @@
         links->probe(probe->endpoint);
     } else if (const auto* declare = std::get_if<serving::declare_endpoint>(&action)) {
         const auto& said = declare->declaration;
-        control->broadcast(peer::endpoint_declaration{
-            declare->endpoint, said.process,
-            said.warm ? peer::endpoint_warmth::warm : peer::endpoint_warmth::cold, said.fence, said.sequence});
+        control->broadcast(peer::endpoint_declaration{declare->endpoint, said.process,
+                                                      said.warm ? peer::endpoint_warmth::warm
+                                                                : peer::endpoint_warmth::cold,
+                                                      said.fence, said.sequence});
     } else if (const auto* tell = std::get_if<serving::tell_endpoint_holder>(&action)) {
-        control->broadcast(peer::endpoint_observation{
-            tell->endpoint, tell->process,
-            tell->cold ? peer::endpoint_warmth::cold : peer::endpoint_warmth::warm});
+        control->broadcast(peer::endpoint_observation{tell->endpoint, tell->process,
+                                                      tell->cold ? peer::endpoint_warmth::cold
+                                                                 : peer::endpoint_warmth::warm});
     } else {
         engine->route(action);
     }
@@ -186,7 +195,8 @@
 {
     const auto& settings = state.settings;
     if (settings.tls) {
-        auto loaded = net::tls_context::load({settings.tls->certificate_file, settings.tls->key_file});
+        auto loaded =
+            net::tls_context::load({settings.tls->certificate_file, settings.tls->key_file});
         if (!loaded) {
             return tl::unexpected(loaded.error());
         }
@@ -195,20 +205,27 @@
     const auto limits = make_limits(settings.limits);
     const auto executor = context.get_executor();
     caller_server = std::make_unique<net::http_server>(
-        executor, limits, tls, [this](const net::http_request& request, net::response_stream& response) {
+        executor, limits, tls,
+        [this](const net::http_request& request, net::response_stream& response) {
             return callers->handle(request, response);
         });
     operator_server = std::make_unique<net::http_server>(
-        executor, limits, tls, [this](const net::http_request& request, net::response_stream& response) {
+        executor, limits, tls,
+        [this](const net::http_request& request, net::response_stream& response) {
             return operators->handle(request, response);
         });
     operators->watch_server("callers", caller_server->counters());
     operators->watch_server("operators", operator_server->counters());
-    if (const auto port = caller_server->listen(settings.listen.address, settings.listen.caller_port); !port) {
+    if (const auto port =
+            caller_server->listen(settings.listen.address, settings.listen.caller_port);
+        !port)
+    {
         return tl::unexpected(port.error());
     }
-    if (const auto port = operator_server->listen(settings.listen.address, settings.listen.operator_port);
-        !port) {
+    if (const auto port =
+            operator_server->listen(settings.listen.address, settings.listen.operator_port);
+        !port)
+    {
         return tl::unexpected(port.error());
     }
     if (auto started = control->start(); !started) {
@@ -217,7 +234,8 @@
     links->start();
     engine->start();
     log(log_level::info, "started",
-        {{"caller_port", std::uint64_t{settings.listen.caller_port}}, {"incarnation", state.process.value}});
+        {{"caller_port", std::uint64_t{settings.listen.caller_port}},
+         {"incarnation", state.process.value}});
     return {};
 }
 
@@ -233,9 +251,8 @@
             auto handed_over = std::make_shared<bool>(false);
             self->stop_timer.expires_after(longest_handover);
             self->stop_timer.async_wait([self](auto) { self->stop_when_idle(); });
-            self->control->begin_leave([self] {
-                asio::post(self->context, [self] { self->stop_timer.cancel(); });
-            });
+            self->control->begin_leave(
+                [self] { asio::post(self->context, [self] { self->stop_timer.cancel(); }); });
         });
     });
 }
@@ -255,13 +272,20 @@
 
 entry_instance::entry_instance(asio::io_context& context, config::settings settings)
     : parts_(std::make_shared<parts>(context, std::move(settings)))
-{}
+{
+}
 
 entry_instance::~entry_instance() = default;
 
-tl::expected<void, std::string> entry_instance::start() { return parts_->start(); }
+tl::expected<void, std::string> entry_instance::start()
+{
+    return parts_->start();
+}
 
-void entry_instance::drain() { parts_->drain(); }
+void entry_instance::drain()
+{
+    parts_->drain();
+}
 
 void entry_instance::reload_certificates()
 {
--- a/libs/node/src/log.cpp
+++ b/libs/node/src/log.cpp
@@ -32,7 +32,10 @@
     return spdlog::level::info;
 }
 
-std::string quoted(std::string_view text) { return boost::json::serialize(boost::json::value(text)); }
+std::string quoted(std::string_view text)
+{
+    return boost::json::serialize(boost::json::value(text));
+}
 
 bool needs_quotes(std::string_view text)
 {
@@ -42,7 +45,8 @@
 void append_field(std::string& line, config::log_format format, const log_field& field)
 {
     if (format == config::log_format::json) {
-        line += "," + quoted(field.name) + ":" + (field.numeric ? field.value : quoted(field.value));
+        line +=
+            "," + quoted(field.name) + ":" + (field.numeric ? field.value : quoted(field.value));
         return;
     }
     line += " ";
--- a/libs/node/src/metrics.cpp
+++ b/libs/node/src/metrics.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-// Upper bounds in milliseconds; the targets of the design size (32 ms, 1.3 s, 8 s) are bounds themselves.
+// Upper bounds in milliseconds; the targets of the design size (32 ms, 1.3 s, 8 s) are bounds
+// themselves.
 constexpr std::array<double, 16> bucket_bounds{0,   1,   2,   5,    10,   20,   32,   50,
                                                100, 250, 500, 1300, 2500, 5000, 8000, 60000};
 
@@ -28,7 +29,8 @@
 {
     const auto brace = key.find('{');
     const std::string name = key.substr(0, brace) + std::string(suffix);
-    std::string labels = brace == std::string::npos ? "" : key.substr(brace + 1, key.size() - brace - 2);
+    std::string labels =
+        brace == std::string::npos ? "" : key.substr(brace + 1, key.size() - brace - 2);
     if (!extra.empty()) {
         labels += labels.empty() ? extra : "," + extra;
     }
@@ -38,9 +40,10 @@
 } // namespace
 
 metrics::latency::latency()
-    : buckets(boost::histogram::make_histogram(
-          bucket_axis(bucket_bounds.begin(), bucket_bounds.end())))
-{}
+    : buckets(
+          boost::histogram::make_histogram(bucket_axis(bucket_bounds.begin(), bucket_bounds.end())))
+{
+}
 
 std::string metrics::key_of(std::string_view name, const std::vector<label>& labels)
 {
--- a/libs/node/src/operator_api.cpp
+++ b/libs/node/src/operator_api.cpp
@@ -36,10 +36,14 @@
 
 json::object rights_json(const rights::rights_status& status)
 {
-    return {{"members", status.members},     {"committee", status.committee},
-            {"quorum", status.quorum},       {"held", status.held},
-            {"wanted", status.wanted},       {"granted", status.granted},
-            {"customers", status.customers}, {"fresh", status.fresh},
+    return {{"members", status.members},
+            {"committee", status.committee},
+            {"quorum", status.quorum},
+            {"held", status.held},
+            {"wanted", status.wanted},
+            {"granted", status.granted},
+            {"customers", status.customers},
+            {"fresh", status.fresh},
             {"greatest_fence", status.greatest_fence}};
 }
 
@@ -60,14 +64,16 @@
 operator_api::operator_api(shared_state& state, control_plane& control, request_engine& engine,
                            serving_front& front, std::function<void()> drain)
     : state_(state), control_(control), engine_(engine), front_(front), drain_(std::move(drain))
-{}
+{
+}
 
 void operator_api::watch_server(std::string name, const net::server_counters& counters)
 {
     servers_.emplace_back(std::move(name), &counters);
 }
 
-asio::awaitable<void> operator_api::handle(const net::http_request& request, net::response_stream& response)
+asio::awaitable<void> operator_api::handle(const net::http_request& request,
+                                           net::response_stream& response)
 {
     net::http_response answer = net::json_response(404, R"({"detail":"no such method and path"})");
     if (request.method == "POST" && request.path == "/v1/drain") {
@@ -91,12 +97,16 @@
     co_await response.send(std::move(answer));
 }
 
-net::http_response operator_api::health() const { return {200, {{"Content-Type", "text/plain"}}, "ok\n"}; }
+net::http_response operator_api::health() const
+{
+    return {200, {{"Content-Type", "text/plain"}}, "ok\n"};
+}
 
 net::http_response operator_api::readiness() const
 {
     const bool ready = state_.ready && !state_.stopping;
-    return {ready ? 200u : 503u, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"};
+    return {
+        ready ? 200u : 503u, {{"Content-Type", "text/plain"}}, ready ? "ready\n" : "not ready\n"};
 }
 
 net::http_response operator_api::metrics()
@@ -105,9 +115,12 @@
     for (const auto& [name, counters] : servers_) {
         const std::vector<label> labels{{"server", name}};
         figures.set("quetzal_connections_open", labels, static_cast<double>(counters->open));
-        figures.set("quetzal_connections_accepted_total", labels, static_cast<double>(counters->accepted));
-        figures.set("quetzal_connections_rejected_total", labels, static_cast<double>(counters->rejected));
-        figures.set("quetzal_malformed_requests_total", labels, static_cast<double>(counters->malformed));
+        figures.set("quetzal_connections_accepted_total", labels,
+                    static_cast<double>(counters->accepted));
+        figures.set("quetzal_connections_rejected_total", labels,
+                    static_cast<double>(counters->rejected));
+        figures.set("quetzal_malformed_requests_total", labels,
+                    static_cast<double>(counters->malformed));
         figures.set("quetzal_slow_senders_total", labels, static_cast<double>(counters->timed_out));
     }
     const auto& peers = control_.counters();
@@ -155,7 +168,8 @@
         const auto after = std::chrono::duration_cast<std::chrono::microseconds>(step.at - begin);
         steps.push_back(json::object{{"after_us", after.count()}, {"what", step.what}});
     }
-    return net::json_response(200, json::serialize(json::object{{"request", text}, {"steps", steps}}));
+    return net::json_response(200,
+                              json::serialize(json::object{{"request", text}, {"steps", steps}}));
 }
 
 asio::awaitable<net::http_response> operator_api::status()
@@ -184,8 +198,10 @@
     object["members"] = std::move(members);
     json::object pools;
     for (const auto& pool : config ? config->pools : std::vector<config::pool>()) {
-        pools[pool.id.name] = pool_json(front_.query(
-            [&pool](const serving::dispatcher& dispatcher) { return dispatcher.figures(pool.id); }));
+        pools[pool.id.name] =
+            pool_json(front_.query([&pool](const serving::dispatcher& dispatcher) {
+                return dispatcher.figures(pool.id);
+            }));
     }
     object["pools"] = std::move(pools);
     co_return net::json_response(200, json::serialize(object));
--- a/libs/node/src/request_engine.cpp
+++ b/libs/node/src/request_engine.cpp
@@ -15,13 +15,18 @@
 namespace {
 
 constexpr std::size_t page_size = 64u << 10; // bytes handed to a connection at once
-// A caller whose connection broke may come back with its identity before idempotent work is cancelled.
+// A caller whose connection broke may come back with its identity before idempotent work is
+// cancelled.
 constexpr duration return_grace = std::chrono::seconds(5);
 constexpr duration busy_tick = std::chrono::milliseconds(10);
 constexpr duration idle_tick = std::chrono::milliseconds(100);
-constexpr std::uint64_t stages_per_request = 8; // call keys: sequence * 8 + stage; above `max_stages`
+constexpr std::uint64_t stages_per_request =
+    8; // call keys: sequence * 8 + stage; above `max_stages`
 
-serving::request_key key_of(std::uint64_t sequence) { return serving::request_key{sequence}; }
+serving::request_key key_of(std::uint64_t sequence)
+{
+    return serving::request_key{sequence};
+}
 
 serving::call_key call_key_of(const requests::call_id& id)
 {
@@ -45,8 +50,8 @@
 
 } // namespace
 
-request_engine::request_engine(asio::any_io_executor executor, shared_state& state, control_plane& control,
-                               serving_front& front, endpoint_links& links,
+request_engine::request_engine(asio::any_io_executor executor, shared_state& state,
+                               control_plane& control, serving_front& front, endpoint_links& links,
                                credential_registry& credentials)
     : executor_(executor), state_(state), control_(control), front_(front), links_(links),
       credentials_(credentials), shards_(state.settings.runtime.shards),
@@ -57,14 +62,18 @@
     }
 }
 
-void request_engine::start() { asio::co_spawn(asio::make_strand(executor_), run_timers(), asio::detached); }
+void request_engine::start()
+{
+    asio::co_spawn(asio::make_strand(executor_), run_timers(), asio::detached);
+}
 
 template <class Function>
 void request_engine::with_request(std::uint64_t sequence, Function&& function)
 {
     shards_.with(sequence, [&](request_shard& shard) {
         if (const auto found = shard.running.find(sequence); found != shard.running.end()) {
-            const request_ptr request = found->second; // stays alive when the function ends the request
+            const request_ptr request =
+                found->second; // stays alive when the function ends the request
             function(shard, request);
         }
     });
@@ -83,9 +92,10 @@
 void request_engine::on_strand(std::uint64_t sequence,
                                std::function<void(request_shard&, const request_ptr&)> function)
 {
-    asio::post(strand_of(sequence), [self = shared_from_this(), sequence, function = std::move(function)] {
-        self->with_request(sequence, function);
-    });
+    asio::post(strand_of(sequence),
+               [self = shared_from_this(), sequence, function = std::move(function)] {
+                   self->with_request(sequence, function);
+               });
 }
 
 asio::awaitable<result<answer_ticket>> request_engine::submit(caller_request request,
@@ -95,13 +105,15 @@
     const auto sequence = request.identity.sequence;
     co_return co_await asio::co_spawn(
         strand_of(sequence),
-        [self, request = std::move(request), reader]() mutable -> asio::awaitable<result<answer_ticket>> {
+        [self, request = std::move(request),
+         reader]() mutable -> asio::awaitable<result<answer_ticket>> {
             co_return self->submit_here(std::move(request), reader);
         },
         asio::use_awaitable);
 }
 
-result<answer_ticket> request_engine::submit_here(caller_request request, asio::any_io_executor reader)
+result<answer_ticket> request_engine::submit_here(caller_request request,
+                                                  asio::any_io_executor reader)
 {
     const auto sequence = request.identity.sequence;
     return shards_.with(sequence, [&](request_shard& shard) -> result<answer_ticket> {
@@ -128,7 +140,8 @@
     const auto* found = config ? config->find(request.work_class.pipeline) : nullptr;
     const auto sequence = request.identity.sequence;
     if (found == nullptr) {
-        const failure gone{verdict::not_run, reason::unknown_class, "the class has no pipeline any more", {}};
+        const failure gone{
+            verdict::not_run, reason::unknown_class, "the class has no pipeline any more", {}};
         shard.table.finish(sequence, {verdict::not_run, gone}, boot_clock::now());
         return;
     }
@@ -147,7 +160,8 @@
     const serving::request_start start{key_of(sequence), request.work_class.id, request.customer,
                                        request.arrived, request.deadline};
     const std::size_t stages = work.pipeline->stages.size();
-    auto running = std::make_shared<running_request>(std::move(request), std::move(work), std::move(answer));
+    auto running =
+        std::make_shared<running_request>(std::move(request), std::move(work), std::move(answer));
     running->stages.resize(stages);
     running->stage_started.resize(stages);
     running->producer = std::make_shared<wakeup>(strand_of(sequence));
@@ -201,7 +215,8 @@
             return tl::unexpected(std::move(done.error()));
         }
         const std::uint64_t after =
-            page.chunks.empty() ? offset : page.chunks.back().offset + page.chunks.back().data.size();
+            page.chunks.empty() ? offset
+                                : page.chunks.back().offset + page.chunks.back().data.size();
         if (after >= ticket.answer->size()) {
             page.end = ticket.answer->ended();
         }
@@ -297,41 +312,43 @@
                       perform(shard, request, actions);
                   });
     } else if (const auto* refused = std::get_if<serving::request_refused>(&action)) {
-        on_strand(static_cast<std::uint64_t>(refused->request),
-                  [this, why = refused->why](request_shard& shard, const request_ptr& request) mutable {
-                      const auto known = credentials_.find(key_of(request->request.identity.sequence));
-                      if (known && known->retry_after && !why.retry_after) {
-                          why.retry_after =
-                              std::chrono::ceil<std::chrono::milliseconds>(*known->retry_after);
-                      }
-                      finish(shard, request, {verdict::not_run, why});
-                  });
+        on_strand(
+            static_cast<std::uint64_t>(refused->request),
+            [this, why = refused->why](request_shard& shard, const request_ptr& request) mutable {
+                const auto known = credentials_.find(key_of(request->request.identity.sequence));
+                if (known && known->retry_after && !why.retry_after) {
+                    why.retry_after =
+                        std::chrono::ceil<std::chrono::milliseconds>(*known->retry_after);
+                }
+                finish(shard, request, {verdict::not_run, why});
+            });
     } else if (const auto* start = std::get_if<serving::start_attempt>(&action)) {
         start_attempt(*start);
     } else if (const auto* cancelled = std::get_if<serving::cancel_attempt>(&action)) {
         cancel_attempt(*cancelled);
     } else if (const auto* failed = std::get_if<serving::call_failed>(&action)) {
-        on_strand(sequence_of(failed->call),
-                  [this, call = failed->call, why = failed->why](request_shard& shard,
-                                                                 const request_ptr& request) {
-                      std::vector<requests::run_action> actions;
-                      request->failed_stage = stage_of(call);
-                      request->run.deny(stage_of(call), why, actions);
-                      perform(shard, request, actions);
-                  });
+        on_strand(sequence_of(failed->call), [this, call = failed->call, why = failed->why](
+                                                 request_shard& shard, const request_ptr& request) {
+            std::vector<requests::run_action> actions;
+            request->failed_stage = stage_of(call);
+            request->run.deny(stage_of(call), why, actions);
+            perform(shard, request, actions);
+        });
     }
-    // `use_attempt` and `call_done` need nothing: the pipeline run makes the same choice by the same frame.
+    // `use_attempt` and `call_done` need nothing: the pipeline run makes the same choice by the
+    // same frame.
 }
 
 void request_engine::start_attempt(const serving::start_attempt& action)
 {
-    on_strand(sequence_of(action.call), [this, action](request_shard& shard, const request_ptr& request) {
+    on_strand(sequence_of(action.call), [this, action](request_shard& shard,
+                                                       const request_ptr& request) {
         const auto stage = stage_of(action.call);
         const auto config = state_.current().config;
         const auto* pool = config ? config->find(request->pipeline->stages[stage].pool) : nullptr;
         std::vector<requests::run_action> actions;
-        request->granting = granted_attempt{action.process, action.attempt, action.priority, action.cold,
-                                            action.give_up};
+        request->granting = granted_attempt{action.process, action.attempt, action.priority,
+                                            action.cold, action.give_up};
         if (action.hedge) {
             request->run.hedge(stage, action.endpoint, action.give_up, actions);
         } else {
@@ -341,7 +358,8 @@
         perform(shard, request, actions);
         if (std::exchange(request->granting, std::nullopt)) {
             // The run did not open the call: give the dispatcher its place back.
-            const failure unused{verdict::not_run, reason::cancelled, "the attempt is not needed", {}};
+            const failure unused{
+                verdict::not_run, reason::cancelled, "the attempt is not needed", {}};
             front_.command([&](serving::dispatcher& dispatcher) {
                 return dispatcher.failed({action.call, action.attempt, unused, 0, false},
                                          boot_clock::now());
@@ -352,7 +370,8 @@
 
 void request_engine::cancel_attempt(const serving::cancel_attempt& action)
 {
-    on_strand(sequence_of(action.call), [this, action](request_shard& shard, const request_ptr& request) {
+    on_strand(sequence_of(action.call), [this, action](request_shard& shard,
+                                                       const request_ptr& request) {
         for (const auto& [id, call] : std::map(request->calls)) {
             if (call_key_of(id) == action.call && call->attempt == action.attempt && !call->left) {
                 call->reported = true; // the dispatcher has given it up already
@@ -393,12 +412,15 @@
     request->stage_started[action.stage] = now;
     serving::call_start start;
     start.request = key_of(request->request.identity.sequence);
-    start.call = serving::call_key{request->request.identity.sequence * stages_per_request + action.stage};
+    start.call =
+        serving::call_key{request->request.identity.sequence * stages_per_request + action.stage};
     start.stage = action.stage;
-    front_.command([&](serving::dispatcher& dispatcher) { return dispatcher.submit_call(start, now); });
+    front_.command(
+        [&](serving::dispatcher& dispatcher) { return dispatcher.submit_call(start, now); });
 }
 
-void request_engine::perform(request_shard&, const request_ptr& request, const requests::open_call& action)
+void request_engine::perform(request_shard&, const request_ptr& request,
+                             const requests::open_call& action)
 {
     const auto granted = std::exchange(request->granting, std::nullopt);
     if (!granted) {
@@ -417,21 +439,24 @@
     asio::co_spawn(strand_of(action.call.request), run_call(request, call), asio::detached);
 }
 
-void request_engine::perform(request_shard&, const request_ptr& request, const requests::check_call& action)
+void request_engine::perform(request_shard&, const request_ptr& request,
+                             const requests::check_call& action)
 {
     if (const auto found = request->calls.find(action.call); found != request->calls.end()) {
         found->second->check = true;
     }
 }
 
-void request_engine::perform(request_shard&, const request_ptr& request, const requests::send_call& action)
+void request_engine::perform(request_shard&, const request_ptr& request,
+                             const requests::send_call& action)
 {
     if (const auto found = request->calls.find(action.call); found != request->calls.end()) {
         found->second->send_offset = action.offset;
     }
 }
 
-void request_engine::perform(request_shard&, const request_ptr& request, const requests::leave_call& action)
+void request_engine::perform(request_shard&, const request_ptr& request,
+                             const requests::leave_call& action)
 {
     const auto found = request->calls.find(action.call);
     if (found == request->calls.end()) {
@@ -492,12 +517,14 @@
         return;
     }
     const bool unsent = !call.handed || call.refused;
-    const failure why{unsent ? verdict::not_run : verdict::may_have_run, reason::endpoint_failed,
-                      "the call to " + call.endpoint.name + " failed", {}};
+    const failure why{unsent ? verdict::not_run : verdict::may_have_run,
+                      reason::endpoint_failed,
+                      "the call to " + call.endpoint.name + " failed",
+                      {}};
     const bool last = call.id.stage + 1 == request->pipeline->stages.size();
     front_.command([&](serving::dispatcher& dispatcher) {
-        return dispatcher.failed({key, call.attempt, why, last ? request->delivered : 0, call.refused},
-                                 now);
+        return dispatcher.failed(
+            {key, call.attempt, why, last ? request->delivered : 0, call.refused}, now);
     });
 }
 
@@ -510,7 +537,8 @@
     }
 }
 
-void request_engine::finish(request_shard& shard, const request_ptr& request, requests::answer_end end)
+void request_engine::finish(request_shard& shard, const request_ptr& request,
+                            requests::answer_end end)
 {
     const auto sequence = request->request.identity.sequence;
     if (shard.running.erase(sequence) == 0) {
@@ -551,8 +579,8 @@
     seen.how = burn::outcome::whole;
     if (!end.whole()) {
         const auto why = end.why->why;
-        const bool excluded = why == reason::cancelled || why == reason::rate_exceeded ||
-                              why == reason::unauthorized;
+        const bool excluded =
+            why == reason::cancelled || why == reason::rate_exceeded || why == reason::unauthorized;
         seen.how = excluded ? burn::outcome::excluded : burn::outcome::failed;
     }
     burn_.with(stable_hash(from.customer.name),
