--- a/libs/requests/src/pipeline_run.cpp
+++ b/libs/requests/src/pipeline_run.cpp
@@ -3,49 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "stage_record.hpp"
+
 namespace quetzal::requests {
 
 namespace {
 
-enum class stage_phase
-{
-    blocked,  // waits for results of other stages
-    choosing, // waits for an endpoint
-    running,
-    done
-};
-
-// An attempt that has not ended.
-struct live_attempt
-{
-    stage_attempt machine;
-    endpoint_id endpoint;
-    time_point give_up{};
-};
-
-struct stage_record
-{
-    stage_phase phase = stage_phase::blocked;
-    bool repeatable = true;
-    bool may_have_run = false; // any attempt that has ended
-    std::uint32_t attempts = 0;
-    std::vector<std::unique_ptr<live_attempt>> live; // more than one only with a hedge
-    std::uint64_t delivered = 0;                     // frames of `result`, or of the answer
-    std::vector<chunk> result;                       // of an inner stage
-    std::size_t result_bytes = 0;
-    std::optional<failure> last_failure;
-    std::optional<endpoint_id> failed_at;
-};
-
-// Whether the stages may be sent again. A class that runs at most once without a stage that says so
-// is taken to mean all its stages.
-bool repeatable(const run_request& request, std::size_t stage)
-{
-    const auto& stages = request.pipeline->stages;
-    const bool any_marked = std::any_of(stages.begin(), stages.end(),
-                                        [](const config::stage& one) { return !one.idempotent; });
-    return stages[stage].idempotent && (request.idempotent || any_marked);
-}
+using internal::live_attempt;
+using internal::stage_phase;
+using internal::stage_record;
 
 bool is_frame(const attempt_event& event)
 {
@@ -64,7 +30,7 @@
         : request_(std::move(request)), stages_(request_.pipeline->stages.size())
     {
         for (std::size_t index = 0; index < stages_.size(); ++index) {
-            stages_[index].repeatable = repeatable(request_, index);
+            stages_[index].repeatable = internal::repeatable(request_, index);
         }
     }
 
@@ -90,7 +56,7 @@
                 end_with_last_failure(record, actions);
                 return;
             }
-            forget_result(record);
+            record.forget_result();
         }
         begin_attempt(stage, endpoint, give_up, actions);
     }
@@ -405,13 +371,6 @@
         }
     }
 
-    static void forget_result(stage_record& record)
-    {
-        record.result.clear();
-        record.result_bytes = 0;
-        record.delivered = 0;
-    }
-
     void end_with_last_failure(const stage_record& record, run_actions& actions)
     {
         const failure last = *record.last_failure;
--- a/libs/requests/src/pipeline_run_test.cpp
+++ b/libs/requests/src/pipeline_run_test.cpp
@@ -10,13 +10,16 @@
 #include <quetzal/requests/pipeline_run.hpp>
 #include <quetzal/requests/request_table.hpp>
 
+#include "endpoint_lines.hpp"
 #include <quetzal/testing/section.hpp>
 
 using namespace quetzal;
 using namespace quetzal::requests;
 using namespace std::chrono_literals;
 using quetzal::testing::check;
-using quetzal::testing::section;
+using requests::testing::end_line;
+using requests::testing::line;
+using requests::testing::second_answer;
 
 namespace {
 
@@ -285,10 +288,7 @@
     }
 
     void act(std::size_t index, const finish_answer&) { end(index, {verdict::ran, {}}); }
-    void act(std::size_t index, const refuse_answer& action)
-    {
-        end(index, {action.why.run, action.why});
-    }
+    void act(std::size_t index, const refuse_answer& last) { end(index, {last.why.run, last.why}); }
 
     void end(std::size_t index, const answer_end& how)
     {
@@ -332,13 +332,6 @@
                std::to_string(one.resumes ? 0 : attempt) + '.' + std::to_string(frame) + '"';
     }
 
-    static std::string line(const std::string& call, std::uint64_t sequence,
-                            const std::string& data)
-    {
-        return "{\"call\":\"" + call + "\",\"seq\":" + std::to_string(sequence) +
-               ",\"data\":" + data + "}\n";
-    }
-
     std::string answer_bytes(const running& one, const send_call& action)
     {
         const auto text = to_string(action.call);
@@ -348,10 +341,9 @@
             lines.push_back(
                 line(text, frame, token(one, action.call.stage, action.call.attempt, frame)));
         }
-        lines.push_back("{\"call\":\"" + text +
-                        "\",\"end\":true,\"frames\":" + std::to_string(count) + "}\n");
+        lines.push_back(end_line(text, count));
         if (chance(15)) {
-            second_answer(lines, text, count);
+            second_answer(lines, text, count, random_);
         } else if (chance(50)) {
             for (auto faults = 1 + random_.below(2); faults > 0; --faults) {
                 harm(lines);
@@ -367,17 +359,6 @@
         return bytes;
     }
 
-    // Another answer to a frame that came before. It is not mixed with other faults, because
-    // without the first answer the second one would be the endpoint's answer.
-    void second_answer(std::vector<std::string>& lines, const std::string& text,
-                       std::uint64_t count)
-    {
-        const auto place = random_.below(lines.size()) + 1;
-        const std::uint64_t seen = count - (lines.size() - 1) + place - 1;
-        lines.insert(lines.begin() + static_cast<std::ptrdiff_t>(place),
-                     line(text, std::min(seen, count), "\"second\""));
-    }
-
     void harm(std::vector<std::string>& lines)
     {
         const auto place = [&] {
