--- a/libs/burn/include/quetzal/burn/recorder.hpp
+++ b/libs/burn/include/quetzal/burn/recorder.hpp
@@ -51,7 +51,8 @@
 // Counts one observation against its target, without a look at any clock.
 counts judge(const observation& seen, const config::target& objective);
 
-// Not thread-safe; shard it by customer. Memory is bounded by `max_pairs`; requests of further
+// Not thread-safe; shard it by customer and give each shard its part of the bound. Memory is
+// bounded by `max_pairs`; requests of further
 // pairs are counted for their class under the empty customer name, so none is lost.
 class recorder
 {
