serving: judge a failing endpoint against the others; stalled after twice the mean

Cause: the dispatcher's test with two endpoints that both fail every fourth call showed that the bound of 0.25 ejects one of them by chance. The naive choice of the property test did not know the quota. Change: the bound of 0.25 needs three times the failures of at least two others, 0.5 stays absolute; stalled after two times the mean instead of three. The property test now computes the quota itself and compares it. A request that waited for a credit until its deadline is refused as no_credit.

--- a/bench/src/dispatcher_router.cpp
+++ b/bench/src/dispatcher_router.cpp
@@ -290,7 +290,12 @@
     void perform(const serving::request_refused& action)
     {
         const auto request = static_cast<std::uint32_t>(action.request);
-        port_.refuse(request, action.why.run, action.why.why);
+        // A request that waited for a credit until its deadline was refused for the rate.
+        const auto& tokens = tokens_[arrivals_.at(request).customer];
+        const bool expired = action.why.why == reason::deadline_unreachable;
+        const bool rate = expired && waiting_.contains(request) &&
+                          tokens.queue.exhausted(port_.now());
+        port_.refuse(request, action.why.run, rate ? reason::no_credit : action.why.why);
         stop_waiting(request);
         arrivals_.erase(request);
     }
--- a/libs/rights/include/quetzal/rights/token_queue.hpp
+++ b/libs/rights/include/quetzal/rights/token_queue.hpp
@@ -18,7 +18,7 @@
     // Notes that a request found no credit because the customer's bucket is exhausted.
     void found_none(time_point now) noexcept
     {
-        if (now - short_at_ > memory) {
+        if (!exhausted(now)) {
             shortage_since_ = now;
             admitted_ = 0;
         }
@@ -28,12 +28,15 @@
     // Notes that a request got its credit.
     void admitted() noexcept { ++admitted_; }
 
+    // Returns whether requests found no credit a moment ago.
+    bool exhausted(time_point now) const noexcept { return now - short_at_ <= memory; }
+
     // Returns whether a request that comes after `waiting` others of its customer is likely to get
     // a credit within `patience`, at the pace of the present shortage. True without a shortage, and
     // in its first moments, when the home may not have answered yet.
     bool worth_waiting(std::size_t waiting, duration patience, time_point now) const noexcept
     {
-        if (now - short_at_ > memory || now - shortage_since_ < settling) {
+        if (!exhausted(now) || now - shortage_since_ < settling) {
             return true;
         }
         const auto passed = std::chrono::duration<double>(now - shortage_since_).count();
--- a/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -32,7 +32,8 @@
     // An endpoint is an outlier when its mean latency exceeds that of the other endpoints by this
     // factor, or when more than this share of its answers fail.
     double outlier_latency = 3.0;
-    double outlier_failures = 0.25;
+    double outlier_failures = 0.25; // and far above that of the others
+    double certain_failures = 0.5;  // an outlier whatever the others do
     std::uint32_t outlier_samples = 5;
     duration ejection = std::chrono::seconds(5); // doubles with each ejection in a row
     duration max_ejection = std::chrono::seconds(60);
@@ -168,6 +169,13 @@
     // Returns the expected calls at an endpoint: reported work of others, aged, plus own.
     double expected_load(endpoint_index endpoint, time_point now) const;
 
+    // Returns this instance's share of the free places that the endpoint's last report showed, less
+    // what it started there since. Negative where more has started than the share.
+    double quota(endpoint_index endpoint) const { return endpoints_[endpoint].quota; }
+
+    // Whether the endpoint has reported lately enough for the quota to apply.
+    bool has_fresh_report(endpoint_index endpoint, time_point now) const;
+
 private:
     // The members that `room` reads come first and share a cache line.
     struct alignas(64) endpoint_state
@@ -227,6 +235,7 @@
     double others_now(const endpoint_state& state, time_point now) const noexcept;
     double room(const endpoint_state& state, time_point now) const noexcept;
     void set_excluded(endpoint_index endpoint, std::uint8_t excluded);
+    bool fails_more(endpoint_index endpoint) const noexcept;
     bool outlier(endpoint_index endpoint) const noexcept;
     void eject(endpoint_index endpoint, time_point now);
     void learn(endpoint_state& state, const attempt_outcome& outcome, time_point now);
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -34,7 +34,7 @@
 constexpr double too_slow_failure = 0.5;
 // An endpoint with calls in flight that has not answered for this many times the mean time of a
 // whole answer has stalled.
-constexpr double stalled_after = 3;
+constexpr double stalled_after = 2;
 constexpr double too_slow_cost = 1e9; // ns, above any expected wait worth having
 
 double nanoseconds(duration value)
@@ -232,6 +232,12 @@
                      known ? state.quota : in_batch});
 }
 
+bool endpoint_chooser::has_fresh_report(endpoint_index endpoint, time_point now) const
+{
+    const endpoint_state& state = endpoints_[endpoint];
+    return state.has_report && now - state.reported <= stale_report;
+}
+
 double endpoint_chooser::expected_load(endpoint_index endpoint, time_point now) const
 {
     return others_now(endpoints_[endpoint], now) + endpoints_[endpoint].in_flight;
--- a/libs/serving/src/endpoint_outliers.cpp
+++ b/libs/serving/src/endpoint_outliers.cpp
@@ -16,11 +16,27 @@
 
 } // namespace
 
+// Whether the endpoint fails far more often than the others; a fault of all is no reason to eject.
+bool endpoint_chooser::fails_more(endpoint_index endpoint) const noexcept
+{
+    constexpr double far = 3;
+    double sum = 0;
+    for (const endpoint_index other : usable_) {
+        sum += other == endpoint ? 0 : endpoints_[other].failures;
+    }
+    const auto others = static_cast<double>(usable_.size()) - 1;
+    // One other endpoint is too little to compare with.
+    return others >= 2 && endpoints_[endpoint].failures > far * sum / others;
+}
+
 bool endpoint_chooser::outlier(endpoint_index endpoint) const noexcept
 {
     const endpoint_state& state = endpoints_[endpoint];
+    if (state.failures > options_.certain_failures) {
+        return true;
+    }
     // A single failure stays below the bound; the second of a few calls exceeds it.
-    if (state.failures > options_.outlier_failures) {
+    if (state.failures > options_.outlier_failures && fails_more(endpoint)) {
         return true;
     }
     if (state.samples < options_.outlier_samples) {
