--- a/libs/serving/src/dispatcher_requests.cpp
+++ b/libs/serving/src/dispatcher_requests.cpp
@@ -185,10 +185,15 @@
     entry.deadline = request.end;
     const time_point latest =
         request.deadline - pipeline.budget.longest_path(request.done, {}, hope, false);
-    entry.urgent_by = latest;
+    // Under overload the queue serves every entry at its urgent time. With a hopeful estimate all of
+    // them would then be late; late ones lose their urgency instead.
+    const double usual = options_.budget.share_quantile;
+    entry.urgent_by =
+        request.deadline - pipeline.budget.longest_path(request.done, {}, usual, false);
     if (objective.first_token) {
-        const duration first = pipeline.budget.longest_path(request.done, {}, hope, true);
-        entry.urgent_by = std::min(latest, request.start.arrived + *objective.first_token - first);
+        const duration first = pipeline.budget.longest_path(request.done, {}, usual, true);
+        entry.urgent_by =
+            std::min(entry.urgent_by, request.start.arrived + *objective.first_token - first);
     }
     const bool finish = request.work_class.late == config::late_policy::finish;
     entry.expires = finish ? request.end : latest;
