Lend calls of cold endpoints, and start calls outside the shard's lock

Cause: a request at an instance that holds no cold endpoint waited until the holder had warmed the pool with work of its own, which in a cold start never happened: the quickstart's requests all ended with deadline_passed. And co_spawn on the running strand started a call under the shard's lock, so an instance deadlocked as soon as a kept connection was reused. Conclusion: cold starts no longer depend on where the traffic arrives. A new holder does not know the calls that its predecessor lent; see docs/decisions/serving.md.

--- a/libs/node/include/quetzal/node/control_plane.hpp
+++ b/libs/node/include/quetzal/node/control_plane.hpp
@@ -28,6 +28,9 @@
     std::function<void(const endpoint_id&, std::optional<std::uint64_t> fence)> hold_changed;
     std::function<void(const peer::endpoint_observation&)> endpoint_observed;
     std::function<void(const peer::endpoint_declaration&)> endpoint_declared;
+    std::function<void(const instance_id& from, const peer::cold_slot_request&)> slot_asked;
+    std::function<void(const peer::cold_slot_grant&)> slot_granted;
+    std::function<void(const instance_id& from, const peer::cold_slot_return&)> slot_returned;
 };
 
 // Figures for the status page.
@@ -69,6 +72,12 @@
     }
     bool fresh(time_point now) const { return rights_.fresh(now); }
 
+    // Sends to the probable holder of an endpoint's exclusive right.
+    void send_to_holder(const endpoint_id& endpoint, peer::message body);
+
+    // Sends to one instance.
+    void send_to(const instance_id& instance, peer::message body);
+
     // Sends an endpoint message: declarations to all live peers, observations too, because the
     // holder may be any of them while a partition moves.
     void broadcast(peer::message body);
--- a/libs/node/include/quetzal/node/running_request.hpp
+++ b/libs/node/include/quetzal/node/running_request.hpp
@@ -100,6 +100,8 @@
 // The requests of one shard.
 struct request_shard
 {
+    explicit request_shard(const requests::table_limits& limits) : table(limits) {}
+
     requests::request_table table;
     std::map<std::uint64_t, std::shared_ptr<running_request>> running; // by sequence number
 };
--- a/libs/node/src/call_runner.cpp
+++ b/libs/node/src/call_runner.cpp
@@ -91,7 +91,7 @@
         return requests::check_failed{reason::no_endpoint,
                                       "the endpoint may not receive new work any more"};
     }
-    if (call.cold && !control_.holds(call.endpoint, now)) {
+    if (call.start_by ? now >= *call.start_by : call.cold && !control_.holds(call.endpoint, now)) {
         return requests::check_failed{reason::no_endpoint,
                                       "the exclusive right to the endpoint has ended"};
     }
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -138,6 +138,12 @@
         events_.endpoint_observed(*seen);
     } else if (const auto* declared = std::get_if<peer::endpoint_declaration>(&message.body)) {
         events_.endpoint_declared(*declared);
+    } else if (const auto* asked = std::get_if<peer::cold_slot_request>(&message.body)) {
+        events_.slot_asked(message.from, *asked);
+    } else if (const auto* granted = std::get_if<peer::cold_slot_grant>(&message.body)) {
+        events_.slot_granted(*granted);
+    } else if (const auto* returned = std::get_if<peer::cold_slot_return>(&message.body)) {
+        events_.slot_returned(message.from, *returned);
     }
     wakeup_->notify();
 }
@@ -241,6 +247,23 @@
     }
 }
 
+void control_plane::send_to_holder(const endpoint_id& endpoint, peer::message body)
+{
+    asio::post(strand_, [self = shared_from_this(), endpoint, body = std::move(body)] {
+        const auto holder = self->rights_.preferred_holder(endpoint, boot_clock::now());
+        if (!holder.empty() && holder != self->state_.settings.instance) {
+            self->send({holder, body});
+        }
+    });
+}
+
+void control_plane::send_to(const instance_id& instance, peer::message body)
+{
+    asio::post(strand_, [self = shared_from_this(), instance, body = std::move(body)] {
+        self->send({instance, body});
+    });
+}
+
 void control_plane::broadcast(peer::message body)
 {
     asio::post(strand_, [self = shared_from_this(), body = std::move(body)] {
--- a/libs/node/src/entry_instance.cpp
+++ b/libs/node/src/entry_instance.cpp
@@ -169,6 +169,25 @@
                                        boot_clock::now());
         });
     };
+    events.slot_asked = [this](const instance_id& from, const peer::cold_slot_request& asked) {
+        front.command([&](serving::dispatcher& dispatcher) {
+            return dispatcher.slot_asked(asked.endpoint, from, asked.process, asked.sequence,
+                                         boot_clock::now());
+        });
+    };
+    events.slot_granted = [this](const peer::cold_slot_grant& granted) {
+        front.command([&](serving::dispatcher& dispatcher) {
+            return dispatcher.slot_granted(granted.endpoint, granted.process, granted.sequence,
+                                           granted.start_within, boot_clock::now());
+        });
+    };
+    events.slot_returned = [this](const instance_id& from, const peer::cold_slot_return& returned) {
+        front.command([&](serving::dispatcher& dispatcher) {
+            return dispatcher.slot_returned(returned.endpoint, from, returned.sequence,
+                                            static_cast<serving::slot_result>(returned.how),
+                                            boot_clock::now());
+        });
+    };
     return events;
 }
 
@@ -186,6 +205,17 @@
         control->broadcast(peer::endpoint_observation{tell->endpoint, tell->process,
                                                       tell->cold ? peer::endpoint_warmth::cold
                                                                  : peer::endpoint_warmth::warm});
+    } else if (const auto* ask = std::get_if<serving::ask_cold_slot>(&action)) {
+        control->send_to_holder(ask->endpoint,
+                                peer::cold_slot_request{ask->endpoint, ask->process, ask->sequence});
+    } else if (const auto* grant = std::get_if<serving::grant_cold_slot>(&action)) {
+        const auto window = std::chrono::floor<std::chrono::milliseconds>(grant->start_within);
+        control->send_to(grant->to, peer::cold_slot_grant{grant->endpoint, grant->process,
+                                                          grant->sequence, window});
+    } else if (const auto* back = std::get_if<serving::return_cold_slot>(&action)) {
+        control->send_to_holder(back->endpoint,
+                                peer::cold_slot_return{back->endpoint, back->process, back->sequence,
+                                                       static_cast<peer::slot_outcome>(back->how)});
     } else {
         engine->route(action);
     }
--- a/libs/node/src/request_engine.cpp
+++ b/libs/node/src/request_engine.cpp
@@ -44,6 +44,13 @@
     return static_cast<std::size_t>(static_cast<std::uint64_t>(call) % stages_per_request);
 }
 
+requests::table_limits make_table_limits(const config::settings& settings)
+{
+    requests::table_limits limits;
+    limits.memory = std::make_shared<requests::memory_budget>(settings.limits.total_memory);
+    return limits;
+}
+
 digest body_digest(const caller_request& request)
 {
     return sha256(request.work_class.id.name + '\n' + request.body);
@@ -55,8 +62,10 @@
                                control_plane& control, serving_front& front, endpoint_links& links,
                                credential_registry& credentials)
     : executor_(executor), state_(state), control_(control), front_(front), links_(links),
-      credentials_(credentials), shards_(state.settings.runtime.shards),
-      burn_(state.settings.runtime.shards, boot_clock::now())
+      credentials_(credentials),
+      shards_(state.settings.runtime.shards, make_table_limits(state.settings)),
+      burn_(state.settings.runtime.shards, boot_clock::now(),
+            burn::default_max_pairs / state.settings.runtime.shards)
 {
     for (std::size_t index = 0; index < shards_.size(); ++index) {
         strands_.push_back(asio::make_strand(executor));
@@ -252,11 +261,11 @@
     const auto sequence = identity.sequence;
     auto job = [self = shared_from_this(), identity = std::move(identity),
                 customer = std::move(customer)]() -> result<void> {
-        const auto known = self->shards_.with(identity.sequence, [&](request_shard& shard) {
-            return shard.table.find(identity, customer, boot_clock::now());
+        const auto decision = self->shards_.with(identity.sequence, [&](request_shard& shard) {
+            return shard.table.cancel(identity, customer, boot_clock::now());
         });
-        if (!known) {
-            return tl::unexpected(known.error());
+        if (const auto* refusal = std::get_if<failure>(&decision)) {
+            return tl::unexpected(*refusal);
         }
         self->change(identity.sequence, [](running_request& request, auto& actions) {
             request.run.cancel(reason::cancelled, actions);
@@ -343,7 +352,7 @@
         const auto* pool = config ? config->find(request->pipeline->stages[stage].pool) : nullptr;
         std::vector<requests::run_action> actions;
         request->granting = granted_attempt{action.process, action.attempt, action.priority,
-                                            action.cold, action.give_up};
+                                            action.cold, action.start_by, action.give_up};
         if (action.hedge) {
             request->run.hedge(stage, action.endpoint, action.give_up, actions);
         } else {
@@ -428,10 +437,14 @@
     call->attempt = granted->attempt;
     call->priority = granted->priority;
     call->cold = granted->cold;
+    call->start_by = granted->start_by;
     call->give_up = granted->give_up;
     call->started = boot_clock::now();
     request->calls[action.call] = call;
-    asio::co_spawn(strand_of(action.call.request), run_call(request, call), asio::detached);
+    // Posted, because co_spawn would start the coroutine at once on this strand, under the shard's lock.
+    asio::post(strand_of(action.call.request), [self = shared_from_this(), request, call] {
+        asio::co_spawn(self->strand_of(call->id.request), self->run_call(request, call), asio::detached);
+    });
 }
 
 void request_engine::perform(request_shard&, const request_ptr& request,
@@ -468,7 +481,7 @@
         call->connection->cancel();
     }
     request->producer->notify();
-    report_end(request, *call, action.reusable);
+    report_end(request, *call, action.finished);
 }
 
 void request_engine::perform(request_shard& shard, const request_ptr& request,
