--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -70,8 +70,7 @@
         std::printf("%s: capacity %.1f requests/s, thinned by %.0f\n", installation.name.c_str(),
                     installation.capacity, installation.thinning);
         for (const auto& what :
-             make_scenarios(installation, parsed.options.length, parsed.options.seed))
-        {
+             make_scenarios(installation, parsed.options.length, parsed.options.seed)) {
             if (!parsed.scenario.empty() && parsed.scenario != what.name) {
                 continue;
             }
--- a/bench/rights_cost.cpp
+++ b/bench/rights_cost.cpp
@@ -19,8 +19,8 @@
 using namespace quetzal;
 using std::chrono::milliseconds;
 
-constexpr duration step = milliseconds(2); // of virtual time; also the delay of a datagram
-constexpr double requests_per_node = 8;    // a second; 2,600 over 330 nodes
+constexpr duration step = milliseconds(2);    // of virtual time; also the delay of a datagram
+constexpr double requests_per_node = 8;       // a second; 2,600 over 330 nodes
 constexpr std::size_t ip_and_udp_header = 28; // bytes
 
 struct scenario
@@ -39,7 +39,10 @@
     double admitted = 0; // share of requests
 };
 
-double processor_seconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
+double processor_seconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
 
 double resident_bytes()
 {
@@ -61,8 +64,8 @@
     const double total = requests_per_node * static_cast<double>(setting.nodes);
     const double rate = 2 * total / static_cast<double>(setting.customers);
     for (std::size_t index = 0; index < setting.customers; ++index) {
-        config->customers.push_back({customer_id("customer-" + std::to_string(index)), {}, rate,
-                                     std::max(10.0, rate)});
+        config->customers.push_back(
+            {customer_id("customer-" + std::to_string(index)), {}, rate, std::max(10.0, rate)});
     }
     config->index();
     return config;
@@ -101,8 +104,7 @@
     const auto send = [&](std::size_t from, const std::vector<peer::outgoing>& messages,
                           auto& queue) {
         for (const auto& message : messages) {
-            auto datagram =
-                peer::encode({peers[from].id, peers[from].process, message.body}, keys);
+            auto datagram = peer::encode({peers[from].id, peers[from].process, message.body}, keys);
             if (datagram.size() > peer::max_datagram_size) {
                 std::fprintf(stderr, "a datagram of %zu bytes\n", datagram.size());
             }
@@ -170,8 +172,8 @@
             for (const double at_home : {0.0, 0.8}) {
                 const auto value = measure({nodes, customers, at_home}, length);
                 std::printf("%6zu %9zu %7.0f%% | %11.1f %9.0f %8.3f %10.0f %12.1f\n", nodes,
-                            customers, at_home * 100, value.messages, value.bytes,
-                            value.core * 100, value.memory / 1024, value.admitted * 100);
+                            customers, at_home * 100, value.messages, value.bytes, value.core * 100,
+                            value.memory / 1024, value.admitted * 100);
                 std::fflush(stdout);
             }
         }
--- a/bench/src/baselines.cpp
+++ b/bench/src/baselines.cpp
@@ -96,7 +96,8 @@
     virtual bool retries(bool idempotent) const = 0;
 
     // Chooses one of at least one candidates.
-    virtual std::uint32_t choose(std::size_t pool, const std::vector<std::uint32_t>& candidates) = 0;
+    virtual std::uint32_t choose(std::size_t pool,
+                                 const std::vector<std::uint32_t>& candidates) = 0;
 
     unsigned outstanding(std::uint32_t endpoint) const { return outstanding_[endpoint]; }
 
--- a/bench/src/dispatcher_router.cpp
+++ b/bench/src/dispatcher_router.cpp
@@ -71,8 +71,7 @@
     {
         for (const auto& endpoint : fleet_.endpoints) {
             carry_out(dispatcher_.connected(endpoint.id, incarnation{1}, port_.now()));
-            carry_out(
-                dispatcher_.declared(endpoint.id, {incarnation{1}, true, 1, 1}, port_.now()));
+            carry_out(dispatcher_.declared(endpoint.id, {incarnation{1}, true, 1, 1}, port_.now()));
         }
         processes_.assign(fleet_.endpoints.size(), incarnation{1});
         refresh_rights();
@@ -156,8 +155,8 @@
             break;
         case call_event::finished:
             forget(work.id);
-            carry_out(dispatcher_.succeeded(
-                {key, attempt, work.cached ? prompt_tokens : 0}, port_.now()));
+            carry_out(dispatcher_.succeeded({key, attempt, work.cached ? prompt_tokens : 0},
+                                            port_.now()));
             break;
         case call_event::refused:
         case call_event::failed:
@@ -204,8 +203,7 @@
                                                                 : kind::cleared;
         entry.prefix = event.prefix;
         entry.tokens = prompt_tokens;
-        carry_out(
-            dispatcher_.cache_events(fleet_.endpoints[endpoint].id, {entry}, port_.now()));
+        carry_out(dispatcher_.cache_events(fleet_.endpoints[endpoint].id, {entry}, port_.now()));
         schedule();
     }
 
@@ -293,8 +291,8 @@
         // A request that waited for a credit until its deadline was refused for the rate.
         const auto& tokens = tokens_[arrivals_.at(request).customer];
         const bool expired = action.why.why == reason::deadline_unreachable;
-        const bool rate = expired && waiting_.contains(request) &&
-                          tokens.queue.exhausted(port_.now());
+        const bool rate =
+            expired && waiting_.contains(request) && tokens.queue.exhausted(port_.now());
         port_.refuse(request, action.why.run, rate ? reason::no_credit : action.why.why);
         stop_waiting(request);
         arrivals_.erase(request);
@@ -435,8 +433,8 @@
         stop_waiting(request);
         arrivals_.erase(request);
         relayed_.erase(request);
-        carry_out(dispatcher_.finish_request(static_cast<request_key>(request), completed,
-                                             port_.now()));
+        carry_out(
+            dispatcher_.finish_request(static_cast<request_key>(request), completed, port_.now()));
         schedule();
     }
 
@@ -473,11 +471,11 @@
     std::shared_ptr<peer_group> group_;
     serving::dispatcher dispatcher_;
     std::unordered_map<endpoint_id, std::uint32_t> indexes_;
-    std::vector<std::optional<incarnation>> processes_; // connected to, by endpoint
-    std::vector<std::optional<std::uint64_t>> rights_;  // fencing number while held, by endpoint
+    std::vector<std::optional<incarnation>> processes_;   // connected to, by endpoint
+    std::vector<std::optional<std::uint64_t>> rights_;    // fencing number while held, by endpoint
     std::unordered_map<std::uint32_t, arrival> arrivals_; // open requests
-    std::unordered_map<std::uint32_t, token_state> tokens_; // by customer
-    std::unordered_set<std::uint32_t> waiting_;              // requests without a token
+    std::unordered_map<std::uint32_t, token_state> tokens_;    // by customer
+    std::unordered_set<std::uint32_t> waiting_;                // requests without a token
     std::unordered_map<std::uint32_t, std::uint32_t> relayed_; // chunks passed on, by request
     std::unordered_map<std::uint64_t, std::pair<call_key, std::uint32_t>> attempts_; // by call id
     std::map<std::pair<call_key, std::uint32_t>, call> calls_;
@@ -495,14 +493,14 @@
     auto group = std::make_shared<peer_group>(peer_group{events, {}});
     std::vector<std::unique_ptr<router>> routers;
     for (std::size_t index = 0; index < ports.size(); ++index) {
-        auto entry = std::make_unique<dispatcher_router>(installation, index, *ports[index], group,
-                                                         seed);
+        auto entry =
+            std::make_unique<dispatcher_router>(installation, index, *ports[index], group, seed);
         group->members.push_back(entry.get());
         routers.push_back(std::move(entry));
     }
-    const platform_view view{
-        1, std::vector(installation.config.zones.size(), config::zone_state::in), 1,
-        std::vector(installation.endpoints.size(), endpoint_status::live)};
+    const platform_view view{1,
+                             std::vector(installation.config.zones.size(), config::zone_state::in),
+                             1, std::vector(installation.endpoints.size(), endpoint_status::live)};
     for (auto* member : group->members) {
         member->update(view);
     }
--- a/bench/src/fleet.cpp
+++ b/bench/src/fleet.cpp
@@ -10,9 +10,13 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr double expected_hit_rate = 0.35; // measured with random routing; better routing adds capacity
+constexpr double expected_hit_rate =
+    0.35; // measured with random routing; better routing adds capacity
 
-double seconds(duration value) noexcept { return std::chrono::duration<double>(value).count(); }
+double seconds(duration value) noexcept
+{
+    return std::chrono::duration<double>(value).count();
+}
 
 struct pool_spec
 {
@@ -92,9 +96,9 @@
         pool.concurrency = profile.concurrency;
         pool.cold_concurrency = profile.cold_concurrency;
         for (std::size_t index = 0; index < replicas; ++index) {
-            built.endpoints.push_back(
-                {endpoint_id(std::string(name) + "-" + std::to_string(index)),
-                 built.config.pools.size(), index % built.config.zones.size()});
+            built.endpoints.push_back({endpoint_id(std::string(name) + "-" + std::to_string(index)),
+                                       built.config.pools.size(),
+                                       index % built.config.zones.size()});
         }
         built.config.pools.push_back(std::move(pool));
         built.profiles.push_back(profile);
@@ -128,8 +132,8 @@
 void add_instances(fleet& built, std::size_t count)
 {
     for (std::size_t index = 0; index < count; ++index) {
-        built.instances.push_back({instance_id("instance" + std::to_string(index)),
-                                   index % built.config.zones.size()});
+        built.instances.push_back(
+            {instance_id("instance" + std::to_string(index)), index % built.config.zones.size()});
     }
 }
 
--- a/bench/src/ledger.cpp
+++ b/bench/src/ledger.cpp
@@ -155,8 +155,7 @@
 void ledger::occupy(const call& work, duration slot_time)
 {
     const auto& stage = line(requests_[work.request]).stages[work.stage];
-    result_.stages[stage.id.name].slot_seconds +=
-        std::chrono::duration<double>(slot_time).count();
+    result_.stages[stage.id.name].slot_seconds += std::chrono::duration<double>(slot_time).count();
 }
 
 // A request whose non-idempotent stage ran twice has not met its target, however fast it was.
--- a/bench/src/ledger.hpp
+++ b/bench/src/ledger.hpp
@@ -54,14 +54,14 @@
     std::uint64_t wrongful_rate = 0;     // refused for the rate although the customer was within it
     std::uint64_t wrongful_capacity = 0; // refused for capacity although there was some
     std::uint64_t refused = 0;
-    std::uint64_t duplicated = 0;      // further executions of non-idempotent stages
-    std::uint64_t over_admissions = 0; // admissions beyond burst + rate * window
-    std::uint64_t cold_overloads = 0;  // calls above what a cold endpoint bears
+    std::uint64_t duplicated = 0;           // further executions of non-idempotent stages
+    std::uint64_t over_admissions = 0;      // admissions beyond burst + rate * window
+    std::uint64_t cold_overloads = 0;       // calls above what a cold endpoint bears
     std::uint64_t undetected_overloads = 0; // the same before a load report could show it
-    std::uint64_t late_zone_sends = 0; // calls sent to a zone or leaving endpoint after 3 s
-    std::uint64_t false_not_run = 0;   // refusals that say "not run" of a request that had run
+    std::uint64_t late_zone_sends = 0;      // calls sent to a zone or leaving endpoint after 3 s
+    std::uint64_t false_not_run = 0;        // refusals that say "not run" of a request that had run
     double cache_hit_rate = 0;
-    std::vector<double> timeline;                   // attainment by tenth of the run
+    std::vector<double> timeline;                 // attainment by tenth of the run
     std::map<std::string, std::uint64_t> endings; // due requests that missed, by how they ended
 
     std::uint64_t misses() const noexcept { return within_rate - met; }
--- a/bench/src/models_test.cpp
+++ b/bench/src/models_test.cpp
@@ -17,11 +17,10 @@
     pool_profile profile{milliseconds(100), {}, 0, 4, 1, 3, 2, 0.5};
     event_queue events;
     std::vector<std::pair<std::uint64_t, call_event>> seen;
-    stage_model model{profile, events, 1,
-                      [this](const call& work, call_event event) {
-                          seen.emplace_back(work.id, event);
-                      },
-                      [](const cache_event&) {}};
+    stage_model model{
+        profile, events, 1,
+        [this](const call& work, call_event event) { seen.emplace_back(work.id, event); },
+        [](const cache_event&) {}};
 
     void send(std::uint64_t id, std::int32_t priority = 0)
     {
--- a/bench/src/report.cpp
+++ b/bench/src/report.cpp
@@ -21,7 +21,10 @@
     return buffer;
 }
 
-unsigned long long number(std::uint64_t value) { return value; }
+unsigned long long number(std::uint64_t value)
+{
+    return value;
+}
 
 double per_met(double value, const figures& run)
 {
@@ -52,10 +55,12 @@
                run.worst_customer, number(run.refused), number(run.wrongful_rate),
                number(run.wrongful_capacity));
     text += format("\"duplicated\":%llu,\"over_admissions\":%llu,\"cold_overloads\":%llu,"
-                   "\"undetected_overloads\":%llu,\"late_zone_sends\":%llu,\"false_not_run\":%llu,\"cache_hit_rate\":%.3f,"
+                   "\"undetected_overloads\":%llu,\"late_zone_sends\":%llu,\"false_not_run\":%llu,"
+                   "\"cache_hit_rate\":%.3f,"
                    "\"classes\":{",
                    number(run.duplicated), number(run.over_admissions), number(run.cold_overloads),
-                   number(run.undetected_overloads), number(run.late_zone_sends), number(run.false_not_run), run.cache_hit_rate);
+                   number(run.undetected_overloads), number(run.late_zone_sends),
+                   number(run.false_not_run), run.cache_hit_rate);
     const char* separator = "";
     for (const auto& [name, attainment] : run.by_class) {
         text += format("%s\"%s\":%.5f", separator, name.c_str(), attainment);
@@ -180,11 +185,11 @@
 std::string json(const std::vector<scenario_result>& results, const run_options& options,
                  const std::string& commit)
 {
-    std::string text = format("{\"commit\":\"%s\",\"seed\":%llu,\"length_s\":%lld,\n\"results\":[",
-                              commit.c_str(), number(options.seed),
-                              static_cast<long long>(
-                                  std::chrono::duration_cast<std::chrono::seconds>(options.length)
-                                      .count()));
+    std::string text =
+        format("{\"commit\":\"%s\",\"seed\":%llu,\"length_s\":%lld,\n\"results\":[", commit.c_str(),
+               number(options.seed),
+               static_cast<long long>(
+                   std::chrono::duration_cast<std::chrono::seconds>(options.length).count()));
     const char* separator = "\n";
     for (const auto& result : results) {
         text += separator;
--- a/bench/src/rights_admission.cpp
+++ b/bench/src/rights_admission.cpp
@@ -158,8 +158,7 @@
                               send(to, members_[to].rights->on_message(received, events_.now()));
                               arm(to);
                               if (const auto* grant =
-                                      std::get_if<peer::credit_grant>(&received.body))
-                              {
+                                      std::get_if<peer::credit_grant>(&received.body)) {
                                   end_shortage(to, grant->customer);
                               }
                           });
--- a/bench/src/scenarios.cpp
+++ b/bench/src/scenarios.cpp
@@ -152,8 +152,7 @@
 
 } // namespace
 
-std::vector<scenario> make_scenarios(const fleet& installation, duration length,
-                                     std::uint64_t seed)
+std::vector<scenario> make_scenarios(const fleet& installation, duration length, std::uint64_t seed)
 {
     constexpr std::size_t flooder = 3; // one of the smaller customers
     constexpr double usual = 0.6;
--- a/bench/src/stage_model.cpp
+++ b/bench/src/stage_model.cpp
@@ -8,15 +8,18 @@
 
 namespace {
 
-constexpr double overload_factor = 2;                         // slow-down by a cold overload
-constexpr double warm_up_rounds = 1.5;                        // full batches until warm
+constexpr double overload_factor = 2;                            // slow-down by a cold overload
+constexpr double warm_up_rounds = 1.5;                           // full batches until warm
 constexpr duration failure_after = std::chrono::milliseconds(3); // a failing call fails fast
 
 // An endpoint that turns cold without warning shows it in its next load report, which is taken up
 // to 200 ms later and arrives up to 190 ms after that; 10 ms are for calls on their way.
 constexpr duration detection_time = std::chrono::milliseconds(400);
 
-double seconds(duration value) noexcept { return std::chrono::duration<double>(value).count(); }
+double seconds(duration value) noexcept
+{
+    return std::chrono::duration<double>(value).count();
+}
 
 duration from_seconds(double value) noexcept
 {
@@ -89,8 +92,7 @@
             ++index;
             continue;
         }
-        reports.emplace_back(entry.work,
-                             entry.fails ? call_event::failed : call_event::finished);
+        reports.emplace_back(entry.work, entry.fails ? call_event::failed : call_event::finished);
         leave(entry);
         if (!entry.fails) {
             warm_up();
--- a/bench/src/stage_model.hpp
+++ b/bench/src/stage_model.hpp
@@ -19,8 +19,8 @@
 // How the endpoints of one pool behave. Times are for a call of size 1 that runs alone.
 struct pool_profile
 {
-    duration base{};      // time to the answer, or to the first chunk of a stream
-    duration per_chunk{}; // time of each further chunk; 0: the answer is not a stream
+    duration base{};        // time to the answer, or to the first chunk of a stream
+    duration per_chunk{};   // time of each further chunk; 0: the answer is not a stream
     double batch_slope = 0; // slow-down of all calls of a batch by each further call
     unsigned concurrency = 8;
     unsigned cold_concurrency = 1;
--- a/bench/src/workload.cpp
+++ b/bench/src/workload.cpp
@@ -95,8 +95,8 @@
             const auto& mix = installation.mixes[next.work];
             next.prefix = draw_prefix(random, customer, next.work, mix.prefixes);
             next.size = draw_size(random);
-            next.chunks = static_cast<std::uint32_t>(
-                std::lround(mix.chunks * (0.5 + random.unit())));
+            next.chunks =
+                static_cast<std::uint32_t>(std::lround(mix.chunks * (0.5 + random.unit())));
             arrivals.push_back(next);
         }
     }
--- a/bench/src/workload.hpp
+++ b/bench/src/workload.hpp
@@ -31,14 +31,14 @@
 {
     enum class kind
     {
-        slow_down,   // endpoint, amount: factor
-        fail,        // endpoint, amount: share of calls
-        stop,        // endpoint
-        start,       // endpoint, comes back cold
-        turn_cold,   // endpoint
-        leave,       // endpoint is listed as leaving
-        zone_out,    // zone
-        zone_in,     // zone
+        slow_down,    // endpoint, amount: factor
+        fail,         // endpoint, amount: share of calls
+        stop,         // endpoint
+        start,        // endpoint, comes back cold
+        turn_cold,    // endpoint
+        leave,        // endpoint is listed as leaving
+        zone_out,     // zone
+        zone_in,      // zone
         service_down, // configuration service and instance list cannot be read
         service_up
     };
--- a/bench/src/world.cpp
+++ b/bench/src/world.cpp
@@ -16,7 +16,8 @@
 constexpr duration same_zone_distance = microseconds(250); // one way
 constexpr duration load_period = milliseconds(200);        // between two load reports
 constexpr duration load_lag_least = milliseconds(50);
-constexpr duration load_lag_spread = milliseconds(140); // in sum less than the period: no overtaking
+constexpr duration load_lag_spread =
+    milliseconds(140); // in sum less than the period: no overtaking
 constexpr duration cache_lag_least = milliseconds(100);
 constexpr duration cache_lag_spread = milliseconds(900);
 constexpr double cache_loss = 0.05; // share of the cache events that get lost
@@ -26,8 +27,9 @@
 constexpr duration list_lag_spread = milliseconds(1200);
 constexpr duration list_detection = milliseconds(1500); // until the platform sees a stop or start
 constexpr duration removal_bound = std::chrono::seconds(3);
-constexpr duration address_cache = std::chrono::seconds(1); // until callers leave a zone's instances
-constexpr duration drain_time = std::chrono::seconds(15);   // after the last arrival
+constexpr duration address_cache =
+    std::chrono::seconds(1);                              // until callers leave a zone's instances
+constexpr duration drain_time = std::chrono::seconds(15); // after the last arrival
 
 class world;
 
@@ -150,7 +152,8 @@
     void arrive(std::size_t index)
     {
         if (index + 1 < arrivals_.size()) {
-            events_.at(start_of_run + arrivals_[index + 1].at, [this, index] { arrive(index + 1); });
+            events_.at(start_of_run + arrivals_[index + 1].at,
+                       [this, index] { arrive(index + 1); });
         }
         const auto& what = arrivals_[index];
         const auto request = ledger_.arrive(what, events_.now());
@@ -173,8 +176,7 @@
             const auto instance = (preferred + step) % count;
             const auto zone = fleet_.instances[instance].zone;
             if (!zone_out_since_.contains(zone) ||
-                events_.now() - zone_out_since_.at(zone) < address_cache)
-            {
+                events_.now() - zone_out_since_.at(zone) < address_cache) {
                 return instance;
             }
         }
@@ -371,15 +373,18 @@
     std::unique_ptr<admission> admission_;
     std::vector<std::unique_ptr<router>> routers_; // by instance; fixed after the construction
     std::vector<arrival> arrivals_;
-    platform_view view_;                 // the platform's own state
-    std::vector<platform_view> known_;   // what each instance has read of it
+    platform_view view_;               // the platform's own state
+    std::vector<platform_view> known_; // what each instance has read of it
     bool service_up_ = true;
     std::map<std::size_t, time_point> zone_out_since_;
     std::vector<std::optional<time_point>> removed_at_; // by endpoint; listed as leaving
     std::uint64_t next_call_ = 1;
 };
 
-time_point instance_port::now() const { return world_.events_.now(); }
+time_point instance_port::now() const
+{
+    return world_.events_.now();
+}
 
 rate_answer instance_port::take_token(std::uint32_t request)
 {
@@ -448,7 +453,10 @@
     world_.ledger_.complete_stage(request, stage, now());
 }
 
-void instance_port::relay_chunk(std::uint32_t request) { world_.ledger_.chunk(request, now()); }
+void instance_port::relay_chunk(std::uint32_t request)
+{
+    world_.ledger_.chunk(request, now());
+}
 
 void instance_port::answer(std::uint32_t request)
 {
--- a/libs/peer/include/quetzal/peer/codec.hpp
+++ b/libs/peer/include/quetzal/peer/codec.hpp
@@ -2,8 +2,8 @@
 #define QUETZAL_PEER_CODEC_HPP
 
 // Encoding of peer messages as authenticated datagrams: a fixed header (magic, format version, key
-// identifier, MAC) and a packed cereal body (numbers of one byte for each 7 bits). The MAC is checked before anything of the
-// body is decoded.
+// identifier, MAC) and a packed cereal body (numbers of one byte for each 7 bits). The MAC is
+// checked before anything of the body is decoded.
 
 #include <cstdint>
 #include <string>
--- a/libs/peer/src/packed_archive.hpp
+++ b/libs/peer/src/packed_archive.hpp
@@ -1,8 +1,8 @@
 #ifndef QUETZAL_PEER_PACKED_ARCHIVE_HPP
 #define QUETZAL_PEER_PACKED_ARCHIVE_HPP
 
-// cereal archives for datagrams. They differ from the portable binary ones in that whole numbers and
-// sizes take one byte for each 7 bits in use: a renewal of the rights, which has five sizes and
+// cereal archives for datagrams. They differ from the portable binary ones in that whole numbers
+// and sizes take one byte for each 7 bits in use: a renewal of the rights, which has five sizes and
 // many small numbers, would otherwise be a third longer. Other numbers are little-endian.
 
 #include <bit>
--- a/libs/rights/include/quetzal/rights/committee.hpp
+++ b/libs/rights/include/quetzal/rights/committee.hpp
@@ -41,7 +41,10 @@
 std::size_t committee_size(std::size_t instances, std::size_t zones) noexcept;
 
 // Returns the votes that a committee of this size needs: two thirds, rounded up.
-constexpr std::size_t quorum_of(std::size_t size) noexcept { return (2 * size + 2) / 3; }
+constexpr std::size_t quorum_of(std::size_t size) noexcept
+{
+    return (2 * size + 2) / 3;
+}
 
 // Whether every quorum of the one committee has a member in every quorum of the other. Both are
 // sorted tags. For equal sizes k and q = quorum_of(k) this means a symmetric difference of at most
--- a/libs/rights/include/quetzal/rights/credit_shard.hpp
+++ b/libs/rights/include/quetzal/rights/credit_shard.hpp
@@ -1,8 +1,8 @@
 #ifndef QUETZAL_RIGHTS_CREDIT_SHARD_HPP
 #define QUETZAL_RIGHTS_CREDIT_SHARD_HPP
 
-// The buckets and wallets of those customers that hash to one shard. A lock of the owner guards each
-// shard; the state of a customer touches no other shard.
+// The buckets and wallets of those customers that hash to one shard. A lock of the owner guards
+// each shard; the state of a customer touches no other shard.
 
 #include <array>
 #include <memory>
@@ -65,7 +65,8 @@
     // Sets the version of the configuration in use.
     void set_config(std::uint64_t version) noexcept { config_ = version; }
 
-    // Removes the customers for whom `keep(id)` is false. One that returns later starts with an empty bucket.
+    // Removes the customers for whom `keep(id)` is false. One that returns later starts with an
+    // empty bucket.
     template <class Predicate>
     void remove_unless(Predicate&& keep)
     {
@@ -94,9 +95,9 @@
     // Uses an answer. Returns whether it belongs to a request in flight.
     bool on_grant(const instance_id& from, const peer::credit_grant& grant, time_point now);
 
-    // Appends the messages that are due. `home_of(partition)` returns the instance to ask, empty for
-    // none; `sequence` numbers requests; `on_silence(partition, instance)` hears of homes that do
-    // not answer.
+    // Appends the messages that are due. `home_of(partition)` returns the instance to ask, empty
+    // for none; `sequence` numbers requests; `on_silence(partition, instance)` hears of homes that
+    // do not answer.
     template <class HomeOf, class OnSilence>
     void collect(std::vector<credit_ask>& asks, std::uint32_t& sequence, HomeOf&& home_of,
                  OnSilence&& on_silence, time_point now)
@@ -143,7 +144,7 @@
         std::uint64_t term = 0; // fence of the term that `bucket` belongs to
         customer_bucket bucket; // in use while this instance is the home
         credit_wallet wallet;   // in use while another is
-        bool active = false; // listed in `active_`
+        bool active = false;    // listed in `active_`
     };
 
     entry* find(const customer_id& customer);
--- a/libs/rights/include/quetzal/rights/credit_wallet.hpp
+++ b/libs/rights/include/quetzal/rights/credit_wallet.hpp
@@ -21,8 +21,8 @@
 public:
     explicit credit_wallet(const safeguards& safe) : safe_(safe) {}
 
-    // Spends a credit that is valid at `now` and needs no newer configuration than `config`. Returns
-    // whether there was one. Allocates nothing.
+    // Spends a credit that is valid at `now` and needs no newer configuration than `config`.
+    // Returns whether there was one. Allocates nothing.
     bool spend(std::uint64_t config, time_point now);
 
     // Notes that a request waits for a credit.
--- a/libs/rights/include/quetzal/rights/customer_bucket.hpp
+++ b/libs/rights/include/quetzal/rights/customer_bucket.hpp
@@ -77,7 +77,7 @@
         std::uint32_t sequence = 0;
         std::uint32_t spent = 0;
         double outstanding = 0;
-        time_point until{};     // no credit of this delegate is valid later
+        time_point until{}; // no credit of this delegate is valid later
         time_point last_used{};
         peer::credit_grant answer;
     };
--- a/libs/rights/include/quetzal/rights/fleet_rights.hpp
+++ b/libs/rights/include/quetzal/rights/fleet_rights.hpp
@@ -38,10 +38,10 @@
     std::size_t members = 0;
     std::size_t committee = 0;
     std::size_t quorum = 0;
-    std::size_t held = 0;          // partitions
-    std::size_t wanted = 0;        // partitions that this instance ranks first for
-    std::size_t granted = 0;       // votes whose lease runs
-    std::size_t handing_over = 0;  // partitions
+    std::size_t held = 0;         // partitions
+    std::size_t wanted = 0;       // partitions that this instance ranks first for
+    std::size_t granted = 0;      // votes whose lease runs
+    std::size_t handing_over = 0; // partitions
     std::size_t customers = 0;
     bool fresh = false;
     std::uint64_t greatest_fence = 0;
@@ -70,8 +70,8 @@
 
     std::vector<peer::outgoing> on_message(const peer::received& message, time_point now);
 
-    // Does what is due: renewals, credit requests, handovers. Call it at `next_wake`, and soon after
-    // `admit` has answered `wait`.
+    // Does what is due: renewals, credit requests, handovers. Call it at `next_wake`, and soon
+    // after `admit` has answered `wait`.
     std::vector<peer::outgoing> on_tick(time_point now);
 
     // Returns when `on_tick` has something to do; it may be in the past.
--- a/libs/rights/include/quetzal/rights/handovers.hpp
+++ b/libs/rights/include/quetzal/rights/handovers.hpp
@@ -50,7 +50,8 @@
     // Ends handovers whose successor does not answer; the voters' leases run out by themselves.
     void drop_unanswered(time_point now);
 
-    // Stores a received ledger, unless a later term has been held here, and returns the confirmation.
+    // Stores a received ledger, unless a later term has been held here, and returns the
+    // confirmation.
     peer::handover_ack on_handover(const instance_id& from, const peer::handover& message,
                                    time_point now);
 
--- a/libs/rights/include/quetzal/rights/holder.hpp
+++ b/libs/rights/include/quetzal/rights/holder.hpp
@@ -41,9 +41,9 @@
     // Sets whether to ask for a partition.
     void want(partition_index partition, bool wanted);
 
-    // Asks voters to repeat their grants of all wanted partitions (`all`) or only to grant those not
-    // held. `all` asks the committee of the own name too, unless a partition is held, whose voters
-    // prove contact as well. `list` is the revision in use.
+    // Asks voters to repeat their grants of all wanted partitions (`all`) or only to grant those
+    // not held. `all` asks the committee of the own name too, unless a partition is held, whose
+    // voters prove contact as well. `list` is the revision in use.
     std::vector<peer::outgoing> request(bool all, std::uint64_t list, time_point now);
 
     // Uses an answer; returns the partitions that it completed. `wall` gives the lower bound of new
@@ -92,7 +92,7 @@
     {
         instance_id voter;
         time_point valid_until{};
-        time_point pending_until{};     // of a grant that needs configuration `pending_config`
+        time_point pending_until{}; // of a grant that needs configuration `pending_config`
         std::uint64_t pending_config = 0;
         std::uint64_t fence = 0;        // fencing number that the voter has been told
         std::uint64_t former_fence = 0; // that it had seen before
@@ -108,7 +108,7 @@
     {
         bool wanted = false;
         bool held = false;
-        std::uint64_t fence = 0; // 0: not chosen yet
+        std::uint64_t fence = 0;      // 0: not chosen yet
         std::uint32_t asked_from = 0; // answers to earlier requests have no effect
         ballot current;
         ballot former;
--- a/libs/rights/include/quetzal/rights/options.hpp
+++ b/libs/rights/include/quetzal/rights/options.hpp
@@ -12,18 +12,18 @@
 // The safety mechanisms. A test switches one off to show that the harness then finds a violation.
 struct safeguards
 {
-    bool quorum = true;            // two thirds of the committee, not a third
-    bool voter_silence = true;     // a started voter waits for its predecessor's grants to end
+    bool quorum = true;             // two thirds of the committee, not a third
+    bool voter_silence = true;      // a started voter waits for its predecessor's grants to end
     bool count_from_sending = true; // a holder counts a lease from sending, not from receiving
-    bool drift_margin = true;      // a holder uses a tenth less than the lease
-    bool list_check = true;        // voters compare committees and are silent after large changes
-    bool release_order = true;     // voters ignore a release that a later renewal overtook
-    bool fence_memory = true;      // voters remember fencing numbers
-    bool credit_expiry = true;     // a delegate drops credits when they expire
-    bool credit_sequence = true;   // a repeated credit request gets the repeated answer
-    bool outstanding_cap = true;   // credits that are out count against the burst
-    bool empty_start = true;       // a successor without a ledger starts with an empty bucket
-    bool former_lease = true;      // a successor counts credits of a lease that ended early
+    bool drift_margin = true;       // a holder uses a tenth less than the lease
+    bool list_check = true;         // voters compare committees and are silent after large changes
+    bool release_order = true;      // voters ignore a release that a later renewal overtook
+    bool fence_memory = true;       // voters remember fencing numbers
+    bool credit_expiry = true;      // a delegate drops credits when they expire
+    bool credit_sequence = true;    // a repeated credit request gets the repeated answer
+    bool outstanding_cap = true;    // credits that are out count against the burst
+    bool empty_start = true;        // a successor without a ledger starts with an empty bucket
+    bool former_lease = true;       // a successor counts credits of a lease that ended early
 };
 
 struct options
--- a/libs/rights/include/quetzal/rights/voter.hpp
+++ b/libs/rights/include/quetzal/rights/voter.hpp
@@ -53,9 +53,9 @@
         incarnation process;
         std::uint32_t sequence = 0; // of the last renewal or release
         bool released = false;
-        time_point until{};          // of the running lease
-        time_point former_until{};   // of a lease that ended early
-        instance_id reserved;        // successor named by the release
+        time_point until{};        // of the running lease
+        time_point former_until{}; // of a lease that ended early
+        instance_id reserved;      // successor named by the release
         time_point reserved_until{};
         time_point silent_until{};
         std::uint64_t fence = 0;        // greatest seen
--- a/libs/rights/src/committee.cpp
+++ b/libs/rights/src/committee.cpp
@@ -102,8 +102,8 @@
     for (std::size_t index = 0; index < members_.size(); ++index) {
         const auto& member = members_[index];
         name_hashes_.push_back(stable_hash(member.id.name));
-        digest_ = combine_hash(digest_, combine_hash(name_hashes_.back(),
-                                                     stable_hash(member.zone.name)));
+        digest_ =
+            combine_hash(digest_, combine_hash(name_hashes_.back(), stable_hash(member.zone.name)));
         by_zone[member.zone].push_back(static_cast<std::uint16_t>(index));
     }
     for (auto& [zone, indexes] : by_zone) {
--- a/libs/rights/src/credit_shard.cpp
+++ b/libs/rights/src/credit_shard.cpp
@@ -26,9 +26,9 @@
 {
     entry* state = find(customer);
     if (state == nullptr) {
-        auto added = std::make_unique<entry>(
-            entry{customer, partition_of(customer, settings_), bounds, now, 0,
-                  customer_bucket(settings_.safe), credit_wallet(settings_.safe), false});
+        auto added = std::make_unique<entry>(entry{customer, partition_of(customer, settings_),
+                                                   bounds, now, 0, customer_bucket(settings_.safe),
+                                                   credit_wallet(settings_.safe), false});
         customers_.emplace(customer, std::move(added));
         return;
     }
@@ -144,8 +144,7 @@
                                                            time_point now)
 {
     entry* state = find(request.customer);
-    const auto term =
-        state == nullptr ? std::nullopt : terms_->held(state->partition, now);
+    const auto term = state == nullptr ? std::nullopt : terms_->held(state->partition, now);
     std::optional<peer::credit_grant> answer;
     if (term) {
         enter_term(*state, term->fence);
@@ -176,8 +175,7 @@
 {
     time_point earliest = time_point::max();
     for (const entry* state : active_) {
-        earliest =
-            std::min(earliest, state->wallet.wake(state->bounds.burst < small_burst, now));
+        earliest = std::min(earliest, state->wallet.wake(state->bounds.burst < small_burst, now));
     }
     return earliest;
 }
--- a/libs/rights/src/credit_wallet.cpp
+++ b/libs/rights/src/credit_wallet.cpp
@@ -127,8 +127,8 @@
     return time_point::max();
 }
 
-peer::credit_request credit_wallet::ask(const instance_id& home, std::uint32_t sequence,
-                                        bool small, time_point now)
+peer::credit_request credit_wallet::ask(const instance_id& home, std::uint32_t sequence, bool small,
+                                        time_point now)
 {
     request_ = {};
     request_.sequence = sequence;
@@ -183,8 +183,7 @@
 bool credit_wallet::on_grant(const instance_id& from, const peer::credit_grant& grant,
                              time_point now)
 {
-    const bool expected =
-        in_flight_ && from == asked_ && grant.sequence == request_.sequence;
+    const bool expected = in_flight_ && from == asked_ && grant.sequence == request_.sequence;
     if (!expected && (safe_.credit_sequence || grant.tokens == 0)) {
         return false;
     }
--- a/libs/rights/src/customer_bucket.cpp
+++ b/libs/rights/src/customer_bucket.cpp
@@ -14,7 +14,10 @@
 constexpr std::size_t sessions_before_pruning = 16;
 constexpr double rounding = 1e-9; // tokens; sums of many additions may miss a whole number by this
 
-double seconds(duration value) { return std::chrono::duration<double>(value).count(); }
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
 
 std::chrono::milliseconds floor_ms(duration value)
 {
@@ -134,8 +137,7 @@
 }
 
 customer_bucket::session& customer_bucket::open(const instance_id& delegate, incarnation process,
-                                                const peer::credit_request& request,
-                                                time_point now)
+                                                const peer::credit_request& request, time_point now)
 {
     const auto found = std::ranges::find(sessions_, delegate, &session::delegate);
     if (found != sessions_.end()) {
@@ -204,8 +206,8 @@
     answer.sequence = request.sequence;
     answer.customer = request.customer;
     answer.is_home = true;
-    const duration life = std::min(
-        limits_.burst < small_burst ? small_credit_life : credit_life, lease_until - now);
+    const duration life =
+        std::min(limits_.burst < small_burst ? small_credit_life : credit_life, lease_until - now);
     const double allowed =
         safe_.outstanding_cap ? outstanding_limit(limits_.burst) - out_ : limits_.burst;
     const double tokens =
--- a/libs/rights/src/fleet_harness.hpp
+++ b/libs/rights/src/fleet_harness.hpp
@@ -28,7 +28,7 @@
     pause,
     one_way_cuts,
     halves,
-    isolate, // one instance, both ways
+    isolate,        // one instance, both ways
     restart_others, // isolates one instance and restarts all others
     reconnect,
     replace, // one listed instance, now and then a third of them
@@ -40,10 +40,11 @@
     std::uint64_t seed = 1;
     std::size_t nodes = 3;
     bool faults = true;
-    std::vector<fault_kind> kinds{
-        fault_kind::kill,         fault_kind::restart, fault_kind::pause,
-        fault_kind::one_way_cuts, fault_kind::halves,  fault_kind::isolate,
-        fault_kind::restart_others, fault_kind::reconnect, fault_kind::replace, fault_kind::leave};
+    std::vector<fault_kind> kinds{fault_kind::kill,           fault_kind::restart,
+                                  fault_kind::pause,          fault_kind::one_way_cuts,
+                                  fault_kind::halves,         fault_kind::isolate,
+                                  fault_kind::restart_others, fault_kind::reconnect,
+                                  fault_kind::replace,        fault_kind::leave};
     double loss = 0.02;
     double duplicates = 0.02;
     double late = 0.01; // share of datagrams that take up to `latest`
@@ -51,7 +52,7 @@
     duration fault_time = std::chrono::seconds(16);
     duration fault_interval = milliseconds(700);
     double wrong_views = 0.03; // share of live peers that seem dead to an instance for 500 ms
-    double drift = 0.045; // of each clock; two differ by at most a tenth
+    double drift = 0.045;      // of each clock; two differ by at most a tenth
     duration wall_skew = milliseconds(50);
     duration retry = milliseconds(20); // of a waiting caller, at least
     std::vector<limits> customers{{1, 1}, {20, 10}, {8, 3}, {40, 20}, {3, 20}};
@@ -68,8 +69,8 @@
 
     bool admit(duration now, double drift)
     {
-        const double gained = bounds.rate * (1 + drift) *
-                              std::chrono::duration<double>(now - at).count();
+        const double gained =
+            bounds.rate * (1 + drift) * std::chrono::duration<double>(now - at).count();
         level = std::min(bounds.burst, level + gained) - 1;
         at = now;
         ++admitted;
@@ -245,7 +246,8 @@
             if (!listed) {
                 nodes_[index].rights.reset();
             } else if (!nodes_[index].rights || nodes_[index].leaving ||
-                       nodes_[index].paused_until > now_ + std::chrono::seconds(2)) {
+                       nodes_[index].paused_until > now_ + std::chrono::seconds(2))
+            {
                 start(index);
             }
         }
@@ -352,8 +354,8 @@
     time_point local_at(std::size_t index, duration at) const
     {
         const node& entry = nodes_[index];
-        const auto scaled = static_cast<duration::rep>(static_cast<double>(at.count()) *
-                                                       entry.speed);
+        const auto scaled =
+            static_cast<duration::rep>(static_cast<double>(at.count()) * entry.speed);
         return time_point(std::chrono::hours(1) + entry.offset + duration(scaled));
     }
 
@@ -457,8 +459,9 @@
         node& entry = nodes_[index];
         const time_point now = local(index);
         const time_point wake = entry.rights->next_wake(now);
-        const duration wait = wake <= now ? milliseconds(1) : std::min<duration>(
-            wake - now + milliseconds(1), milliseconds(900));
+        const duration wait =
+            wake <= now ? milliseconds(1)
+                        : std::min<duration>(wake - now + milliseconds(1), milliseconds(900));
         const duration at = now_ + wait;
         if (at >= entry.tick_at && entry.tick_at > now_) {
             return;
@@ -487,9 +490,8 @@
                     random_.below(static_cast<std::uint64_t>(settings_.latest.count()))));
             }
             schedule(now_ + delay, [this, to, body] {
-                run(to, [this, to, body] {
-                    return nodes_[to].rights->on_message(body, local(to));
-                });
+                run(to,
+                    [this, to, body] { return nodes_[to].rights->on_message(body, local(to)); });
             });
         }
     }
@@ -542,7 +544,7 @@
         }
     }
 
-    public:
+public:
     void isolate(std::size_t index)
     {
         for (std::size_t other = 0; other < nodes_.size(); ++other) {
--- a/libs/rights/src/fleet_rights.cpp
+++ b/libs/rights/src/fleet_rights.cpp
@@ -21,8 +21,7 @@
 
 fleet_rights::fleet_rights(const self_description& self, const options& settings)
     : self_(self), settings_(settings), voter_(self.id, settings, self.started),
-      holder_(self.id, settings), handovers_(settings),
-      terms_(std::make_shared<partition_terms>()),
+      holder_(self.id, settings), handovers_(settings), terms_(std::make_shared<partition_terms>()),
       shards_(self.shards, settings, std::shared_ptr<const partition_terms>(terms_)),
       last_active_(self.started)
 {
@@ -86,8 +85,8 @@
     }
     const auto zones = static_cast<std::size_t>(std::ranges::count_if(
         config_->zones, [&](const auto& other) { return other.region == zone->region; }));
-    auto table = std::make_shared<const committee_table>(
-        members_of(list_, *config_, zone->region), zones);
+    auto table =
+        std::make_shared<const committee_table>(members_of(list_, *config_, zone->region), zones);
     if (committees_ && committees_->digest() == table->digest()) {
         return;
     }
@@ -127,8 +126,8 @@
 
 void fleet_rights::publish_limits(time_point now)
 {
-    const double share = 1.0 / static_cast<double>(std::max<std::size_t>(
-                                   1, config_->regions.size()));
+    const double share =
+        1.0 / static_cast<double>(std::max<std::size_t>(1, config_->regions.size()));
     std::unordered_map<customer_id, limits> declared;
     for (const auto& customer : config_->customers) {
         declared[customer.id] = {customer.rate * share, customer.burst * share};
@@ -169,8 +168,7 @@
 void fleet_rights::begin_term(const acquisition& acquired, time_point now)
 {
     const auto partition = acquired.partition;
-    const auto ledger =
-        handovers_.take(partition, acquired.fence, acquired.former_fence, now);
+    const auto ledger = handovers_.take(partition, acquired.fence, acquired.former_fence, now);
     term_start start{acquired.fence, now,
                      std::max(acquired.former_until, published_until_[partition])};
     shards_.for_each([&](credit_shard& shard) { shard.begin_term(partition, start); });
@@ -194,8 +192,7 @@
             terms_->set(partition, {fence, until});
         }
     }
-    fresh_until_.store(holder_.fresh_until().time_since_epoch().count(),
-                       std::memory_order_release);
+    fresh_until_.store(holder_.fresh_until().time_since_epoch().count(), std::memory_order_release);
 }
 
 void fleet_rights::lose(partition_index partition)
@@ -284,9 +281,8 @@
     const std::uint64_t fence = holder_.fence(partition);
     terms_->clear(partition);
     std::vector<peer::ledger_entry> ledger;
-    shards_.for_each([&](credit_shard& shard) {
-        shard.append_ledger(partition, fence, ledger, now);
-    });
+    shards_.for_each(
+        [&](credit_shard& shard) { shard.append_ledger(partition, fence, ledger, now); });
     holder_.drop(partition);
     holder_.want(partition, false);
     homes_[partition] = successor;
@@ -365,8 +361,7 @@
         wake = std::min(wake, next_acquisition_);
     }
     wake = std::min({wake, handovers_.wake(), release_at_});
-    shards_.for_each(
-        [&](const credit_shard& shard) { wake = std::min(wake, shard.wake(now)); });
+    shards_.for_each([&](const credit_shard& shard) { wake = std::min(wake, shard.wake(now)); });
     return wake;
 }
 
@@ -416,12 +411,12 @@
 void fleet_rights::handle(messages& out, const peer::received& from,
                           const peer::renew_request& body, time_point now)
 {
-    out.push_back({from.from,
-                   voter_.on_request(from.from, from.from_process, body, ranks_, known(), now)});
+    out.push_back(
+        {from.from, voter_.on_request(from.from, from.from_process, body, ranks_, known(), now)});
 }
 
-void fleet_rights::handle(messages& out, const peer::received& from,
-                          const peer::renew_grant& body, time_point now)
+void fleet_rights::handle(messages& out, const peer::received& from, const peer::renew_grant& body,
+                          time_point now)
 {
     for (const auto& acquired : holder_.on_grant(from.from, body, wall_at(now), now)) {
         begin_term(acquired, now);
@@ -449,8 +444,8 @@
     }
 }
 
-void fleet_rights::handle(messages& out, const peer::received& from,
-                          const peer::credit_grant& body, time_point now)
+void fleet_rights::handle(messages& out, const peer::received& from, const peer::credit_grant& body,
+                          time_point now)
 {
     const bool expected = shards_.with(shard_of(body.customer), [&](credit_shard& shard) {
         return shard.on_grant(from.from, body, now);
@@ -482,8 +477,8 @@
     next_acquisition_ = std::min(next_acquisition_, now + settings_.handover_interval);
 }
 
-void fleet_rights::handle(messages& out, const peer::received& from,
-                          const peer::handover_ack& body, time_point now)
+void fleet_rights::handle(messages& out, const peer::received& from, const peer::handover_ack& body,
+                          time_point now)
 {
     if (const auto done = handovers_.on_ack(from.from, body)) {
         releases_[done->successor].push_back(done->partition);
@@ -550,8 +545,8 @@
 
 bool fleet_rights::left(time_point now) const
 {
-    return leaving_ && holder_.held() == 0 && handovers_.running() == 0 &&
-           releases_.empty() && !handovers_.expects_any(now);
+    return leaving_ && holder_.held() == 0 && handovers_.running() == 0 && releases_.empty() &&
+           !handovers_.expects_any(now);
 }
 
 rights_status fleet_rights::status(time_point now)
--- a/libs/rights/src/fleet_schedule_test.cpp
+++ b/libs/rights/src/fleet_schedule_test.cpp
@@ -146,10 +146,22 @@
 
 // Guards against two holders, falling fencing numbers, exceeded rates and partitions that nobody
 // serves after the faults. QUETZAL_SCHEDULES sets the number of schedules of each test.
-Test(schedules, random_faults_1) { run_seeds(1); }
-Test(schedules, random_faults_2) { run_seeds(1'000'001); }
-Test(schedules, random_faults_3) { run_seeds(2'000'001); }
-Test(schedules, random_faults_4) { run_seeds(3'000'001); }
+Test(schedules, random_faults_1)
+{
+    run_seeds(1);
+}
+Test(schedules, random_faults_2)
+{
+    run_seeds(1'000'001);
+}
+Test(schedules, random_faults_3)
+{
+    run_seeds(2'000'001);
+}
+Test(schedules, random_faults_4)
+{
+    run_seeds(3'000'001);
+}
 
 // Guards against a harness that would pass whatever the votes do.
 Test(counter_tests, votes)
@@ -166,7 +178,8 @@
     prove("drift margin", &safeguards::drift_margin, 60,
           [](const auto& settings) { return run_isolations(settings); });
     prove("comparison of lists", &safeguards::list_check, 150, [](const auto& settings) {
-        return run_kinds(settings, {fault_kind::replace, fault_kind::isolate, fault_kind::reconnect});
+        return run_kinds(settings,
+                         {fault_kind::replace, fault_kind::isolate, fault_kind::reconnect});
     });
     prove("order of releases", &safeguards::release_order, 40, [](auto settings) {
         settings.duplicates = 1;
--- a/libs/rights/src/handovers.cpp
+++ b/libs/rights/src/handovers.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-constexpr duration patience = std::chrono::seconds(1); // with a successor that does not answer
+constexpr duration patience = std::chrono::seconds(1);    // with a successor that does not answer
 constexpr duration ledger_life = std::chrono::seconds(1); // between receipt and acquisition
-constexpr std::size_t ledger_room = 1200;              // bytes of one datagram
-constexpr std::size_t entry_overhead = 32;             // bytes of an encoded entry but its name
+constexpr std::size_t ledger_room = 1200;                 // bytes of one datagram
+constexpr std::size_t entry_overhead = 32;                // bytes of an encoded entry but its name
 
 } // namespace
 
@@ -41,8 +41,7 @@
         }
         entry.next = now + settings_.handover_interval;
         for (std::size_t index = 0; index < entry.outstanding_until.size(); ++index) {
-            const duration rest =
-                std::max(entry.outstanding_until[index] - now, duration::zero());
+            const duration rest = std::max(entry.outstanding_until[index] - now, duration::zero());
             entry.message.ledger[index].outstanding_until =
                 std::chrono::ceil<std::chrono::milliseconds>(rest);
         }
--- a/libs/rights/src/holder.cpp
+++ b/libs/rights/src/holder.cpp
@@ -10,7 +10,7 @@
 // Room for partitions in one renewal or its answer, in bytes; the rest of a datagram is for the
 // header, the names and the fixed fields.
 constexpr std::size_t partition_room = 1100;
-constexpr std::size_t refusal_size = 3;  // encoded refused_partition
+constexpr std::size_t refusal_size = 3;   // encoded refused_partition
 constexpr std::size_t acquired_size = 18; // encoded acquired_partition
 
 } // namespace
@@ -164,8 +164,7 @@
     } while (next < partitions.size());
 }
 
-holder::grant_record& holder::record_of(std::vector<grant_record>& grants,
-                                        const instance_id& voter)
+holder::grant_record& holder::record_of(std::vector<grant_record>& grants, const instance_id& voter)
 {
     const auto found = std::ranges::find(grants, voter, &grant_record::voter);
     if (found != grants.end()) {
@@ -237,9 +236,9 @@
     }
     for (const auto partition : sent->partitions) {
         partition_state& state = partitions_[partition];
-        const bool refused = std::ranges::find(grant.refused, partition,
-                                               &peer::refused_partition::partition) !=
-                             grant.refused.end();
+        const bool refused =
+            std::ranges::find(grant.refused, partition, &peer::refused_partition::partition) !=
+            grant.refused.end();
         if (refused || !state.wanted || sent->sequence < state.asked_from) {
             continue;
         }
@@ -283,7 +282,10 @@
     }
 }
 
-bool holder::take_fence_pending() { return std::exchange(fence_pending_, false); }
+bool holder::take_fence_pending()
+{
+    return std::exchange(fence_pending_, false);
+}
 
 std::vector<partition_index> holder::drop_expired(time_point now)
 {
--- a/libs/rights/src/rights_test.cpp
+++ b/libs/rights/src/rights_test.cpp
@@ -111,7 +111,8 @@
     const time_point awake = start_time + seconds(3);
     section("a started voter is silent", [] {
         voting fleet;
-        check(fleet.ask("q-101", 1, 1, "q-101", start_time + milliseconds(2700)).refused.size() == 1,
+        check(fleet.ask("q-101", 1, 1, "q-101", start_time + milliseconds(2700)).refused.size() ==
+                  1,
               "within lease + margin");
     });
     section("given a vote for q-101", [&] {
@@ -143,11 +144,11 @@
         voting fleet;
         fleet.ask("q-101", 1, 1, "q-101", awake);
         fleet.ask("q-101", 1, 3, "q-101", awake);
-        fleet.votes.on_release(instance_id("q-101"), incarnation{1},
-                               {2, instance_id("q-102"), {0}}, awake);
+        fleet.votes.on_release(instance_id("q-101"), incarnation{1}, {2, instance_id("q-102"), {0}},
+                               awake);
         check(fleet.votes.granted(awake) == 1, "an overtaken release has no effect");
-        fleet.votes.on_release(instance_id("q-101"), incarnation{1},
-                               {4, instance_id("q-102"), {0}}, awake);
+        fleet.votes.on_release(instance_id("q-101"), incarnation{1}, {4, instance_id("q-102"), {0}},
+                               awake);
         check(fleet.ask("q-101", 1, 5, "q-101", awake).refused.size() == 1,
               "it is reserved for the successor");
         check(fleet.ask("q-102", 1, 1, "q-101", awake).refused.empty(),
@@ -243,9 +244,9 @@
                 held += answer->tokens;
                 held_until = now + answer->valid_for;
             }
-            reference = std::min(bounds.burst,
-                                 reference + bounds.rate *
-                                                 std::chrono::duration<double>(now - before).count());
+            reference = std::min(
+                bounds.burst,
+                reference + bounds.rate * std::chrono::duration<double>(now - before).count());
             before = now;
             reference -= admissions;
             check(reference > -1e-6, "seed " + std::to_string(seed));
--- a/libs/rights/src/voter.cpp
+++ b/libs/rights/src/voter.cpp
@@ -164,8 +164,7 @@
             continue;
         }
         if (const auto why =
-                refusal(current, partition, from, process, request.sequence, ranks, now))
-        {
+                refusal(current, partition, from, process, request.sequence, ranks, now)) {
             answer.refused.push_back({partition, *why});
             continue;
         }
--- a/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -186,8 +186,8 @@
         std::uint8_t excluded = 0;
         bool has_report = false;
         time_point quiet_since{}; // last answer, or start of the only calls in flight
-        bool overfull = false; // by the last report
-        double quota = 0;      // calls that may start until the next report
+        bool overfull = false;    // by the last report
+        double quota = 0;         // calls that may start until the next report
         bool distant = false;
         bool present = false;
         double batch = 0;      // adapted concurrency
@@ -249,7 +249,7 @@
     std::size_t ejected_ = 0;
     std::size_t ramping_ = 0; // endpoints with a limit between 0 and the concurrency
     latency_quantiles latency_;
-    double pool_whole_ = 0;        // mean time to the whole answer, ns
+    double pool_whole_ = 0;   // mean time to the whole answer, ns
     double pool_latency_ = 0; // mean over successful answers, ns
     double others_mean_ = 0;  // mean work of other instances over reports
     prefix_cache_map cache_;
--- a/libs/serving/src/dispatcher_requests.cpp
+++ b/libs/serving/src/dispatcher_requests.cpp
@@ -185,8 +185,8 @@
     entry.deadline = request.end;
     const time_point latest =
         request.deadline - pipeline.budget.longest_path(request.done, {}, hope, false);
-    // Under overload the queue serves every entry at its urgent time. With a hopeful estimate all of
-    // them would then be late; late ones lose their urgency instead.
+    // Under overload the queue serves every entry at its urgent time. With a hopeful estimate all
+    // of them would then be late; late ones lose their urgency instead.
     const double usual = options_.budget.share_quantile;
     entry.urgent_by =
         request.deadline - pipeline.budget.longest_path(request.done, {}, usual, false);
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -222,14 +222,14 @@
     }
     if (ramping(state)) {
         // Only this instance sends to a cold endpoint, so the pool's mean says nothing about it and
-        // its batch size, which shrank when it was slow, would never grow again. Calls of others are
-        // those from before it turned cold.
+        // its batch size, which shrank when it was slow, would never grow again. Calls of others
+        // are those from before it turned cold.
         return static_cast<double>(own - state.in_flight) - state.others;
     }
     const double in_batch = std::floor(state.batch) - state.in_flight - others_now(state, now);
     const bool known = state.has_report && now - state.reported <= stale_report;
-    return std::min({static_cast<double>(own - state.in_flight), in_batch,
-                     known ? state.quota : in_batch});
+    return std::min(
+        {static_cast<double>(own - state.in_flight), in_batch, known ? state.quota : in_batch});
 }
 
 bool endpoint_chooser::has_fresh_report(endpoint_index endpoint, time_point now) const
--- a/libs/serving/src/endpoint_outliers.cpp
+++ b/libs/serving/src/endpoint_outliers.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr double gap_smoothing = 0.02;  // in the share of late gaps
-constexpr double late_gap_share = 0.05; // share above which a batch shrinks: a 95th percentile
+constexpr double gap_smoothing = 0.02;      // in the share of late gaps
+constexpr double late_gap_share = 0.05;     // share above which a batch shrinks: a 95th percentile
+constexpr double probation_failures = 0.19; // one error exceeds it, two slow calls in a row do not
 constexpr double batch_shrink = 0.75;
 constexpr duration batch_interval = std::chrono::seconds(1);
 constexpr duration probe_interval = std::chrono::seconds(1);
@@ -36,7 +37,10 @@
         return true;
     }
     // A single failure stays below the bound; the second of a few calls exceeds it.
-    if (state.failures > options_.outlier_failures && fails_more(endpoint)) {
+    // An endpoint that has come back from an ejection has no such credit: a probe shows only that
+    // it answers, not that its work succeeds.
+    const double bound = state.ejections > 0 ? probation_failures : options_.outlier_failures;
+    if (state.failures > bound && fails_more(endpoint)) {
         return true;
     }
     if (state.samples < options_.outlier_samples) {
