--- a/bench/src/dispatcher_router.cpp
+++ b/bench/src/dispatcher_router.cpp
@@ -7,6 +7,7 @@
 #include <unordered_set>
 #include <variant>
 
+#include "call_keys.hpp"
 #include "router.hpp"
 #include <quetzal/base/hash.hpp>
 #include <quetzal/rights/token_queue.hpp>
@@ -17,29 +18,12 @@
 namespace {
 
 using serving::attempt_failure;
-using serving::call_key;
 using serving::request_key;
 
 constexpr duration peer_delay = std::chrono::milliseconds(20); // of a message between instances
 constexpr std::uint32_t prompt_tokens = 2000; // of a cached prefix; the model counts whole prefixes
 constexpr int token_patience = 6; // part of the tightest target that a request waits for a credit
 constexpr duration tick_limit = std::chrono::milliseconds(100); // longest time without a tick
-constexpr std::uint64_t stages_per_key = 8;                     // more than config::max_stages
-
-call_key key_of(std::uint32_t request, std::uint32_t stage)
-{
-    return static_cast<call_key>(request * stages_per_key + stage);
-}
-
-std::uint32_t request_of(call_key key)
-{
-    return static_cast<std::uint32_t>(static_cast<std::uint64_t>(key) / stages_per_key);
-}
-
-std::uint32_t stage_of(call_key key)
-{
-    return static_cast<std::uint32_t>(static_cast<std::uint64_t>(key) % stages_per_key);
-}
 
 class dispatcher_router;
 
