--- a/libs/rights/src/fleet_schedule_test.cpp
+++ b/libs/rights/src/fleet_schedule_test.cpp
@@ -39,7 +39,7 @@
         return fleet.violation();
     }
     // After the faults: silence after a large change of lists, a lease, a settled ranking.
-    fleet.run_until(settings.fault_time + seconds(16));
+    fleet.run_until(settings.fault_time + seconds(14));
     if (fleet.violation().empty() && fleet.held() != fleet.partitions()) {
         return "seed " + std::to_string(settings.seed) + ": only " + std::to_string(fleet.held()) +
                " partitions are held after the faults";
