--- a/libs/node/include/quetzal/node/running_request.hpp
+++ b/libs/node/include/quetzal/node/running_request.hpp
@@ -1,8 +1,8 @@
 #ifndef QUETZAL_NODE_RUNNING_REQUEST_HPP
 #define QUETZAL_NODE_RUNNING_REQUEST_HPP
 
-// The records of requests that run at this instance. A shard's strand changes them; its lock guards what
-// connections read.
+// The records of requests that run at this instance. A shard's strand changes them; its lock guards
+// what connections read.
 
 #include <map>
 #include <memory>
@@ -43,6 +43,7 @@
     std::uint32_t attempt = 0; // number at the dispatcher
     std::uint32_t priority = 0;
     bool cold = false;
+    std::optional<time_point> start_by; // of a call that the endpoint's holder lent
     time_point give_up{};
     time_point started{};
     std::unique_ptr<net::http_connection> connection;
@@ -62,6 +63,7 @@
     std::uint32_t attempt = 0;
     std::uint32_t priority = 0;
     bool cold = false;
+    std::optional<time_point> start_by;
     time_point give_up{};
 };
 
@@ -70,8 +72,10 @@
 {
     running_request(caller_request from, requests::run_request work,
                     std::shared_ptr<requests::answer_log> into)
-        : request(std::move(from)), pipeline(work.pipeline), run(std::move(work)), answer(std::move(into))
-    {}
+        : request(std::move(from)), pipeline(work.pipeline), run(std::move(work)),
+          answer(std::move(into))
+    {
+    }
 
     caller_request request;
     std::shared_ptr<const config::pipeline> pipeline;
--- /dev/null
+++ b/libs/serving/src/cold_slots.cpp
@@ -0,0 +1,103 @@
+#include <quetzal/serving/cold_slots.hpp>
+
+#include <algorithm>
+
+namespace quetzal::serving {
+
+std::optional<duration> lent_slots::lend(const instance_id& to, std::uint32_t sequence, std::uint32_t free,
+                                         time_point now)
+{
+    const auto known = lent_.find(to);
+    if (known != lent_.end() && sequence < known->second.sequence) {
+        return std::nullopt; // a request that was overtaken
+    }
+    if (known != lent_.end() && sequence == known->second.sequence) {
+        const duration left = slot_start_window - (now - known->second.at);
+        return left > duration::zero() ? std::optional(left) : std::nullopt;
+    }
+    if (known == lent_.end() && free == 0) {
+        return std::nullopt;
+    }
+    lent_[to] = {sequence, now};
+    return slot_start_window;
+}
+
+std::optional<time_point> lent_slots::take_back(const instance_id& from, std::uint32_t sequence)
+{
+    const auto known = lent_.find(from);
+    if (known == lent_.end() || known->second.sequence != sequence) {
+        return std::nullopt;
+    }
+    const time_point at = known->second.at;
+    lent_.erase(known);
+    return at;
+}
+
+bool lent_slots::expire(time_point now)
+{
+    return std::erase_if(lent_, [now](const auto& entry) {
+               return now - entry.second.at >= lent_slot_lifetime;
+           }) > 0;
+}
+
+std::optional<std::uint32_t> borrowed_slot::ask(incarnation process, time_point now)
+{
+    if (process != process_) {
+        reset();
+        process_ = process;
+    }
+    const bool idle = phase_ == phase::none || phase_ == phase::asked;
+    if (!idle || (sequence_ != 0 && now - asked_at_ < slot_ask_interval)) {
+        return std::nullopt;
+    }
+    if (phase_ == phase::none || now - first_asked_at_ >= slot_start_window) {
+        // Starting from the clock keeps the numbers of a restarted process above those of its predecessor.
+        const auto clock = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+        sequence_ = std::max(sequence_ + 1, static_cast<std::uint32_t>(clock.count()));
+        first_asked_at_ = now;
+    }
+    phase_ = phase::asked;
+    asked_at_ = now;
+    return sequence_;
+}
+
+void borrowed_slot::granted(incarnation process, std::uint32_t sequence, duration start_within)
+{
+    if (phase_ == phase::asked && process == process_ && sequence == sequence_) {
+        phase_ = phase::granted;
+        start_by_ = first_asked_at_ + start_within * 9 / 10;
+    }
+}
+
+bool borrowed_slot::usable(time_point now) const noexcept
+{
+    return phase_ == phase::granted && now < start_by_;
+}
+
+time_point borrowed_slot::take(time_point now)
+{
+    phase_ = phase::in_use;
+    return now + longest_slot_call;
+}
+
+std::optional<std::uint32_t> borrowed_slot::finished()
+{
+    if (phase_ != phase::in_use) {
+        return std::nullopt;
+    }
+    phase_ = phase::none;
+    return sequence_;
+}
+
+std::optional<std::uint32_t> borrowed_slot::expire(time_point now)
+{
+    if (phase_ != phase::granted || now < start_by_) {
+        return std::nullopt;
+    }
+    phase_ = phase::none;
+    return sequence_;
+}
+
+void borrowed_slot::reset() { phase_ = phase::none; }
+
+} // namespace quetzal::serving
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -66,6 +66,27 @@
     return implementation_->take_actions(now);
 }
 
+actions dispatcher::slot_asked(const endpoint_id& endpoint, const instance_id& from, incarnation process,
+                               std::uint32_t sequence, time_point now)
+{
+    implementation_->slot_asked(endpoint, from, process, sequence, now);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::slot_granted(const endpoint_id& endpoint, incarnation process, std::uint32_t sequence,
+                                 duration start_within, time_point now)
+{
+    implementation_->slot_granted(endpoint, process, sequence, start_within);
+    return implementation_->take_actions(now);
+}
+
+actions dispatcher::slot_returned(const endpoint_id& endpoint, const instance_id& from,
+                                  std::uint32_t sequence, slot_result how, time_point now)
+{
+    implementation_->slot_returned(endpoint, from, sequence, how, now);
+    return implementation_->take_actions(now);
+}
+
 actions dispatcher::probed(const endpoint_id& endpoint, bool success, time_point now)
 {
     implementation_->probed(endpoint, success, now);
--- a/libs/serving/src/dispatcher_calls.cpp
+++ b/libs/serving/src/dispatcher_calls.cpp
@@ -3,6 +3,7 @@
 #include "dispatcher_state.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace quetzal::serving {
 
@@ -99,12 +100,32 @@
     call.pool->calls.push(std::move(entry));
 }
 
+// Returns how many times slower than usual the call may be and still meet its targets.
+double dispatcher::implementation::bearable_slowdown(const call_state& call, time_point now)
+{
+    constexpr double usual = 0.95; // quantile
+    const request_state& request = *call.request;
+    const auto ratio = [](duration left, duration needed) {
+        return needed > duration::zero() ? seconds(left) / seconds(needed)
+                                         : std::numeric_limits<double>::infinity();
+    };
+    const duration whole = request.pipeline->budget.stage_latency(call.start.stage, usual);
+    double bearable = ratio(call.limits.give_up - now, whole);
+    const auto& first_token = request.work_class.objective.first_token;
+    if (first_token && call.start.stage + 1 == request.done.size()) {
+        const duration first = call.pool->chooser.normal_latency(usual);
+        bearable = std::min(bearable, ratio(request.start.arrived + *first_token - now, first));
+    }
+    return bearable;
+}
+
 std::optional<choice> dispatcher::implementation::choose(const call_state& call, time_point now)
 {
     choice_request request;
     request.prefixes = call.start.prefixes;
     request.avoid = call.tried;
     request.avoid_zone = call.failed_zone;
+    request.slowdown = bearable_slowdown(call, now);
     const endpoint_chooser& chooser = call.pool->chooser;
     if (auto chosen = chooser.choose(request, random_, now)) {
         return chosen;
@@ -125,8 +146,7 @@
 {
     if (gate_) {
         const request_start& request = call.request->start;
-        const gate_answer answer =
-            gate_({request.request, request.customer, request.work_class, false});
+        gate_answer answer = gate_({request.request, request.customer, request.work_class, false});
         if (answer.decision != start_gate::start) {
             return answer;
         }
@@ -171,6 +191,7 @@
     attempt.last_chunk = now;
     attempt.expected_prefix = chosen.expected_prefix;
     attempt.hedge = hedge;
+    attempt.borrowed = !record.ramp.warm() && !record.ramp.holder();
     call.running.push_back(attempt);
     if (call.start.stage == request.bottleneck) {
         leave_bottleneck(request);
@@ -194,6 +215,10 @@
         priority_of(call.limits.urgent_by - now, request.work_class.objective.deadline);
     action.hedge = hedge;
     action.cold = !record.ramp.warm();
+    if (attempt.borrowed) {
+        action.start_by = record.borrowed.start_by();
+        action.give_up = std::min(action.give_up, record.borrowed.take(now));
+    }
     out_.emplace_back(std::move(action));
 }
 
@@ -342,6 +367,7 @@
 void dispatcher::implementation::tick(time_point now)
 {
     tick_endpoints(now);
+    tick_slots(now);
     while (!timers_.empty() && timers_.begin()->first <= now) {
         apply_timer(calls_.at(timers_.begin()->second), now);
     }
--- a/libs/serving/src/dispatcher_requests.cpp
+++ b/libs/serving/src/dispatcher_requests.cpp
@@ -185,10 +185,15 @@
     entry.deadline = request.end;
     const time_point latest =
         request.deadline - pipeline.budget.longest_path(request.done, {}, hope, false);
-    entry.urgent_by = latest;
+    // Under overload the queue serves every entry at its urgent time. With a hopeful estimate all of
+    // them would then be late; late ones lose their urgency instead.
+    const double usual = options_.budget.share_quantile;
+    entry.urgent_by =
+        request.deadline - pipeline.budget.longest_path(request.done, {}, usual, false);
     if (objective.first_token) {
-        const duration first = pipeline.budget.longest_path(request.done, {}, hope, true);
-        entry.urgent_by = std::min(latest, request.start.arrived + *objective.first_token - first);
+        const duration first = pipeline.budget.longest_path(request.done, {}, usual, true);
+        entry.urgent_by =
+            std::min(entry.urgent_by, request.start.arrived + *objective.first_token - first);
     }
     const bool finish = request.work_class.late == config::late_policy::finish;
     entry.expires = finish ? request.end : latest;
@@ -206,7 +211,7 @@
 bool dispatcher::implementation::can_admit(const pool_state& pool, time_point now) const
 {
     if (pool.chooser.usable() == 0) {
-        return false;
+        return pool.upstream < borrowable(pool);
     }
     // Little's law: what the pool starts during the delay from an admission to the call there.
     const double rate = pool.mean_cost > 0 ? static_cast<double>(pool.running) / pool.mean_cost : 0;
@@ -223,7 +228,7 @@
         const request_state& request = requests_.at(static_cast<request_key>(entry.key));
         const auto& pools = request.pipeline->pools;
         const bool usable = std::all_of(pools.begin(), pools.end(), [](const auto& needed) {
-            return needed->chooser.usable() > 0;
+            return needed->chooser.usable() > 0 || borrowable(*needed) > 0;
         });
         if (!usable) {
             return {start_gate::hold, {}, {}};
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -27,6 +27,16 @@
 // Latency assumed before the first answer; it only scales the scores.
 constexpr double unknown_latency = 1e8; // ns
 
+// A call that would meet its targets even if its stage took this many times its 95th percentile may
+// warm up a cold endpoint.
+constexpr double warm_up_slowdown = 2;
+// Slowness is weaker evidence than an error: it takes four in a row instead of two for an ejection.
+constexpr double too_slow_failure = 0.5;
+// An endpoint with calls in flight that has not answered for this many times the mean time of a
+// whole answer has stalled.
+constexpr double stalled_after = 2;
+constexpr double too_slow_cost = 1e9; // ns, above any expected wait worth having
+
 double nanoseconds(duration value)
 {
     return static_cast<double>(value.count());
@@ -77,6 +87,7 @@
 {
     exclude(endpoint, exclusion::ejected, false);
     exclude(endpoint, exclusion::leaving, true);
+    limit(endpoint, 0);
     endpoints_[endpoint].present = false;
     free_positions_.push_back(endpoint);
     --present_;
@@ -119,7 +130,10 @@
 
 void endpoint_chooser::limit(endpoint_index endpoint, std::uint32_t calls)
 {
-    endpoints_[endpoint].limit = calls;
+    endpoint_state& state = endpoints_[endpoint];
+    ramping_ -= ramping(state) ? 1 : 0;
+    state.limit = calls;
+    ramping_ += ramping(state) ? 1 : 0;
     full_until_ = {};
 }
 
@@ -158,6 +172,12 @@
     state.others = std::max(0.0, total - state.in_flight);
     state.reported = now - report.age;
     state.has_report = true;
+    // All instances see the same free places. Each takes its share of them until the next report;
+    // otherwise they would fill them several times over.
+    const double free = std::floor(state.batch) - state.in_flight - state.others;
+    const double share = std::min(1.0, (state.in_flight + 1.0) / (total + 1.0));
+    state.quota = free > 0 ? std::max(1.0, free * share) : 0;
+    state.overfull = free < 0;
     full_until_ = {};
     others_mean_ += (state.others - others_mean_) * pool_smoothing;
 }
@@ -173,6 +193,12 @@
     return state.returning == 0 ? limit : std::min(limit, state.returning);
 }
 
+// Whether the endpoint is cold and this instance has the right to warm it up.
+bool endpoint_chooser::ramping(const endpoint_state& state) const noexcept
+{
+    return state.present && state.limit > 0 && state.limit < options_.concurrency;
+}
+
 // Old news of one endpoint tends to the mean over the pool, at the pace at which calls end.
 double endpoint_chooser::others_now(const endpoint_state& state, time_point now) const noexcept
 {
@@ -194,8 +220,22 @@
     if (state.in_flight >= own) {
         return 0;
     }
+    if (ramping(state)) {
+        // Only this instance sends to a cold endpoint, so the pool's mean says nothing about it and
+        // its batch size, which shrank when it was slow, would never grow again. Calls of others are
+        // those from before it turned cold.
+        return static_cast<double>(own - state.in_flight) - state.others;
+    }
     const double in_batch = std::floor(state.batch) - state.in_flight - others_now(state, now);
-    return std::min(static_cast<double>(own - state.in_flight), in_batch);
+    const bool known = state.has_report && now - state.reported <= stale_report;
+    return std::min({static_cast<double>(own - state.in_flight), in_batch,
+                     known ? state.quota : in_batch});
+}
+
+bool endpoint_chooser::has_fresh_report(endpoint_index endpoint, time_point now) const
+{
+    const endpoint_state& state = endpoints_[endpoint];
+    return state.has_report && now - state.reported <= stale_report;
 }
 
 double endpoint_chooser::expected_load(endpoint_index endpoint, time_point now) const
@@ -281,6 +321,16 @@
     if (request.avoid_zone && *request.avoid_zone == state.zone) {
         cost += service; // a failed attempt's zone is the last resort
     }
+    const bool stalled = state.in_flight > 0 && pool_whole_ > 0 &&
+                         nanoseconds(now - state.quiet_since) > stalled_after * pool_whole_;
+    if (stalled) {
+        return cost + too_slow_cost;
+    }
+    if (ramping(state)) {
+        // Work is what warms it up, and nobody else sends it any; so it comes first for calls that
+        // bear the delay, and last for others.
+        return request.slowdown >= warm_up_slowdown ? 0 : cost + too_slow_cost;
+    }
     return cost;
 }
 
@@ -318,6 +368,11 @@
     for (std::size_t index = 0; index < std::min(count, options_.choices); ++index) {
         consider(usable_[count <= options_.choices ? index : random.below(count)]);
     }
+    for (std::size_t index = 0; ramping_ > 0 && index < count; ++index) {
+        if (ramping(endpoints_[usable_[index]])) {
+            consider(usable_[index]);
+        }
+    }
     for (std::size_t index = 0; index < view.count; ++index) {
         const auto& holding = view.holding[index];
         for (std::size_t holder = 0; holder < holding.count; ++holder) {
@@ -345,18 +400,25 @@
     return best;
 }
 
-void endpoint_chooser::started(endpoint_index endpoint, time_point)
+void endpoint_chooser::started(endpoint_index endpoint, time_point now)
 {
-    ++endpoints_[endpoint].in_flight;
+    endpoint_state& state = endpoints_[endpoint];
+    state.quiet_since = state.in_flight == 0 ? now : state.quiet_since;
+    ++state.in_flight;
+    state.quota -= 1;
 }
 
 void endpoint_chooser::learn(endpoint_state& state, const attempt_outcome& outcome, time_point now)
 {
-    state.failures += ((outcome.success ? 0.0 : 1.0) - state.failures) * smoothing;
+    const double failure = outcome.too_slow ? too_slow_failure : 1.0;
+    state.failures += ((outcome.success ? 0.0 : failure) - state.failures) * smoothing;
     ++state.samples;
     if (!outcome.success) {
         return;
     }
+    state.quiet_since = now;
+    const double whole = nanoseconds(outcome.whole);
+    pool_whole_ += pool_whole_ > 0 ? (whole - pool_whole_) * pool_smoothing : whole;
     const double latency = nanoseconds(outcome.latency);
     state.latency += state.latency > 0 ? (latency - state.latency) * smoothing : latency;
     if (state.limit < options_.concurrency) {
@@ -371,6 +433,7 @@
 {
     endpoint_state& state = endpoints_[endpoint];
     state.in_flight -= state.in_flight > 0 ? 1 : 0;
+    state.quota += state.overfull ? 0 : 1; // the place that this call leaves
     freed_ = endpoint;
     full_until_ = {};
     if (!outcome.counts) {
@@ -402,7 +465,7 @@
     }
     for (const endpoint_index endpoint : usable_) {
         const double free = room(endpoints_[endpoint], now);
-        places += free < 0.5 ? 0 : static_cast<std::uint32_t>(free + 0.5);
+        places += free < 0.5 ? 0 : static_cast<std::uint32_t>(std::lround(free));
     }
     return places;
 }
