--- a/libs/rights/include/quetzal/rights/fleet_rights.hpp
+++ b/libs/rights/include/quetzal/rights/fleet_rights.hpp
@@ -96,7 +96,8 @@
     // Returns the instance that probably holds the customer's bucket; empty when unknown.
     instance_id preferred_home(const customer_id& customer, time_point now) const;
 
-    // Returns the instance that probably holds the exclusive right to an endpoint; empty when unknown.
+    // Returns the instance that probably holds the exclusive right to an endpoint; empty when
+    // unknown.
     instance_id preferred_holder(const endpoint_id& endpoint, time_point now) const;
 
     // Starts to hand all partitions over and to get no new ones.
