Ask live candidates for a customer's home, and explain what a request waits for

Cause: after unanswered credit requests an instance tried the third candidate for a customer's home, which does not exist in a fleet of three; requests then waited until their deadline. Ruled out by the new explanation: cold endpoints, key, view. Change: ranks beyond the last live member start again; explanations name the cause of each wait; explain answers for a customer where its home is; tests for lent calls and for the ranking; the bench carries the messages of lent calls.

--- a/bench/src/dispatcher_router.cpp
+++ b/bench/src/dispatcher_router.cpp
@@ -359,17 +359,65 @@
 
     void perform(const serving::tell_endpoint_holder& action)
     {
-        const auto index = indexes_.at(action.endpoint);
-        const auto holder =
+        // Without a holder the message is lost, and the dispatcher asks again.
+        tell(holder_of(action.endpoint), [action](dispatcher_router& holder) {
+            return holder.dispatcher_.heard(action.endpoint, action.process, action.cold,
+                                            holder.port_.now());
+        });
+    }
+
+    // Lent calls of cold endpoints. A member's number in the group stands for its name.
+
+    instance_id own_name() const
+    {
+        const auto& members = group_->members;
+        return instance_id(
+            std::to_string(std::find(members.begin(), members.end(), this) - members.begin()));
+    }
+
+    dispatcher_router* holder_of(const endpoint_id& endpoint) const
+    {
+        const auto index = indexes_.at(endpoint);
+        const auto found =
             std::find_if(group_->members.begin(), group_->members.end(),
                          [&](const auto* member) { return member->rights_[index].has_value(); });
-        if (holder == group_->members.end()) {
-            return; // the dispatcher asks again
+        return found == group_->members.end() ? nullptr : *found;
+    }
+
+    // Runs `function(member)` after the delay of a message to it and carries out what it returns.
+    template <class Function>
+    void tell(dispatcher_router* member, Function function)
+    {
+        if (member != nullptr) {
+            group_->events.after(peer_delay, [member, function] {
+                member->carry_out(function(*member));
+                member->schedule();
+            });
         }
-        group_->events.after(peer_delay, [member = *holder, action] {
-            member->carry_out(member->dispatcher_.heard(action.endpoint, action.process,
-                                                        action.cold, member->port_.now()));
-            member->schedule();
+    }
+
+    void perform(const serving::ask_cold_slot& action)
+    {
+        tell(holder_of(action.endpoint), [action, from = own_name()](dispatcher_router& holder) {
+            return holder.dispatcher_.slot_asked(action.endpoint, from, action.process,
+                                                 action.sequence, holder.port_.now());
+        });
+    }
+
+    void perform(const serving::grant_cold_slot& action)
+    {
+        auto* borrower = group_->members[std::stoul(action.to.name)];
+        tell(borrower, [action](dispatcher_router& member) {
+            return member.dispatcher_.slot_granted(action.endpoint, action.process, action.sequence,
+                                                   action.start_within, member.port_.now());
+        });
+    }
+
+    void perform(const serving::return_cold_slot& action)
+    {
+        tell(holder_of(action.endpoint), [action, from = own_name()](dispatcher_router& holder) {
+            return holder.dispatcher_.slot_returned(action.endpoint, from, action.sequence,
+                                                    action.how, holder.port_.now());
         });
     }
 
--- a/libs/node/include/quetzal/node/control_plane.hpp
+++ b/libs/node/include/quetzal/node/control_plane.hpp
@@ -88,6 +88,14 @@
     // Asks the strand for the probable home of a customer; empty when unknown.
     boost::asio::awaitable<instance_id> home_of(customer_id customer);
 
+    // Where a customer's bucket is, as this instance sees it.
+    struct customer_home
+    {
+        instance_id home; // empty when unknown
+        bool here = false;
+    };
+    boost::asio::awaitable<customer_home> explain_home(customer_id customer);
+
     // Collects the figures on the strand.
     boost::asio::awaitable<control_status> status();
 
--- a/libs/node/include/quetzal/node/operator_api.hpp
+++ b/libs/node/include/quetzal/node/operator_api.hpp
@@ -30,6 +30,7 @@
     net::http_response readiness() const;
     net::http_response metrics();
     net::http_response explain(const net::http_request& request) const;
+    boost::asio::awaitable<net::http_response> explain_customer(std::string name);
     boost::asio::awaitable<net::http_response> status();
 
     shared_state& state_;
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -298,6 +298,16 @@
     co_return co_await call_on<instance_id>(strand_, std::move(job));
 }
 
+asio::awaitable<control_plane::customer_home> control_plane::explain_home(customer_id customer)
+{
+    auto job = [self = shared_from_this(), customer = std::move(customer)] {
+        const auto now = boot_clock::now();
+        return customer_home{self->rights_.preferred_home(customer, now),
+                             self->rights_.is_home(customer, now)};
+    };
+    co_return co_await call_on<customer_home>(strand_, std::move(job));
+}
+
 asio::awaitable<control_status> control_plane::status()
 {
     auto job = [self = shared_from_this()] {
--- a/libs/node/src/entry_instance.cpp
+++ b/libs/node/src/entry_instance.cpp
@@ -206,16 +206,16 @@
                                                       tell->cold ? peer::endpoint_warmth::cold
                                                                  : peer::endpoint_warmth::warm});
     } else if (const auto* ask = std::get_if<serving::ask_cold_slot>(&action)) {
-        control->send_to_holder(ask->endpoint,
-                                peer::cold_slot_request{ask->endpoint, ask->process, ask->sequence});
+        control->send_to_holder(
+            ask->endpoint, peer::cold_slot_request{ask->endpoint, ask->process, ask->sequence});
     } else if (const auto* grant = std::get_if<serving::grant_cold_slot>(&action)) {
         const auto window = std::chrono::floor<std::chrono::milliseconds>(grant->start_within);
         control->send_to(grant->to, peer::cold_slot_grant{grant->endpoint, grant->process,
                                                           grant->sequence, window});
     } else if (const auto* back = std::get_if<serving::return_cold_slot>(&action)) {
-        control->send_to_holder(back->endpoint,
-                                peer::cold_slot_return{back->endpoint, back->process, back->sequence,
-                                                       static_cast<peer::slot_outcome>(back->how)});
+        control->send_to_holder(
+            back->endpoint, peer::cold_slot_return{back->endpoint, back->process, back->sequence,
+                                                   static_cast<peer::slot_outcome>(back->how)});
     } else {
         engine->route(action);
     }
--- a/libs/node/src/operator_api.cpp
+++ b/libs/node/src/operator_api.cpp
@@ -90,7 +90,12 @@
     } else if (request.path == "/v1/status") {
         answer = co_await status();
     } else if (request.path == "/v1/explain") {
-        answer = explain(request);
+        const auto customer = request.parameter("customer");
+        if (customer) {
+            answer = co_await explain_customer(*customer);
+        } else {
+            answer = explain(request);
+        }
     } else if (request.path == "/v1/burn") {
         answer = net::json_response(200, burn::to_json(engine_.burn()));
     }
@@ -172,6 +177,17 @@
                               json::serialize(json::object{{"request", text}, {"steps", steps}}));
 }
 
+asio::awaitable<net::http_response> operator_api::explain_customer(std::string name)
+{
+    customer_id customer(name);
+    const auto home = co_await control_.explain_home(std::move(customer));
+    json::object object;
+    object["customer"] = name;
+    object["home"] = home.home.name;
+    object["home_here"] = home.here;
+    co_return net::json_response(200, json::serialize(object));
+}
+
 asio::awaitable<net::http_response> operator_api::status()
 {
     const auto control = co_await control_.status();
--- a/libs/node/src/request_engine.cpp
+++ b/libs/node/src/request_engine.cpp
@@ -351,8 +351,8 @@
         const auto config = state_.current().config;
         const auto* pool = config ? config->find(request->pipeline->stages[stage].pool) : nullptr;
         std::vector<requests::run_action> actions;
-        request->granting = granted_attempt{action.process, action.attempt, action.priority,
-                                            action.cold, action.start_by, action.give_up};
+        request->granting = granted_attempt{action.process, action.attempt,  action.priority,
+                                            action.cold,    action.start_by, action.give_up};
         if (action.hedge) {
             request->run.hedge(stage, action.endpoint, action.give_up, actions);
         } else {
@@ -441,9 +441,11 @@
     call->give_up = granted->give_up;
     call->started = boot_clock::now();
     request->calls[action.call] = call;
-    // Posted, because co_spawn would start the coroutine at once on this strand, under the shard's lock.
+    // Posted, because co_spawn would start the coroutine at once on this strand, under the shard's
+    // lock.
     asio::post(strand_of(action.call.request), [self = shared_from_this(), request, call] {
-        asio::co_spawn(self->strand_of(call->id.request), self->run_call(request, call), asio::detached);
+        asio::co_spawn(self->strand_of(call->id.request), self->run_call(request, call),
+                       asio::detached);
     });
 }
 
--- a/libs/peer/include/quetzal/peer/messages.hpp
+++ b/libs/peer/include/quetzal/peer/messages.hpp
@@ -203,7 +203,8 @@
     std::uint32_t sequence = 0; // rises with each declaration under one fence
 };
 
-// An instance with work for a cold endpoint asks its holder for one of the calls that the endpoint bears.
+// An instance with work for a cold endpoint asks its holder for one of the calls that the endpoint
+// bears.
 struct cold_slot_request
 {
     endpoint_id endpoint;
@@ -211,7 +212,8 @@
     std::uint32_t sequence = 0; // of the sender for this endpoint; a repetition has the same
 };
 
-// The holder lends one call. It must start within the time, counted from the sending of the request.
+// The holder lends one call. It must start within the time, counted from the sending of the
+// request.
 struct cold_slot_grant
 {
     endpoint_id endpoint;
@@ -237,9 +239,10 @@
     slot_outcome how = slot_outcome::unused;
 };
 
-using message = std::variant<probe, probe_ack, probe_request, renew_request, renew_grant,
-                             release_partitions, credit_request, credit_grant, handover,
-                             handover_ack, endpoint_observation, endpoint_declaration, cold_slot_request, cold_slot_grant, cold_slot_return>;
+using message =
+    std::variant<probe, probe_ack, probe_request, renew_request, renew_grant, release_partitions,
+                 credit_request, credit_grant, handover, handover_ack, endpoint_observation,
+                 endpoint_declaration, cold_slot_request, cold_slot_grant, cold_slot_return>;
 
 // A message with its sender, as decision code receives it.
 struct received
--- a/libs/rights/include/quetzal/rights/fleet_rights.hpp
+++ b/libs/rights/include/quetzal/rights/fleet_rights.hpp
@@ -100,6 +100,9 @@
     // unknown.
     instance_id preferred_holder(const endpoint_id& endpoint, time_point now) const;
 
+    // Returns whether the customer's bucket is at this instance.
+    bool is_home(const customer_id& customer, time_point now) const noexcept;
+
     // Starts to hand all partitions over and to get no new ones.
     void begin_leave(time_point now);
 
--- a/libs/rights/include/quetzal/rights/ranking.hpp
+++ b/libs/rights/include/quetzal/rights/ranking.hpp
@@ -33,8 +33,8 @@
     // Returns the candidate of a partition; empty when no member is live.
     const instance_id& first(partition_index partition) const noexcept;
 
-    // Returns the candidate of that rank from 0, leaving out one instance; empty when there is
-    // none.
+    // Returns the candidate of that rank from 0, leaving out one instance; ranks beyond the last
+    // start again with the first. Empty when no other member is live.
     const instance_id& at(partition_index partition, std::size_t rank,
                           const instance_id& without) const;
 
--- a/libs/rights/src/fleet_rights.cpp
+++ b/libs/rights/src/fleet_rights.cpp
@@ -535,6 +535,11 @@
     return holds(partition, now) ? self_.id : home_of(partition);
 }
 
+bool fleet_rights::is_home(const customer_id& customer, time_point now) const noexcept
+{
+    return holds(partition_of(customer, settings_), now);
+}
+
 instance_id fleet_rights::preferred_holder(const endpoint_id& endpoint, time_point now) const
 {
     const auto partition = partition_of(endpoint, settings_);
--- a/libs/rights/src/ranking.cpp
+++ b/libs/rights/src/ranking.cpp
@@ -50,9 +50,10 @@
             scored.emplace_back(committees_->score(partition, index), index);
         }
     }
-    if (rank >= scored.size()) {
+    if (scored.empty()) {
         return nobody;
     }
+    rank %= scored.size();
     std::nth_element(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(rank),
                      scored.end(), std::greater<>());
     return committees_->members()[scored[rank].second].id;
--- a/libs/rights/src/rights_test.cpp
+++ b/libs/rights/src/rights_test.cpp
@@ -314,3 +314,21 @@
         }
     }
 }
+
+// Guards against credit requests that go to nobody for ever: with three instances the third
+// candidate for a home does not exist, and requests of the customer waited until their deadline
+// (seen in the first quickstart run).
+Test(ranking, every_rank_names_a_live_member)
+{
+    const auto table = std::make_shared<const committee_table>(members(3), 3);
+    const ranking ranks(table, {{instance_id("q-100"), {}, true, false},
+                                {instance_id("q-101"), {}, true, false},
+                                {instance_id("q-102"), {}, true, false}});
+    section("given two other members, ranks beyond the last start again", [&] {
+        for (std::size_t rank = 0; rank < 6; ++rank) {
+            const auto& named = ranks.at(0, rank, instance_id("q-100"));
+            check(!named.empty() && named != instance_id("q-100"), "a live other member");
+            check(named == ranks.at(0, rank % 2, instance_id("q-100")), "wraps");
+        }
+    });
+}
--- a/libs/serving/include/quetzal/serving/dispatcher.hpp
+++ b/libs/serving/include/quetzal/serving/dispatcher.hpp
@@ -138,10 +138,9 @@
     slot_result how = slot_result::unused;
 };
 
-using action =
-    std::variant<request_admitted, request_refused, start_attempt, cancel_attempt, use_attempt,
-                 call_done, call_failed, probe_endpoint, declare_endpoint, tell_endpoint_holder,
-                 ask_cold_slot, grant_cold_slot, return_cold_slot>;
+using action = std::variant<request_admitted, request_refused, start_attempt, cancel_attempt,
+                            use_attempt, call_done, call_failed, probe_endpoint, declare_endpoint,
+                            tell_endpoint_holder, ask_cold_slot, grant_cold_slot, return_cold_slot>;
 using actions = std::vector<action>;
 
 // A request as it arrives.
@@ -260,8 +259,8 @@
                        std::uint32_t sequence, time_point now);
     actions slot_granted(const endpoint_id& endpoint, incarnation process, std::uint32_t sequence,
                          duration start_within, time_point now);
-    actions slot_returned(const endpoint_id& endpoint, const instance_id& from, std::uint32_t sequence,
-                          slot_result how, time_point now);
+    actions slot_returned(const endpoint_id& endpoint, const instance_id& from,
+                          std::uint32_t sequence, slot_result how, time_point now);
     actions probed(const endpoint_id& endpoint, bool success, time_point now);
 
     actions submit_request(const request_start& request, time_point now);
--- a/libs/serving/src/cold_slots.cpp
+++ b/libs/serving/src/cold_slots.cpp
@@ -4,8 +4,8 @@
 
 namespace quetzal::serving {
 
-std::optional<duration> lent_slots::lend(const instance_id& to, std::uint32_t sequence, std::uint32_t free,
-                                         time_point now)
+std::optional<duration> lent_slots::lend(const instance_id& to, std::uint32_t sequence,
+                                         std::uint32_t free, time_point now)
 {
     const auto known = lent_.find(to);
     if (known != lent_.end() && sequence < known->second.sequence) {
@@ -51,8 +51,10 @@
         return std::nullopt;
     }
     if (phase_ == phase::none || now - first_asked_at_ >= slot_start_window) {
-        // Starting from the clock keeps the numbers of a restarted process above those of its predecessor.
-        const auto clock = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+        // Starting from the clock keeps the numbers of a restarted process above those of its
+        // predecessor.
+        const auto clock =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
         sequence_ = std::max(sequence_ + 1, static_cast<std::uint32_t>(clock.count()));
         first_asked_at_ = now;
     }
@@ -98,6 +100,9 @@
     return sequence_;
 }
 
-void borrowed_slot::reset() { phase_ = phase::none; }
+void borrowed_slot::reset()
+{
+    phase_ = phase::none;
+}
 
 } // namespace quetzal::serving
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -66,15 +66,15 @@
     return implementation_->take_actions(now);
 }
 
-actions dispatcher::slot_asked(const endpoint_id& endpoint, const instance_id& from, incarnation process,
-                               std::uint32_t sequence, time_point now)
+actions dispatcher::slot_asked(const endpoint_id& endpoint, const instance_id& from,
+                               incarnation process, std::uint32_t sequence, time_point now)
 {
     implementation_->slot_asked(endpoint, from, process, sequence, now);
     return implementation_->take_actions(now);
 }
 
-actions dispatcher::slot_granted(const endpoint_id& endpoint, incarnation process, std::uint32_t sequence,
-                                 duration start_within, time_point now)
+actions dispatcher::slot_granted(const endpoint_id& endpoint, incarnation process,
+                                 std::uint32_t sequence, duration start_within, time_point now)
 {
     implementation_->slot_granted(endpoint, process, sequence, start_within);
     return implementation_->take_actions(now);
--- a/libs/serving/src/dispatcher_harness.hpp
+++ b/libs/serving/src/dispatcher_harness.hpp
@@ -196,6 +196,9 @@
     std::map<request_key, ended_request> ended;
     std::vector<declare_endpoint> declarations;
     std::vector<tell_endpoint_holder> told;
+    std::vector<ask_cold_slot> asked;
+    std::vector<grant_cold_slot> granted;
+    std::vector<return_cold_slot> returned;
     std::vector<call_failed> failed_calls;
     std::size_t ends = 0;
     std::size_t cancelled = 0;
@@ -215,6 +218,9 @@
     void on(const use_attempt&) {}
     void on(const declare_endpoint& item) { declarations.push_back(item); }
     void on(const tell_endpoint_holder& item) { told.push_back(item); }
+    void on(const ask_cold_slot& item) { asked.push_back(item); }
+    void on(const grant_cold_slot& item) { granted.push_back(item); }
+    void on(const return_cold_slot& item) { returned.push_back(item); }
     void on(const probe_endpoint& item)
     {
         ++probes;
--- a/libs/serving/src/dispatcher_requests.cpp
+++ b/libs/serving/src/dispatcher_requests.cpp
@@ -220,22 +220,40 @@
            pool.chooser.free_places(now) + on_the_way + admission_reserve;
 }
 
+gate_answer dispatcher::implementation::check_admission(const request_state& request) const
+{
+    for (const auto& needed : request.pipeline->pools) {
+        if (needed->chooser.usable() == 0 && borrowable(*needed) == 0) {
+            return {start_gate::hold, reason::no_endpoint,
+                    "no endpoint of pool " + needed->declared.id.name + " is usable"};
+        }
+    }
+    return gate_ ? gate_({request.start.request, request.start.customer, request.start.work_class,
+                          true})
+                 : gate_answer{};
+}
+
+// Notes why a request waits, once for each cause in a row.
+void dispatcher::implementation::note_delay(request_state& request, time_point now,
+                                            const std::string& cause)
+{
+    const std::string what = "waits: " + cause;
+    if (request.steps.empty() || request.steps.back().what != what) {
+        note(request, now, what);
+    }
+}
+
 void dispatcher::implementation::pump_admissions(pool_state& pool, time_point now)
 {
     std::vector<removed_entry> removed;
     pool.admissions.expire(now, removed);
-    const auto check = [&](const queue_entry& entry) -> gate_answer {
-        const request_state& request = requests_.at(static_cast<request_key>(entry.key));
-        const auto& pools = request.pipeline->pools;
-        const bool usable = std::all_of(pools.begin(), pools.end(), [](const auto& needed) {
-            return needed->chooser.usable() > 0 || borrowable(*needed) > 0;
-        });
-        if (!usable) {
-            return {start_gate::hold, {}, {}};
+    const auto check = [&](const queue_entry& entry) {
+        request_state& request = requests_.at(static_cast<request_key>(entry.key));
+        gate_answer answer = check_admission(request);
+        if (answer.decision == start_gate::hold) {
+            note_delay(request, now, answer.detail);
         }
-        return gate_ ? gate_({request.start.request, request.start.customer,
-                              request.start.work_class, true})
-                     : gate_answer{};
+        return answer;
     };
     while (!pool.admissions.empty() && can_admit(pool, now)) {
         const auto entry = pool.admissions.pop(now, check, removed);
--- a/libs/serving/src/dispatcher_slots.cpp
+++ b/libs/serving/src/dispatcher_slots.cpp
@@ -74,14 +74,16 @@
 {
     endpoint_record* record = find(id);
     if (record == nullptr || !record->ramp.holder() || record->ramp.process() != process ||
-        !record->connected || !record->zone_in || !record->wanted) {
+        !record->connected || !record->zone_in || !record->wanted)
+    {
         return;
     }
     if (record->ramp.warm()) {
         emit(*record, record->ramp.heard(process, false, now)); // the declaration was lost
         return;
     }
-    const std::uint32_t used = record->pool->chooser.in_flight(record->index) + record->lent.count();
+    const std::uint32_t used =
+        record->pool->chooser.in_flight(record->index) + record->lent.count();
     const std::uint32_t allowed = record->ramp.allowed();
     if (const auto window =
             record->lent.lend(from, sequence, allowed - std::min(allowed, used), now)) {
--- a/libs/serving/src/dispatcher_state.hpp
+++ b/libs/serving/src/dispatcher_state.hpp
@@ -31,7 +31,7 @@
     cold_ramp ramp;
     lent_slots lent;        // while this instance holds the exclusive right
     borrowed_slot borrowed; // while another one does
-    bool wanted = true; // listed as live, in the subset or held
+    bool wanted = true;     // listed as live, in the subset or held
     bool connected = false;
     bool zone_in = true;
     std::optional<time_point> refusing_until;
@@ -194,6 +194,8 @@
     static std::size_t find_bottleneck(const pipeline_state& pipeline);
     void queue_admission(request_state& request, time_point now);
     bool can_admit(const pool_state& pool, time_point now) const;
+    gate_answer check_admission(const request_state& request) const;
+    static void note_delay(request_state& request, time_point now, const std::string& cause);
     void pump_admissions(pool_state& pool, time_point now);
     void refuse_removed(const std::vector<removed_entry>& removed, const pool_state& pool,
                         time_point now);
