--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -529,9 +529,13 @@
         co_await refuse(gone, response);
         co_return;
     }
+    // No conditional operator here: GCC 12 destroys the operands of one that holds an await twice.
     const auto sent = co_await (*connection)->send(forwarded, relay_timeout);
-    auto head = sent ? co_await (*connection)->read_head(relay_timeout)
-                     : result<net::response_head>(tl::unexpected(sent.error()));
+    if (!sent) {
+        co_await refuse(gone, response);
+        co_return;
+    }
+    const auto head = co_await (*connection)->read_head(relay_timeout);
     if (!head) {
         co_await refuse(gone, response);
         co_return;
