Choose fencing numbers near the acquisition

Cause: a holder that had been paused for seconds between choosing its number and its acquisition used a number below one that another holder had used meanwhile; the voters of its quorum that knew better had been replaced. Ruled out by a trace: lost votes, a request that claimed the partition as held. Conclusion: the design's rule (wall clock at the acquisition) now holds across pauses too. A wall clock set back by more than the time between two terms is still covered by the voters' memory alone.

--- a/libs/rights/src/holder.cpp
+++ b/libs/rights/src/holder.cpp
@@ -266,7 +266,11 @@
             acquired.former_fence = std::max(acquired.former_fence, grant.former_fence);
             acquired.former_until = std::max(acquired.former_until, grant.former_until);
         }
-        if (state.fence <= acquired.former_fence) {
+        // A number chosen before a pause may be below those that others have used since and that no
+        // voter of this quorum remembers; only a number near the clock is sure to be above them.
+        const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.lease);
+        const bool stale = state.fence + static_cast<std::uint64_t>(lease.count()) < wall;
+        if (state.fence <= acquired.former_fence || stale) {
             state.fence = std::max({wall, acquired.former_fence + 1, greatest_fence_ + 1});
             greatest_fence_ = state.fence;
             fence_pending_ = true; // voters must know it before it is used
