--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -215,8 +215,22 @@
             co_return outcome;
         }
     }
-    lowest.expires_after(limits.slow_sender);
+    // Not by `expires_after`, which closes the socket before the refusal could be sent.
+    lowest.expires_never();
+    auto expired = std::make_shared<bool>(false);
+    asio::steady_timer timer(lowest.get_executor(), limits.slow_sender);
+    timer.async_wait([expired, &lowest, alive = connection.shared_from_this()](
+                         const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+            *expired = true;
+            lowest.cancel();
+        }
+    });
     co_await http::async_read(stream, connection.buffer, parser, await_with(outcome.error));
+    timer.cancel();
+    if (*expired && outcome.error) {
+        outcome.error = beast::error::timeout;
+    }
     outcome.received_bytes = parser.got_some();
     if (!outcome.error) {
         outcome.keep_alive = parser.get().keep_alive();
