Pass executors by reference and mend the linter's findings

Change: executors that are only copied are passed by reference; vectors reserve; two wrong findings about defaulted comparisons are marked.

--- a/apps/quetzalctl/http.cpp
+++ b/apps/quetzalctl/http.cpp
@@ -18,7 +18,7 @@
 
 // Runs a coroutine to its end on a context of its own.
 template <class Value>
-Value run(std::function<asio::awaitable<Value>(asio::any_io_executor)> function)
+Value run(std::function<asio::awaitable<Value>(const asio::any_io_executor&)> function)
 {
     asio::io_context context(1);
     auto future = asio::co_spawn(context, function(context.get_executor()), asio::use_future);
@@ -108,7 +108,7 @@
     if (!address) {
         return tl::unexpected(address.error());
     }
-    return run<result<net::http_response>>([&](asio::any_io_executor executor) {
+    return run<result<net::http_response>>([&](const asio::any_io_executor& executor) {
         return net::fetch(executor, address->address, address->port, request, call_timeout,
                           body_limit);
     });
@@ -121,7 +121,7 @@
     if (!address) {
         return tl::unexpected(address.error());
     }
-    return run<result<stream_outcome>>([&](asio::any_io_executor executor) {
+    return run<result<stream_outcome>>([&](const asio::any_io_executor& executor) {
         return read_stream(executor, *address, request, on_event);
     });
 }
--- a/libs/net/include/quetzal/net/peer_socket.hpp
+++ b/libs/net/include/quetzal/net/peer_socket.hpp
@@ -34,7 +34,8 @@
 public:
     using receiver = std::function<void(const peer::received& message)>;
 
-    peer_socket(boost::asio::any_io_executor executor, peer::key_ring keys, receiver on_message);
+    peer_socket(const boost::asio::any_io_executor& executor, peer::key_ring keys,
+                receiver on_message);
     ~peer_socket();
 
     // Binds to the address; port 0 selects a free one. Returns the port or an error text.
--- a/libs/net/src/peer_socket.cpp
+++ b/libs/net/src/peer_socket.cpp
@@ -13,8 +13,8 @@
 // The socket lives on a strand: receive operations and their handler never run concurrently.
 struct peer_socket::implementation : std::enable_shared_from_this<implementation>
 {
-    implementation(asio::any_io_executor executor, peer::key_ring ring, receiver function)
-        : strand(asio::make_strand(std::move(executor))), socket(strand), keys(std::move(ring)),
+    implementation(const asio::any_io_executor& executor, peer::key_ring ring, receiver function)
+        : strand(asio::make_strand(executor)), socket(strand), keys(std::move(ring)),
           on_message(std::move(function))
     {
     }
@@ -61,9 +61,9 @@
     peer_counters counters;
 };
 
-peer_socket::peer_socket(asio::any_io_executor executor, peer::key_ring keys, receiver on_message)
-    : body_(std::make_shared<implementation>(std::move(executor), std::move(keys),
-                                             std::move(on_message)))
+peer_socket::peer_socket(const asio::any_io_executor& executor, peer::key_ring keys,
+                         receiver on_message)
+    : body_(std::make_shared<implementation>(executor, std::move(keys), std::move(on_message)))
 {
 }
 
--- a/libs/node/include/quetzal/node/control_plane.hpp
+++ b/libs/node/include/quetzal/node/control_plane.hpp
@@ -49,7 +49,7 @@
 class control_plane : public std::enable_shared_from_this<control_plane>
 {
 public:
-    control_plane(boost::asio::any_io_executor executor, shared_state& state,
+    control_plane(const boost::asio::any_io_executor& executor, shared_state& state,
                   control_events events);
 
     // Binds the peer port and starts. Returns an error text when the port cannot be used.
--- a/libs/node/include/quetzal/node/request_engine.hpp
+++ b/libs/node/include/quetzal/node/request_engine.hpp
@@ -41,7 +41,7 @@
 class request_engine : public std::enable_shared_from_this<request_engine>
 {
 public:
-    request_engine(boost::asio::any_io_executor executor, shared_state& state,
+    request_engine(const boost::asio::any_io_executor& executor, shared_state& state,
                    control_plane& control, serving_front& front, endpoint_links& links,
                    credential_registry& credentials);
 
@@ -91,12 +91,13 @@
     using call_ptr = std::shared_ptr<stage_call>;
 
     strand& strand_of(std::uint64_t sequence) { return strands_[sequence % strands_.size()]; }
-    result<answer_ticket> submit_here(caller_request request, boost::asio::any_io_executor reader);
+    result<answer_ticket> submit_here(caller_request request,
+                                      const boost::asio::any_io_executor& reader);
     void begin(request_shard& shard, caller_request request,
                std::shared_ptr<requests::answer_log> answer);
     answer_ticket make_ticket(request_shard& shard, std::uint64_t sequence,
                               std::shared_ptr<requests::answer_log> answer,
-                              boost::asio::any_io_executor reader);
+                              const boost::asio::any_io_executor& reader);
 
     template <class Function>
     void with_request(std::uint64_t sequence, Function&& function);
--- a/libs/node/include/quetzal/node/wakeup.hpp
+++ b/libs/node/include/quetzal/node/wakeup.hpp
@@ -19,7 +19,7 @@
 class wakeup : public std::enable_shared_from_this<wakeup>
 {
 public:
-    explicit wakeup(boost::asio::any_io_executor executor) : timer_(std::move(executor)) {}
+    explicit wakeup(const boost::asio::any_io_executor& executor) : timer_(executor) {}
 
     void notify()
     {
--- a/libs/node/src/control_plane.cpp
+++ b/libs/node/src/control_plane.cpp
@@ -33,7 +33,7 @@
     return ring;
 }
 
-control_plane::control_plane(asio::any_io_executor executor, shared_state& state,
+control_plane::control_plane(const asio::any_io_executor& executor, shared_state& state,
                              control_events events)
     : strand_(asio::make_strand(executor)), state_(state), events_(std::move(events)),
       keys_(make_key_ring(state.settings.peers)),
@@ -177,6 +177,7 @@
 {
     auto view = prober_.view();
     std::vector<rights::peer_status> peers;
+    peers.reserve(view.size());
     for (const auto& member : view) {
         peers.push_back({member.instance, member.process, !member.suspected, member.leaving});
     }
--- a/libs/node/src/document_follower.cpp
+++ b/libs/node/src/document_follower.cpp
@@ -91,6 +91,7 @@
     perform(document::configuration, config_schedule_.set_members(candidates, now, wall_now()));
     perform(document::instance_list, list_schedule_.set_members(candidates, now, wall_now()));
     std::vector<instance_id> names;
+    names.reserve(view.size());
     for (const auto& entry : view) {
         names.push_back(entry.instance);
     }
--- a/libs/node/src/request_engine.cpp
+++ b/libs/node/src/request_engine.cpp
@@ -58,7 +58,7 @@
 
 } // namespace
 
-request_engine::request_engine(asio::any_io_executor executor, shared_state& state,
+request_engine::request_engine(const asio::any_io_executor& executor, shared_state& state,
                                control_plane& control, serving_front& front, endpoint_links& links,
                                credential_registry& credentials)
     : executor_(executor), state_(state), control_(control), front_(front), links_(links),
@@ -119,7 +119,7 @@
 }
 
 result<answer_ticket> request_engine::submit_here(caller_request request,
-                                                  asio::any_io_executor reader)
+                                                  const asio::any_io_executor& reader)
 {
     const auto sequence = request.identity.sequence;
     return shards_.with(sequence, [&](request_shard& shard) -> result<answer_ticket> {
@@ -131,11 +131,11 @@
             return tl::unexpected(std::move(*refusal));
         }
         if (auto* attach = std::get_if<requests::attach_to_answer>(&decision)) {
-            return make_ticket(shard, sequence, std::move(attach->answer), std::move(reader));
+            return make_ticket(shard, sequence, std::move(attach->answer), reader);
         }
         auto answer = std::get<requests::start_request>(decision).answer;
         begin(shard, std::move(request), answer);
-        return make_ticket(shard, sequence, std::move(answer), std::move(reader));
+        return make_ticket(shard, sequence, std::move(answer), reader);
     });
 }
 
@@ -180,9 +180,9 @@
 
 answer_ticket request_engine::make_ticket(request_shard& shard, std::uint64_t sequence,
                                           std::shared_ptr<requests::answer_log> answer,
-                                          asio::any_io_executor reader)
+                                          const asio::any_io_executor& reader)
 {
-    answer_ticket ticket{sequence, std::move(answer), std::make_shared<wakeup>(std::move(reader))};
+    answer_ticket ticket{sequence, std::move(answer), std::make_shared<wakeup>(reader)};
     if (const auto found = shard.running.find(sequence); found != shard.running.end()) {
         auto& request = *found->second;
         std::erase_if(request.readers, [](const auto& entry) { return entry.expired(); });
--- a/libs/requests/include/quetzal/requests/call_id.hpp
+++ b/libs/requests/include/quetzal/requests/call_id.hpp
@@ -20,6 +20,7 @@
     std::uint64_t request = 0; // sequence number of the request's identity
     std::uint32_t stage = 0;   // index in the pipeline
     std::uint32_t attempt = 0; // from 0 within the stage
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
     friend auto operator<=>(const call_id&, const call_id&) = default;
 };
 
--- a/libs/requests/include/quetzal/requests/request_identity.hpp
+++ b/libs/requests/include/quetzal/requests/request_identity.hpp
@@ -30,6 +30,7 @@
     // By the issuer's boot clock, in whole milliseconds. It means nothing at another instance.
     time_point issued{};
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
     friend auto operator<=>(const request_identity&, const request_identity&) = default;
 };
 
