Stop questions about cold endpoints from following each other without pause

Cause: a cold declaration made every other instance ask again at its next tick, and the holder answers each question with a declaration to all. Change: a wait that runs goes on when a cold declaration arrives; test added.

--- a/libs/serving/src/cold_ramp.cpp
+++ b/libs/serving/src/cold_ramp.cpp
@@ -110,10 +110,13 @@
         slow_in_row_ = 0;
     }
     warm_ = declaration.warm;
-    ask_at_.reset();
-    if (!warm_) {
+    if (warm_) {
+        ask_at_.reset();
+    } else if (!ask_at_) {
+        // In case the next declaration gets lost. A wait that runs goes on: the holder answers
+        // every question by a declaration, so asking at once after each would never end.
         ask_wait_ = options_.ask_again;
-        ask_at_ = time_point{}; // at the next tick, in case the next declaration gets lost
+        ask_at_ = time_point{}; // at the next tick
     }
 }
 
--- a/libs/serving/src/cold_ramp_test.cpp
+++ b/libs/serving/src/cold_ramp_test.cpp
@@ -227,3 +227,21 @@
         check(ramp.allowed() == 1, "the predecessor's late declaration is ignored");
     });
 }
+
+// Guards against questions and declarations that follow each other without a pause: the
+// quickstart's three idle instances sent 309 datagrams a second each.
+Test(cold_ramp, a_cold_declaration_does_not_bring_the_next_question_forward)
+{
+    cold_ramp ramp;
+    time_point now{std::chrono::hours(1)};
+    ramp.connected(incarnation{1}, now);
+    std::size_t questions = 0;
+    for (std::uint32_t sequence = 1; sequence <= 100; ++sequence) {
+        now += std::chrono::milliseconds(100);
+        if (!ramp.tick(now).empty()) {
+            ++questions;
+            ramp.declared({incarnation{1}, false, 1, sequence});
+        }
+    }
+    check(questions >= 2 && questions <= 5, "a few questions in 10 s, with growing waits");
+}
