Share the MAC check, the opening of ports and the number of a stage call

Cause: a read of the whole change found the check of a MAC and the listen sequence written twice each, and the formula of a call's number repeated with a bare 8. Change: authentication.hpp (peer), listening.cpp (net) and call_key_of (node) serve both places; the stage limit is asserted. Behaviour is unchanged. Conclusion: a change of the MAC or the limit has one place now.

--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -15,6 +15,8 @@
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
+#include "listening.hpp"
+
 namespace quetzal::net {
 
 namespace asio = boost::asio;
@@ -428,23 +430,11 @@
 tl::expected<std::uint16_t, std::string> http_server::listen(const std::string& address,
                                                              std::uint16_t port)
 {
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address, error);
-    if (error) {
-        return tl::unexpected("\"" + address + "\" is not a numeric IP address");
-    }
-    const tcp::endpoint local(ip, port);
-    auto& acceptor = state_->acceptor;
-    if (acceptor.open(local.protocol(), error) ||
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error) ||
-        acceptor.bind(local, error) ||
-        acceptor.listen(asio::socket_base::max_listen_connections, error))
-    {
-        return tl::unexpected("cannot listen on " + address + ":" + std::to_string(port) + ": " +
-                              error.message());
+    auto opened = internal::listen_on(state_->acceptor, address, port);
+    if (opened) {
+        asio::co_spawn(state_->executor, accept_connections(state_), asio::detached);
     }
-    asio::co_spawn(state_->executor, accept_connections(state_), asio::detached);
-    return acceptor.local_endpoint().port();
+    return opened;
 }
 
 void http_server::stop()
--- /dev/null
+++ b/libs/net/src/listening.hpp
@@ -0,0 +1,21 @@
+#ifndef QUETZAL_NET_SRC_LISTENING_HPP
+#define QUETZAL_NET_SRC_LISTENING_HPP
+
+// Opening of a TCP port, shared by the servers.
+
+#include <cstdint>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <tl/expected.hpp>
+
+namespace quetzal::net::internal {
+
+// Binds the acceptor to the address and listens; port 0 selects a free one. Returns the port or an
+// error text.
+tl::expected<std::uint16_t, std::string> listen_on(boost::asio::ip::tcp::acceptor& acceptor,
+                                                   const std::string& address, std::uint16_t port);
+
+} // namespace quetzal::net::internal
+
+#endif
--- a/libs/net/src/transfer.cpp
+++ b/libs/net/src/transfer.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "listening.hpp"
+
 namespace quetzal::net {
 
 namespace asio = boost::asio;
@@ -136,23 +138,11 @@
 tl::expected<std::uint16_t, std::string> transfer_server::listen(const std::string& address,
                                                                  std::uint16_t port)
 {
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address, error);
-    if (error) {
-        return tl::unexpected("\"" + address + "\" is not a numeric IP address");
-    }
-    const tcp::endpoint local(ip, port);
-    auto& acceptor = body_->acceptor;
-    if (acceptor.open(local.protocol(), error) ||
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error) ||
-        acceptor.bind(local, error) ||
-        acceptor.listen(asio::socket_base::max_listen_connections, error))
-    {
-        return tl::unexpected("cannot listen on " + address + ":" + std::to_string(port) + ": " +
-                              error.message());
+    auto opened = internal::listen_on(body_->acceptor, address, port);
+    if (opened) {
+        asio::co_spawn(body_->executor, body_->accept(), asio::detached);
     }
-    asio::co_spawn(body_->executor, body_->accept(), asio::detached);
-    return acceptor.local_endpoint().port();
+    return opened;
 }
 
 void transfer_server::stop()
--- a/libs/node/include/quetzal/node/running_request.hpp
+++ b/libs/node/include/quetzal/node/running_request.hpp
@@ -19,6 +19,15 @@
 
 namespace quetzal::node {
 
+// The dispatcher's number of a stage call: the request's sequence number and the stage.
+inline constexpr std::uint64_t stages_per_request = 8;
+static_assert(stages_per_request >= config::max_stages);
+
+inline serving::call_key call_key_of(std::uint64_t sequence, std::size_t stage)
+{
+    return serving::call_key{sequence * stages_per_request + stage};
+}
+
 // A checked submission of a caller.
 struct caller_request
 {
--- a/libs/node/src/call_runner.cpp
+++ b/libs/node/src/call_runner.cpp
@@ -153,8 +153,7 @@
 {
     const auto now = boot_clock::now();
     front_.command([&](serving::dispatcher& dispatcher) {
-        return dispatcher.chunk(serving::call_key{call.id.request * 8 + call.id.stage},
-                                call.attempt, now);
+        return dispatcher.chunk(call_key_of(call.id.request, call.id.stage), call.attempt, now);
     });
     if (call.id.stage + 1 != request->pipeline->stages.size()) {
         return;
--- a/libs/node/src/request_engine.cpp
+++ b/libs/node/src/request_engine.cpp
@@ -21,19 +21,11 @@
 constexpr duration return_grace = std::chrono::seconds(5);
 constexpr duration busy_tick = std::chrono::milliseconds(10);
 constexpr duration idle_tick = std::chrono::milliseconds(100);
-constexpr std::uint64_t stages_per_request =
-    8; // call keys: sequence * 8 + stage; above `max_stages`
-
 serving::request_key key_of(std::uint64_t sequence)
 {
     return serving::request_key{sequence};
 }
 
-serving::call_key call_key_of(const requests::call_id& id)
-{
-    return serving::call_key{id.request * stages_per_request + id.stage};
-}
-
 std::uint64_t sequence_of(serving::call_key call)
 {
     return static_cast<std::uint64_t>(call) / stages_per_request;
@@ -374,17 +366,19 @@
 
 void request_engine::cancel_attempt(const serving::cancel_attempt& action)
 {
-    on_strand(sequence_of(action.call), [this, action](request_shard& shard,
-                                                       const request_ptr& request) {
-        for (const auto& [id, call] : std::map(request->calls)) {
-            if (call_key_of(id) == action.call && call->attempt == action.attempt && !call->left) {
-                call->reported = true; // the dispatcher has given it up already
-                std::vector<requests::run_action> actions;
-                request->run.handle(id, requests::attempt_cancelled{}, actions);
-                perform(shard, request, actions);
-            }
-        }
-    });
+    on_strand(sequence_of(action.call),
+              [this, action](request_shard& shard, const request_ptr& request) {
+                  for (const auto& [id, call] : std::map(request->calls)) {
+                      if (call_key_of(id.request, id.stage) == action.call &&
+                          call->attempt == action.attempt && !call->left)
+                      {
+                          call->reported = true; // the dispatcher has given it up already
+                          std::vector<requests::run_action> actions;
+                          request->run.handle(id, requests::attempt_cancelled{}, actions);
+                          perform(shard, request, actions);
+                      }
+                  }
+              });
 }
 
 void request_engine::raise(const request_ptr& request, const call_ptr& call,
@@ -416,8 +410,7 @@
     request->stage_started[action.stage] = now;
     serving::call_start start;
     start.request = key_of(request->request.identity.sequence);
-    start.call =
-        serving::call_key{request->request.identity.sequence * stages_per_request + action.stage};
+    start.call = call_key_of(request->request.identity.sequence, action.stage);
     start.stage = action.stage;
     front_.command(
         [&](serving::dispatcher& dispatcher) { return dispatcher.submit_call(start, now); });
@@ -517,7 +510,7 @@
         return;
     }
     const auto now = boot_clock::now();
-    const auto key = call_key_of(call.id);
+    const auto key = call_key_of(call.id.request, call.id.stage);
     if (succeeded) {
         auto& time = request->stages[call.id.stage];
         time.took = now - request->stage_started[call.id.stage];
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -5,6 +5,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "authentication.hpp"
 #include "packed_archive.hpp"
 
 namespace quetzal::peer {
@@ -146,24 +147,6 @@
 constexpr std::size_t prefix_size = 4;
 constexpr std::size_t header_size = prefix_size + mac_size;
 
-mac sign(std::string_view secret, std::string_view prefix, std::string_view body)
-{
-    std::string covered;
-    covered.reserve(prefix.size() + body.size());
-    covered.append(prefix).append(body);
-    return keyed_mac(secret, covered);
-}
-
-const peer_key* select_key(const key_ring& keys, std::uint8_t id)
-{
-    for (const peer_key* key : {&keys.current, &keys.previous}) {
-        if (key->id == id && !key->secret.empty()) {
-            return key;
-        }
-    }
-    return nullptr;
-}
-
 } // namespace
 
 std::string_view to_string(drop_cause cause) noexcept
@@ -193,7 +176,7 @@
     std::string datagram(magic);
     datagram += static_cast<char>(format_version);
     datagram += static_cast<char>(keys.current.id);
-    const mac signature = sign(keys.current.secret, datagram, body);
+    const mac signature = internal::sign(keys.current.secret, datagram, body);
     datagram.append(reinterpret_cast<const char*>(signature.data()), signature.size());
     return datagram + body;
 }
@@ -206,20 +189,12 @@
     if (static_cast<std::uint8_t>(datagram[2]) != format_version) {
         return tl::unexpected(drop_cause::wrong_version);
     }
-    const peer_key* key = select_key(keys, static_cast<std::uint8_t>(datagram[3]));
-    if (key == nullptr) {
-        return tl::unexpected(drop_cause::unknown_key);
-    }
-    const std::string_view body = datagram.substr(header_size);
-    const mac expected = sign(key->secret, datagram.substr(0, prefix_size), body);
-    const std::string_view carried = datagram.substr(prefix_size, mac_size);
-    if (!equal_constant_time(
-            expected, {reinterpret_cast<const std::uint8_t*>(carried.data()), carried.size()}))
-    {
-        return tl::unexpected(drop_cause::wrong_mac);
+    const auto body = internal::authentic_body(datagram, prefix_size, keys);
+    if (!body) {
+        return tl::unexpected(body.error());
     }
     try {
-        internal::packed_input archive(body);
+        internal::packed_input archive(*body);
         received message;
         archive(message);
         return message;
--- a/libs/peer/src/transfer.cpp
+++ b/libs/peer/src/transfer.cpp
@@ -8,6 +8,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "authentication.hpp"
 #include "bounded_archive.hpp"
 
 namespace quetzal {
@@ -64,24 +65,6 @@
 constexpr std::size_t prefix_size = 8;
 static_assert(prefix_size + mac_size == transfer_header_size);
 
-mac sign(std::string_view secret, std::string_view prefix, std::string_view body)
-{
-    std::string covered;
-    covered.reserve(prefix.size() + body.size());
-    covered.append(prefix).append(body);
-    return keyed_mac(secret, covered);
-}
-
-const peer_key* select_key(const key_ring& keys, std::uint8_t id)
-{
-    for (const peer_key* key : {&keys.current, &keys.previous}) {
-        if (key->id == id && !key->secret.empty()) {
-            return key;
-        }
-    }
-    return nullptr;
-}
-
 } // namespace
 
 std::string encode_frame(const transfer_message& message, const key_ring& keys)
@@ -98,7 +81,7 @@
     for (int shift = 24; shift >= 0; shift -= 8) {
         frame += static_cast<char>(body.size() >> shift);
     }
-    const mac signature = sign(keys.current.secret, frame, body);
+    const mac signature = internal::sign(keys.current.secret, frame, body);
     frame.append(reinterpret_cast<const char*>(signature.data()), signature.size());
     return frame + body;
 }
@@ -131,20 +114,12 @@
     if (frame.size() != transfer_header_size + *size) {
         return tl::unexpected(drop_cause::too_short);
     }
-    const peer_key* key = select_key(keys, static_cast<std::uint8_t>(frame[3]));
-    if (key == nullptr) {
-        return tl::unexpected(drop_cause::unknown_key);
-    }
-    const std::string_view body = frame.substr(transfer_header_size);
-    const mac expected = sign(key->secret, frame.substr(0, prefix_size), body);
-    const std::string_view carried = frame.substr(prefix_size, mac_size);
-    if (!equal_constant_time(
-            expected, {reinterpret_cast<const std::uint8_t*>(carried.data()), carried.size()}))
-    {
-        return tl::unexpected(drop_cause::wrong_mac);
+    const auto body = internal::authentic_body(frame, prefix_size, keys);
+    if (!body) {
+        return tl::unexpected(body.error());
     }
     try {
-        internal::bounded_archive archive(body);
+        internal::bounded_archive archive(*body);
         transfer_message message;
         archive(message);
         return message;
