--- a/apps/quetzallever/main.cpp
+++ b/apps/quetzallever/main.cpp
@@ -1,44 +1,59 @@
-// The entry instance: `quetzallever --config FILE`. Exit codes: 0 after a planned stop, 1 when a
-// port or file cannot be used, 2 for wrong options or settings. SIGTERM and SIGINT start a planned
-// stop, SIGHUP reads the certificates again.
+// The entry instance: `quetzallever --config FILE` with the project's own interface, or
+// `quetzallever --front` on the users' platform, whose settings file is named by the environment
+// variable QUETZALLEVER_SETTINGS unless --config names one. Exit codes: 0 after a planned stop, 1
+// when a port or file cannot be used, 2 for wrong options or settings. SIGTERM and SIGINT start a
+// planned stop; SIGHUP reads again what may change while the process runs.
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
-#include <thread>
-#include <vector>
 
-#include <boost/asio/signal_set.hpp>
 #include <popt.h>
-#include <quetzal/node/entry_instance.hpp>
-#include <quetzal/node/log.hpp>
+
+#include "programs.hpp"
 
 namespace {
 
-constexpr int exit_failed = 1;
-constexpr int exit_usage = 2;
+constexpr const char* front_settings_variable = "QUETZALLEVER_SETTINGS";
+
+struct command_line
+{
+    std::string settings_path; // empty: the options are wrong
+    bool front = false;        // on the users' platform
+};
 
-// Returns the path of --config, or an empty text after printing what is wrong.
-std::string parse_options(int argc, const char** argv)
+// Reads the options and prints what is wrong with them.
+command_line parse_options(int argc, const char** argv)
 {
     char* path = nullptr;
+    int front = 0;
     const poptOption options[] = {
         {"config", 'c', POPT_ARG_STRING, &path, 0, "settings of this instance (TOML)", "FILE"},
+        {"front", 'f', POPT_ARG_NONE, &front, 0, "run on the users' platform", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("quetzallever", argc, argv, options, 0);
     const int code = poptGetNextOpt(context);
+    command_line chosen;
+    chosen.front = front != 0;
+    const char* from_platform = chosen.front ? std::getenv(front_settings_variable) : nullptr;
     if (code < -1) {
         std::fprintf(stderr, "quetzallever: %s: %s\n",
                      poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(code));
-    } else if (path == nullptr) {
+    } else if (path != nullptr) {
+        chosen.settings_path = path;
+    } else if (from_platform != nullptr) {
+        chosen.settings_path = from_platform;
+    } else {
         poptPrintUsage(context, stderr, 0);
     }
-    std::string chosen = code < -1 || path == nullptr ? "" : path;
     poptFreeContext(context);
     return chosen;
 }
 
-std::optional<quetzal::config::settings> read_settings(const std::string& path)
+} // namespace
+
+std::optional<std::string> read_file(const std::string& path)
 {
     std::ifstream file(path);
     if (!file) {
@@ -47,54 +62,22 @@
     }
     std::ostringstream text;
     text << file.rdbuf();
-    auto parsed = quetzal::config::parse_settings(text.str(), path);
-    if (parsed) {
-        return std::move(*parsed);
-    }
-    for (const auto& error : parsed.error()) {
-        std::fprintf(stderr, "%s\n", error.message().c_str());
-    }
-    return std::nullopt;
+    return std::move(text).str();
 }
 
-void wait_for_signals(boost::asio::signal_set& signals, quetzal::node::entry_instance& instance)
-{
-    signals.async_wait([&signals, &instance](const boost::system::error_code& error, int signal) {
-        if (error) {
-            return;
-        }
-        if (signal == SIGHUP) {
-            instance.reload_certificates();
-        } else {
-            instance.drain();
-        }
-        wait_for_signals(signals, instance);
-    });
-}
-
-} // namespace
-
 int main(int argc, const char** argv)
 {
-    const std::string path = parse_options(argc, argv);
-    auto settings = path.empty() ? std::nullopt : read_settings(path);
-    if (!settings) {
+    const command_line options = parse_options(argc, argv);
+    if (options.settings_path.empty()) {
         return exit_usage;
     }
-    quetzal::node::configure_log(settings->log, settings->instance);
-    const unsigned threads = settings->runtime.threads;
-    boost::asio::io_context context(static_cast<int>(threads));
-    quetzal::node::entry_instance instance(context, std::move(*settings));
-    if (const auto started = instance.start(); !started) {
-        std::fprintf(stderr, "quetzallever: %s\n", started.error().c_str());
-        return exit_failed;
-    }
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
-    wait_for_signals(signals, instance);
-    std::vector<std::jthread> workers;
-    for (unsigned index = 1; index < threads; ++index) {
-        workers.emplace_back([&context] { context.run(); });
+    if (options.front) {
+        return run_front(options.settings_path);
     }
-    context.run();
-    return 0;
+#ifdef QUETZAL_OWN_INTERFACE
+    return run_instance(options.settings_path);
+#else
+    std::fprintf(stderr, "quetzallever: this build only has --front\n");
+    return exit_usage;
+#endif
 }
--- a/libs/config/src/toml_reader.hpp
+++ b/libs/config/include/quetzal/config/toml_reader.hpp
@@ -24,7 +24,7 @@
 #include <toml++/toml.h>
 #pragma pop_macro("NDEBUG")
 
-namespace quetzal::config::internal {
+namespace quetzal::config {
 
 // All errors of one file.
 class settings_errors
@@ -62,7 +62,11 @@
                            std::uint64_t fallback);
     std::uint64_t bytes_or(std::string_view name, std::uint64_t low, std::uint64_t high,
                            std::uint64_t fallback);
+    // A number with or without a fraction.
+    double number_or(std::string_view name, double low, double high, double fallback);
     duration time_or(std::string_view name, duration low, duration high, duration fallback);
+    // Texts of an array; empty when absent.
+    std::vector<std::string> texts(std::string_view name);
     std::size_t choice_or(std::string_view name, std::initializer_list<std::string_view> choices,
                           std::size_t fallback);
 
@@ -92,6 +96,6 @@
     std::set<std::string, std::less<>> read_;
 };
 
-} // namespace quetzal::config::internal
+} // namespace quetzal::config
 
 #endif
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -6,14 +6,12 @@
 #include <bit>
 #include <charconv>
 
-#include "toml_reader.hpp"
+#include <quetzal/config/toml_reader.hpp>
 
 namespace quetzal::config {
 
 namespace {
 
-using internal::settings_errors;
-using internal::toml_reader;
 
 constexpr std::uint64_t kibibyte = 1u << 10;
 constexpr std::uint64_t mebibyte = kibibyte << 10;
--- a/libs/config/src/toml_reader.cpp
+++ b/libs/config/src/toml_reader.cpp
@@ -1,4 +1,4 @@
-#include "toml_reader.hpp"
+#include <quetzal/config/toml_reader.hpp>
 
 #include <algorithm>
 #include <tuple>
@@ -7,7 +7,7 @@
 
 #include "json_reader.hpp"
 
-namespace quetzal::config::internal {
+namespace quetzal::config {
 
 namespace {
 
@@ -97,8 +97,8 @@
 std::string toml_reader::name(std::string_view member_name)
 {
     std::string written = text(member_name);
-    if (!written.empty() && !is_valid_name(written)) {
-        report(member_name, std::string(name_rule));
+    if (!written.empty() && !internal::is_valid_name(written)) {
+        report(member_name, std::string(internal::name_rule));
         return {};
     }
     return written;
@@ -146,6 +146,42 @@
     return *value;
 }
 
+double toml_reader::number_or(std::string_view name, double low, double high, double fallback)
+{
+    const auto* found = member(name, false);
+    if (found == nullptr) {
+        return fallback;
+    }
+    const auto value = found->value<double>();
+    if (!found->is_number() || !value || *value < low || *value > high) {
+        report(name, "a number from " + std::to_string(low) + " to " + std::to_string(high));
+        return fallback;
+    }
+    return *value;
+}
+
+std::vector<std::string> toml_reader::texts(std::string_view name)
+{
+    std::vector<std::string> values;
+    const auto* found = member(name, false);
+    if (found == nullptr) {
+        return values;
+    }
+    const auto* array = found->as_array();
+    if (array == nullptr) {
+        report(name, "an array of strings");
+        return values;
+    }
+    for (const auto& element : *array) {
+        if (const auto* text = element.as_string()) {
+            values.push_back(text->get());
+        } else {
+            report(name, "an array of strings");
+        }
+    }
+    return values;
+}
+
 duration toml_reader::time_or(std::string_view name, duration low, duration high, duration fallback)
 {
     const auto* found = member(name, false);
@@ -213,4 +249,4 @@
     }
 }
 
-} // namespace quetzal::config::internal
+} // namespace quetzal::config
--- /dev/null
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -0,0 +1,135 @@
+#ifndef QUETZAL_GATEWAY_MEMBER_TABLE_HPP
+#define QUETZAL_GATEWAY_MEMBER_TABLE_HPP
+
+// Which instances of the fleet are alive, learnt from heartbeats alone: there is no instance list.
+// A heartbeat carries what its sender knows of all others with the age of that knowledge, so that
+// a fleet of any size converges with a constant number of messages for each instance.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <quetzal/base/random.hpp>
+#include <quetzal/base/time.hpp>
+
+namespace quetzal::gateway {
+
+// What an instance says about itself. `serial` rises with each change, so that news about a leaving
+// instance goes before older news of the same process.
+struct member_record
+{
+    std::string address;           // numeric IP address; names the instance
+    std::uint64_t incarnation = 0; // wall clock milliseconds at the start of the process
+    std::uint64_t serial = 0;
+    std::string zone;
+    std::uint16_t caller_port = 0;
+    bool ready = false;   // takes callers
+    bool leaving = false; // is stopping
+    std::uint64_t revision = 0;      // of the published documents that it has seen
+    std::uint64_t configuration = 0; // version of the configuration in force there
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(address, incarnation, serial, zone, caller_port, ready, leaving, revision,
+                configuration);
+    }
+};
+
+// One line of a heartbeat: a record and how long ago its instance was known to be alive.
+struct aged_record
+{
+    member_record record;
+    std::uint32_t age_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(record, age_ms);
+    }
+};
+
+struct heartbeat
+{
+    aged_record sender;
+    std::vector<aged_record> others;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(sender, others);
+    }
+};
+
+struct member_table_options
+{
+    // An instance is taken for dead when nothing proves it alive for this long.
+    duration silence = std::chrono::milliseconds(1800);
+    // A dead instance still counts in `recent_size` for this long, so that shares of fleet-wide
+    // bounds do not grow while an instance may only be cut off.
+    duration remembered = std::chrono::seconds(30);
+    std::size_t fanout = 6;         // peers that get each heartbeat
+    std::size_t records_limit = 24; // others described by one heartbeat
+};
+
+class member_table
+{
+public:
+    member_table(member_table_options options, member_record self);
+
+    // Changes what this instance says about itself.
+    void set_ready(bool ready);
+    void set_leaving();
+    void set_known(std::uint64_t revision, std::uint64_t configuration);
+
+    // Takes what a peer reported. Records of this instance itself are ignored.
+    void take(const heartbeat& message, time_point now);
+
+    // Forgets instances that have been silent for longer than `remembered`.
+    void expire(time_point now);
+
+    heartbeat make_heartbeat(time_point now, random_source& random) const;
+
+    // Addresses of the peers that the next heartbeat goes to.
+    std::vector<std::string> choose_peers(time_point now, random_source& random) const;
+
+    const member_record& self() const noexcept { return self_; }
+
+    // Live instances, this one included, ordered by address.
+    std::vector<member_record> live(time_point now) const;
+
+    // Number of live instances, this one included.
+    std::size_t live_size(time_point now) const;
+
+    // Number of instances that were alive within `remembered`, this one included.
+    std::size_t recent_size(time_point now) const;
+
+    bool is_live(const std::string& address, time_point now) const;
+
+    // The live instance with the greatest rendezvous score for the key among those that are not
+    // leaving; this instance if it knows no other.
+    std::string owner_of(std::string_view key, time_point now) const;
+
+    // The peer that has seen the newest documents, if any has seen newer ones than this instance.
+    std::optional<member_record> most_advanced(time_point now) const;
+
+private:
+    struct known_member
+    {
+        member_record record;
+        time_point alive; // latest moment at which it is known to have been alive
+    };
+
+    void merge(const aged_record& news, time_point now);
+    bool alive(const known_member& member, time_point now) const;
+
+    member_table_options options_;
+    member_record self_;
+    std::map<std::string, known_member> others_; // by address
+};
+
+} // namespace quetzal::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/include/quetzal/gateway/stage_protocol.hpp
@@ -0,0 +1,49 @@
+#ifndef QUETZAL_GATEWAY_STAGE_PROTOCOL_HPP
+#define QUETZAL_GATEWAY_STAGE_PROTOCOL_HPP
+
+// How calls of stages are written and read. An adapter fills it in.
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <quetzal/base/time.hpp>
+#include <quetzal/gateway/piece_queue.hpp>
+
+namespace quetzal::gateway {
+
+// What became of one piece of a call.
+enum class piece_fate
+{
+    done,
+    late,   // its time had run out before its turn
+    gone,   // one of its inputs no longer exists
+    no_room, // the endpoint has no memory for the result now
+    failed
+};
+
+struct piece_outcome
+{
+    piece_fate fate = piece_fate::failed;
+    std::string handle; // names the result when done
+};
+
+struct stage_protocol
+{
+    std::string run_target;     // path of a call
+    std::string release_target; // path that gives up results
+    std::function<std::string(const std::vector<waiting_piece>&, time_point now)> encode_call;
+    // Returns nothing when the body is not an answer for that number of pieces.
+    std::function<std::optional<std::vector<piece_outcome>>(std::string_view body,
+                                                            std::size_t pieces)>
+        decode_call;
+    std::function<std::string(const std::vector<std::string>& handles)> encode_release;
+    // Returns the address of the endpoint that holds a result, "IP:PORT".
+    std::function<std::string(std::string_view handle)> maker_of;
+};
+
+} // namespace quetzal::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/caller_request.cpp
@@ -0,0 +1,206 @@
+#include <quetzal/gateway/caller_request.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <set>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <quetzal/base/hash.hpp>
+
+namespace quetzal::gateway {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t id_limit = 200;          // bytes of a request id
+constexpr std::size_t prompt_parts_limit = 64; // parts of one prompt
+
+// Headers that concern only one connection.
+constexpr std::array<std::string_view, 9> connection_headers{
+    "connection",    "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+    "te",            "trailer",    "transfer-encoding",  "upgrade"};
+
+std::string lower(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char symbol) {
+        return static_cast<char>(symbol >= 'A' && symbol <= 'Z' ? symbol - 'A' + 'a' : symbol);
+    });
+    return result;
+}
+
+std::string_view view_of(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+bool equal_name(std::string_view left, std::string_view right)
+{
+    return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+bool is_connection_header(std::string_view name)
+{
+    return std::any_of(connection_headers.begin(), connection_headers.end(),
+                       [&](std::string_view header) { return equal_name(header, name); });
+}
+
+// Names that the Connection header lists as concerning this connection only.
+std::set<std::string> listed_names(const http::fields& headers)
+{
+    std::set<std::string> names;
+    const auto [begin, end] = headers.equal_range(http::field::connection);
+    for (auto header = begin; header != end; ++header) {
+        for (const auto& token : http::token_list(header->value())) {
+            names.insert(lower(view_of(token)));
+        }
+    }
+    return names;
+}
+
+template <class Number>
+std::optional<Number> parse_number(std::string_view text)
+{
+    Number value{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string host_without_port(std::string_view host)
+{
+    return lower(host.substr(0, host.rfind(':')));
+}
+
+// Reads "ID:TOKENS,ID:TOKENS,...". The shortest prefix returned is the one that the requests of a
+// session share, since shorter ones are shared by so many sessions that they lie everywhere.
+std::optional<std::vector<serving::prompt_prefix>> read_prompt_parts(std::string_view text)
+{
+    std::vector<serving::prompt_prefix> prefixes;
+    std::uint64_t hash = 0;
+    std::uint32_t tokens = 0;
+    while (!text.empty()) {
+        const auto part = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(text.size(), part.size() + 1));
+        const auto colon = part.rfind(':');
+        const auto count = colon == std::string_view::npos
+                               ? std::nullopt
+                               : parse_number<std::uint32_t>(part.substr(colon + 1));
+        if (!count || prefixes.size() >= prompt_parts_limit) {
+            return std::nullopt;
+        }
+        hash = combine_hash(hash, stable_hash(part.substr(0, colon)));
+        tokens += *count;
+        prefixes.push_back({hash, tokens});
+    }
+    constexpr std::size_t session_and_own = 2;
+    if (prefixes.size() > session_and_own) {
+        prefixes.erase(prefixes.begin(), prefixes.end() - session_and_own);
+    }
+    return prefixes;
+}
+
+void append_line(std::string& lines, std::string_view name, std::string_view value)
+{
+    lines += name;
+    lines += ": ";
+    lines += value;
+    lines += "\r\n";
+}
+
+} // namespace
+
+void running_request::abort(failure why)
+{
+    if (aborted_) {
+        return;
+    }
+    aborted_ = std::move(why);
+    if (hook_) {
+        hook_();
+    }
+}
+
+result<caller_request> read_caller_request(std::string method, std::string target,
+                                           const http::fields& headers, std::string body,
+                                           const header_names& names, time_point received)
+{
+    caller_request request;
+    request.method = std::move(method);
+    request.target = std::move(target);
+    request.body = std::move(body);
+    request.received = received;
+    const auto value_of = [&](const std::string& name) { return view_of(headers[name]); };
+    request.host = host_without_port(view_of(headers[http::field::host]));
+    request.id = value_of(names.request_id);
+    request.key = value_of(names.key);
+    request.piece_key = value_of(names.piece_key);
+    request.piece_counts = value_of(names.piece_counts);
+    request.last_event_id = value_of(names.last_event_id);
+    if (request.target.empty() || request.target.front() != '/') {
+        return not_run(reason::invalid_request, "the target is not a path");
+    }
+    if (request.id.empty() || request.id.size() > id_limit) {
+        return not_run(reason::invalid_request, "the request id is missing or too long");
+    }
+    if (headers.count(names.request_id) > 1 || headers.count(names.key) > 1) {
+        return not_run(reason::invalid_request, "the request id or the key stands twice");
+    }
+    if (const auto text = value_of(names.deadline); !text.empty()) {
+        const auto milliseconds = parse_number<std::uint32_t>(text);
+        if (!milliseconds) {
+            return not_run(reason::invalid_request, "the deadline is not a number");
+        }
+        request.patience = std::chrono::milliseconds(*milliseconds);
+    }
+    if (const auto text = value_of(names.prompt_parts); !text.empty()) {
+        auto prefixes = read_prompt_parts(text);
+        if (!prefixes) {
+            return not_run(reason::invalid_request, "the parts of the prompt are malformed");
+        }
+        request.prefixes = std::move(*prefixes);
+    }
+    if (const auto text = value_of(names.token_usage); !text.empty()) {
+        const auto comma = text.find(',');
+        request.prompt_tokens = parse_number<std::uint32_t>(text.substr(0, comma)).value_or(0);
+        if (comma != std::string_view::npos) {
+            request.output_tokens =
+                parse_number<std::uint32_t>(text.substr(comma + 1)).value_or(0);
+        }
+    }
+    const auto listed = listed_names(headers);
+    const auto dropped = [&](std::string_view name) {
+        const auto is = [&](const std::string& other) { return equal_name(name, other); };
+        return is_connection_header(name) || is("content-length") || is("expect") ||
+               is(names.deadline) || is(names.key) || is(names.customer) ||
+               is(names.expected_endpoint) || is(names.priority) || is(names.inputs) ||
+               is(names.last_event_id) || listed.contains(lower(name)) ||
+               std::any_of(names.reserved.begin(), names.reserved.end(), is);
+    };
+    for (const auto& header : headers) {
+        if (!dropped(view_of(header.name_string()))) {
+            append_line(request.forwarded_headers, view_of(header.name_string()),
+                        view_of(header.value()));
+        }
+    }
+    return request;
+}
+
+std::string forwarded_answer_headers(const http::fields& headers)
+{
+    std::string lines;
+    const auto listed = listed_names(headers);
+    for (const auto& header : headers) {
+        const auto name = view_of(header.name_string());
+        if (!is_connection_header(name) && !equal_name(name, "content-length") &&
+            !listed.contains(lower(name))) {
+            append_line(lines, name, view_of(header.value()));
+        }
+    }
+    return lines;
+}
+
+} // namespace quetzal::gateway
--- /dev/null
+++ b/libs/gateway/src/caller_server.cpp
@@ -0,0 +1,405 @@
+#include <quetzal/gateway/caller_server.hpp>
+
+#include <array>
+#include <cstdio>
+#include <sys/socket.h>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <quetzal/gateway/channel.hpp>
+#include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/lazy_deadline.hpp>
+
+namespace quetzal::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr duration write_timeout = std::chrono::seconds(5); // for a caller that does not read
+constexpr duration accept_pause = std::chrono::milliseconds(50); // after an error of accept
+constexpr std::size_t read_buffer_limit = 64u << 10;             // bytes read ahead
+constexpr int listen_backlog = 1024;
+
+using request_parser = http::request_parser<http::string_body>;
+
+// Returns why the framing of a request is refused, or null. Anything that another parser might read
+// differently is refused.
+const char* framing_fault(const request_parser& parser)
+{
+    const auto& message = parser.get();
+    const auto encodings = message.count(http::field::transfer_encoding);
+    const auto lengths = message.count(http::field::content_length);
+    if (encodings > 1 || lengths > 1 || (encodings > 0 && lengths > 0)) {
+        return "ambiguous body length";
+    }
+    if (encodings == 1 &&
+        !boost::beast::iequals(message[http::field::transfer_encoding], "chunked")) {
+        return "unknown transfer encoding";
+    }
+    if (message.version() != 11) {
+        return "not HTTP/1.1";
+    }
+    if (message.count(http::field::host) != 1) {
+        return "not one host";
+    }
+    return nullptr;
+}
+
+std::string status_line(unsigned status)
+{
+    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason.data(), reason.size()) +
+           "\r\n";
+}
+
+} // namespace
+
+struct caller_server::implementation : std::enable_shared_from_this<implementation>
+{
+    struct connection;
+
+    implementation(asio::io_context& io, caller_server_options settings, const catalog& catalog,
+                   const header_names& header, handler serve)
+        : context(io), options(std::move(settings)), view(catalog), names(header),
+          serve_request(std::move(serve)), acceptor(io)
+    {
+    }
+
+    static asio::awaitable<void> accept_loop(std::shared_ptr<implementation> self);
+    static asio::awaitable<void> serve(std::shared_ptr<implementation> self,
+                                       std::shared_ptr<connection> caller);
+
+    asio::io_context& context;
+    caller_server_options options;
+    const catalog& view;
+    const header_names& names;
+    handler serve_request;
+    tcp::acceptor acceptor;
+    bool draining = false;
+    std::size_t busy = 0;
+    std::size_t open = 0;
+    std::size_t body_bytes = 0;
+};
+
+// One caller's connection, and the writer of its answers.
+struct caller_server::implementation::connection final
+    : answer_writer,
+      std::enable_shared_from_this<connection>
+{
+    connection(tcp::socket accepted, implementation& owner)
+        : socket(std::move(accepted)), server(owner), timeout(socket.get_executor(), [this] {
+              timed_out = true;
+              close();
+          })
+    {
+    }
+
+    void close()
+    {
+        keep = false;
+        boost::system::error_code ignored; // the connection is given up whatever its state
+        socket.close(ignored);
+    }
+
+    asio::awaitable<bool> write(std::string bytes)
+    {
+        boost::system::error_code error;
+        timeout.expires_after(write_timeout);
+        co_await asio::async_write(socket, asio::buffer(bytes),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        timeout.clear();
+        if (error) {
+            close();
+        }
+        co_return !error;
+    }
+
+    asio::awaitable<bool> whole(unsigned status, std::string headers, std::string body) override
+    {
+        std::string bytes = status_line(status) + headers;
+        if (server.draining || !keep) {
+            keep = false;
+            bytes += "Connection: close\r\n";
+        }
+        bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        if (!head_request) {
+            bytes += body;
+        }
+        answered = true;
+        co_return co_await write(std::move(bytes));
+    }
+
+    asio::awaitable<bool> part(unsigned status, const std::string& headers, std::string events,
+                               bool last) override
+    {
+        std::string bytes;
+        if (!stream_begun) {
+            stream_begun = true;
+            bytes = status_line(status) + headers;
+            if (server.draining || !keep) {
+                keep = false;
+                bytes += "Connection: close\r\n";
+            }
+            bytes += "Transfer-Encoding: chunked\r\n\r\n";
+        }
+        if (!events.empty()) {
+            std::array<char, 20> size{};
+            std::snprintf(size.data(), size.size(), "%zx\r\n", events.size());
+            bytes += size.data();
+            bytes += events;
+            bytes += "\r\n";
+        }
+        if (last) {
+            bytes += "0\r\n\r\n";
+            answered = true;
+        }
+        co_return co_await write(std::move(bytes));
+    }
+
+    bool begun() const override { return stream_begun; }
+
+    void cut() override { close(); }
+
+    // Aborts the request when the caller closes the connection while it is being served. Bytes of a
+    // next request end the watch.
+    void watch()
+    {
+        if (watching || !socket.is_open()) {
+            return;
+        }
+        watching = true;
+        socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](
+                                                      const boost::system::error_code& error) {
+            self->watching = false;
+            if (!self->current || (error && self->socket.is_open())) {
+                return;
+            }
+            char byte = 0;
+            const auto got = error ? 0
+                                   : ::recv(self->socket.native_handle(), &byte, 1,
+                                            MSG_PEEK | MSG_DONTWAIT);
+            const bool waiting = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+            if (waiting) {
+                self->watch();
+            } else if (got <= 0) {
+                self->current->abort(
+                    {verdict::may_have_run, reason::cancelled, "the caller closed", {}});
+            }
+        });
+    }
+
+    tcp::socket socket;
+    implementation& server;
+    lazy_deadline timeout;
+    boost::beast::flat_buffer buffer{read_buffer_limit};
+    std::shared_ptr<running_request> current; // being served
+    bool keep = true;
+    bool head_request = false;
+    bool stream_begun = false;
+    bool answered = false;
+    bool watching = false;
+    bool timed_out = false;
+};
+
+namespace {
+
+struct read_outcome
+{
+    unsigned refused = 0; // status of a refusal; 0: none
+    const char* why = "";
+    bool closed = false; // nothing to answer
+};
+
+read_outcome read_failure(const boost::system::error_code& error, bool timed_out, bool began)
+{
+    if (timed_out) {
+        return {0, "slow sender", true};
+    }
+    if (error == http::error::header_limit) {
+        return {431, "header too large", false};
+    }
+    if (error == http::error::body_limit) {
+        return {413, "body too large", false};
+    }
+    const bool gone = error == http::error::end_of_stream || error == http::error::partial_message ||
+                      error.category() != http::make_error_code(http::error::bad_version).category();
+    if (gone || !began) {
+        return {0, "closed", true};
+    }
+    return {400, "malformed request", false};
+}
+
+} // namespace
+
+asio::awaitable<void>
+caller_server::implementation::serve(std::shared_ptr<implementation> self,
+                                     std::shared_ptr<connection> caller)
+{
+    ++self->open;
+    while (caller->keep && caller->socket.is_open()) {
+        const caller_limits& limits = self->view.limits();
+        request_parser parser;
+        parser.header_limit(limits.header_size);
+        parser.body_limit(limits.body_size);
+        boost::system::error_code error;
+        if (caller->buffer.size() == 0) {
+            caller->timeout.expires_after(limits.idle_timeout);
+            co_await caller->socket.async_wait(tcp::socket::wait_read,
+                                               asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                break;
+            }
+        }
+        caller->timeout.expires_after(limits.header_timeout);
+        co_await http::async_read_header(caller->socket, caller->buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+        const time_point received = boot_clock::now();
+        read_outcome outcome;
+        if (error) {
+            outcome = read_failure(error, caller->timed_out, true);
+        } else if (const char* fault = framing_fault(parser)) {
+            outcome = {400, fault, false};
+        }
+        if (!error && outcome.refused == 0) {
+            ++self->busy;
+            co_await http::async_read(caller->socket, caller->buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+            --self->busy;
+            if (error) {
+                outcome = read_failure(error, caller->timed_out, true);
+            }
+        }
+        caller->timeout.clear();
+        if (outcome.closed) {
+            break;
+        }
+        caller->keep = outcome.refused == 0 && parser.get().keep_alive();
+        caller->head_request = parser.get().method() == http::verb::head;
+        caller->stream_begun = false;
+        caller->answered = false;
+        result<caller_request> request =
+            not_run(reason::invalid_request, std::string(outcome.why));
+        if (outcome.refused == 0) {
+            auto& message = parser.get();
+            std::string method(message.method_string().data(), message.method_string().size());
+            std::string target(message.target().data(), message.target().size());
+            request = read_caller_request(std::move(method), std::move(target), message.base(),
+                                          std::move(message.body()), self->names, received);
+        }
+        if (!request) {
+            log_event("request_malformed", {{"detail", request.error().detail}});
+            caller->keep = false;
+            const unsigned status = outcome.refused == 0 ? 400 : outcome.refused;
+            co_await caller->whole(status, {}, {});
+            break;
+        }
+        const std::size_t body_size = request->body.size();
+        if (self->body_bytes + body_size > self->options.body_memory) {
+            log_event("request_refused", {{"request", request->id},
+                                          {"status", 503},
+                                          {"verdict", "not_run"},
+                                          {"reason", "overloaded"},
+                                          {"detail", "memory for bodies is used up"}});
+            co_await caller->whole(503, "Retry-After: 0.5\r\n", {});
+            continue;
+        }
+        self->body_bytes += body_size;
+        ++self->busy;
+        caller->current = std::make_shared<running_request>(std::move(*request));
+        caller->watch();
+        co_await self->serve_request(caller->current, *caller);
+        caller->current.reset();
+        --self->busy;
+        self->body_bytes -= body_size;
+        if (!caller->answered) {
+            break;
+        }
+    }
+    caller->close();
+    --self->open;
+}
+
+asio::awaitable<void>
+caller_server::implementation::accept_loop(std::shared_ptr<implementation> self)
+{
+    while (self->acceptor.is_open()) {
+        boost::system::error_code error;
+        tcp::socket socket = co_await self->acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            log_event("accept_failed", {{"error", error.message()}});
+            asio::steady_timer pause(self->context, accept_pause);
+            boost::system::error_code ignored; // the timer is not cancelled
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        }
+        if (self->open >= self->options.connections) {
+            log_event("connection_refused", {{"open", self->open}});
+            continue; // the socket closes here
+        }
+        configure_socket(socket);
+        auto caller = std::make_shared<connection>(std::move(socket), *self);
+        asio::co_spawn(self->context, serve(self, std::move(caller)), asio::detached);
+    }
+}
+
+caller_server::caller_server(asio::io_context& context, caller_server_options options,
+                             const catalog& view, const header_names& names, handler serve)
+    : self_(std::make_shared<implementation>(context, std::move(options), view, names,
+                                             std::move(serve)))
+{
+}
+
+caller_server::~caller_server() = default;
+
+tl::expected<void, std::string> caller_server::start()
+{
+    boost::system::error_code error;
+    auto& acceptor = self_->acceptor;
+    acceptor.open(tcp::v4(), error);
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(self_->options.address, error);
+    }
+    if (!error) {
+        acceptor.listen(listen_backlog, error);
+    }
+    if (error) {
+        return tl::unexpected("port of callers: " + error.message());
+    }
+    asio::co_spawn(self_->context, implementation::accept_loop(self_), asio::detached);
+    return {};
+}
+
+void caller_server::drain() { self_->draining = true; }
+
+void caller_server::stop_accepting()
+{
+    boost::system::error_code ignored; // the port is closed whatever its state
+    self_->acceptor.close(ignored);
+}
+
+std::size_t caller_server::busy() const { return self_->busy; }
+
+std::size_t caller_server::open() const { return self_->open; }
+
+} // namespace quetzal::gateway
--- /dev/null
+++ b/libs/gateway/src/catalog.cpp
@@ -0,0 +1,132 @@
+#include <quetzal/gateway/catalog.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzal::gateway {
+
+bool catalog::take(published_configuration configuration, time_point)
+{
+    if (configured() && configuration.version <= configuration_->version) {
+        return false;
+    }
+    routes_by_host_.clear();
+    routes_by_name_.clear();
+    customers_by_key_.clear();
+    services_.clear();
+    for (std::size_t index = 0; index < configuration.routes.size(); ++index) {
+        routes_by_host_[configuration.routes[index].host].push_back(index);
+        routes_by_name_.emplace(configuration.routes[index].name, index);
+    }
+    for (std::size_t index = 0; index < configuration.customers.size(); ++index) {
+        for (const auto& key : configuration.customers[index].keys) {
+            customers_by_key_.emplace(key, index);
+        }
+    }
+    for (std::size_t index = 0; index < configuration.services.size(); ++index) {
+        services_.emplace(configuration.services[index].name, index);
+    }
+    configuration_ = std::make_shared<const published_configuration>(std::move(configuration));
+    return true;
+}
+
+void catalog::put_endpoint(endpoint value)
+{
+    const std::string id = value.id;
+    endpoints_.insert_or_assign(id, std::move(value));
+}
+
+void catalog::remove_endpoint(const std::string& id) { endpoints_.erase(id); }
+
+void catalog::set_evacuated(const std::string& zone, bool evacuated, time_point now)
+{
+    if (evacuated) {
+        evacuated_.insert(zone);
+        return;
+    }
+    if (evacuated_.erase(zone) == 0) {
+        return;
+    }
+    // A zone usually comes back with endpoints that were restarted, and their entries may not say
+    // so yet.
+    for (auto& [id, value] : endpoints_) {
+        if (const auto* known = find_service(value.service);
+            known != nullptr && value.zone == zone) {
+            value.cold_until = std::max(value.cold_until, now + known->cold_period);
+        }
+    }
+}
+
+const caller_limits& catalog::limits() const noexcept
+{
+    static const caller_limits defaults;
+    return configured() ? configuration_->limits : defaults;
+}
+
+std::shared_ptr<const route> catalog::find_route(std::string_view host, std::string_view path) const
+{
+    const auto found = routes_by_host_.find(std::string(host));
+    if (found == routes_by_host_.end()) {
+        return nullptr;
+    }
+    const route* best = nullptr;
+    for (const std::size_t index : found->second) {
+        const route& candidate = configuration_->routes[index];
+        if (path.starts_with(candidate.prefix) &&
+            (best == nullptr || candidate.prefix.size() > best->prefix.size())) {
+            best = &candidate;
+        }
+    }
+    return best == nullptr ? nullptr : std::shared_ptr<const route>(configuration_, best);
+}
+
+std::shared_ptr<const route> catalog::find_route_by_name(const std::string& name) const
+{
+    const auto found = routes_by_name_.find(name);
+    if (found == routes_by_name_.end()) {
+        return nullptr;
+    }
+    return {configuration_, &configuration_->routes[found->second]};
+}
+
+std::optional<caller_identity> catalog::find_customer(std::string_view key) const
+{
+    const auto found = customers_by_key_.find(std::string(key));
+    if (found == customers_by_key_.end()) {
+        return std::nullopt;
+    }
+    const customer& holder = configuration_->customers[found->second];
+    return caller_identity{holder.name, holder.priority.value_or(-1)};
+}
+
+const service_definition* catalog::find_service(const std::string& name) const
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : &configuration_->services[found->second];
+}
+
+const endpoint* catalog::find_endpoint(const std::string& id) const
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+bool catalog::accepts_work(const endpoint& value) const
+{
+    const endpoint* current = find_endpoint(value.id);
+    return current != nullptr && current->same_incarnation(value) && !current->leaving &&
+           !evacuated_.contains(current->zone);
+}
+
+std::vector<const endpoint*> catalog::usable_endpoints(const std::string& service) const
+{
+    std::vector<const endpoint*> usable;
+    for (const auto& [id, value] : endpoints_) {
+        if (value.service == service && accepts_work(value)) {
+            usable.push_back(&value);
+        }
+    }
+    return usable;
+}
+
+} // namespace quetzal::gateway
--- /dev/null
+++ b/libs/gateway/src/channel.cpp
@@ -0,0 +1,189 @@
+#include <quetzal/gateway/channel.hpp>
+
+#include <array>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace quetzal::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+// Unacknowledged data for this long ends a connection: the other side is cut off or dead.
+constexpr int user_timeout_ms = 3000;
+// Probes of an idle connection: the first after 2 s of silence, then one each second.
+constexpr int keepalive_idle_s = 2;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 2;
+
+constexpr std::uint32_t answer_header_limit = 32u << 10; // bytes
+
+void set_option(int socket, int level, int name, int value)
+{
+    ::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+} // namespace
+
+void configure_socket(asio::ip::tcp::socket& socket)
+{
+    const int handle = socket.native_handle();
+    set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+}
+
+channel::channel(const asio::any_io_executor& executor)
+    : socket_(executor), timeout_(executor, [this] {
+          timed_out_ = true;
+          close();
+      })
+{
+}
+
+asio::awaitable<result<void>> channel::open(asio::ip::tcp::endpoint address, duration timeout)
+{
+    boost::system::error_code error;
+    timeout_.expires_after(timeout);
+    co_await socket_.async_connect(address, asio::redirect_error(asio::use_awaitable, error));
+    timeout_.clear();
+    if (error) {
+        failed_ = true;
+        co_return not_run(reason::endpoint_failed,
+                          timed_out_ ? "connection timed out" : error.message());
+    }
+    configure_socket(socket_);
+    co_return result<void>{};
+}
+
+asio::awaitable<result<void>> channel::send(std::string_view head, std::string_view body,
+                                            duration timeout)
+{
+    boost::system::error_code error;
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
+    timeout_.expires_after(timeout);
+    co_await asio::async_write(socket_, parts, asio::redirect_error(asio::use_awaitable, error));
+    timeout_.clear();
+    if (error) {
+        co_return tl::unexpected(broken("sending failed: " + error.message()));
+    }
+    co_return result<void>{};
+}
+
+asio::awaitable<result<unsigned>> channel::read_head(duration timeout, bool head_request)
+{
+    boost::system::error_code error;
+    parser_.emplace();
+    parser_->header_limit(answer_header_limit);
+    parser_->body_limit(boost::none);
+    parser_->skip(head_request);
+    timeout_.expires_after(timeout);
+    co_await http::async_read_header(socket_, buffer_, *parser_,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    timeout_.clear();
+    if (error) {
+        co_return tl::unexpected(broken("no answer: " + error.message()));
+    }
+    co_return parser_->get().result_int();
+}
+
+asio::awaitable<result<bool>> channel::read_body(std::string& into, duration timeout)
+{
+    if (parser_->is_done()) {
+        co_return false;
+    }
+    const std::size_t before = into.size();
+    into.resize(before + read_size);
+    auto& body = parser_->get().body();
+    body.data = into.data() + before;
+    body.size = read_size;
+    body.more = true;
+    boost::system::error_code error;
+    timeout_.expires_after(timeout);
+    co_await http::async_read_some(socket_, buffer_, *parser_,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    timeout_.clear();
+    into.resize(before + read_size - body.size);
+    if (error && error != http::error::need_buffer) {
+        co_return tl::unexpected(broken("answer broken off: " + error.message()));
+    }
+    co_return into.size() > before || !parser_->is_done();
+}
+
+asio::awaitable<result<std::string>> channel::read_whole_body(std::size_t limit, duration timeout)
+{
+    std::string body;
+    while (true) {
+        const auto more = co_await read_body(body, timeout);
+        if (!more) {
+            co_return tl::unexpected(more.error());
+        }
+        if (body.size() > limit) {
+            co_return tl::unexpected(broken("answer is longer than the limit"));
+        }
+        if (!*more) {
+            co_return body;
+        }
+    }
+}
+
+bool channel::reusable() const
+{
+    return !failed_ && socket_.is_open() && parser_ && parser_->is_done() &&
+           parser_->get().keep_alive() && !parser_->get().need_eof() && buffer_.size() == 0;
+}
+
+bool channel::spoiled()
+{
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+std::optional<std::chrono::seconds> channel::keep_alive() const
+{
+    constexpr std::string_view parameter = "timeout=";
+    if (!parser_) {
+        return std::nullopt;
+    }
+    const auto header = parser_->get()[http::field::keep_alive];
+    const std::string_view text(header.data(), header.size());
+    const auto found = text.find(parameter);
+    if (found == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const char* begin = text.data() + found + parameter.size();
+    unsigned seconds = 0;
+    if (const auto [end, error] = std::from_chars(begin, text.data() + text.size(), seconds);
+        error != std::errc{}) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+void channel::close()
+{
+    failed_ = true;
+    boost::system::error_code ignored; // the connection is given up whatever its state
+    socket_.close(ignored);
+}
+
+failure channel::broken(std::string detail)
+{
+    failed_ = true;
+    return {verdict::may_have_run, reason::endpoint_failed,
+            timed_out_ ? "endpoint timed out" : std::move(detail), {}};
+}
+
+} // namespace quetzal::gateway
--- /dev/null
+++ b/libs/gateway/src/member_table.cpp
@@ -0,0 +1,209 @@
+#include <quetzal/gateway/member_table.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <quetzal/base/hash.hpp>
+
+namespace quetzal::gateway {
+
+namespace {
+
+bool newer(const member_record& left, const member_record& right)
+{
+    return std::pair(left.incarnation, left.serial) > std::pair(right.incarnation, right.serial);
+}
+
+} // namespace
+
+member_table::member_table(member_table_options options, member_record self)
+    : options_(options), self_(std::move(self))
+{
+}
+
+void member_table::set_ready(bool ready)
+{
+    if (self_.ready != ready) {
+        self_.ready = ready;
+        ++self_.serial;
+    }
+}
+
+void member_table::set_leaving()
+{
+    self_.ready = false;
+    self_.leaving = true;
+    ++self_.serial;
+}
+
+void member_table::set_known(std::uint64_t revision, std::uint64_t configuration)
+{
+    if (self_.revision != revision || self_.configuration != configuration) {
+        self_.revision = revision;
+        self_.configuration = configuration;
+        ++self_.serial;
+    }
+}
+
+void member_table::take(const heartbeat& message, time_point now)
+{
+    merge(message.sender, now);
+    for (const aged_record& other : message.others) {
+        merge(other, now);
+    }
+}
+
+void member_table::merge(const aged_record& news, time_point now)
+{
+    if (news.record.address == self_.address) {
+        // A former process at this address had a later wall clock. Its records must not outlive it.
+        if (news.record.incarnation > self_.incarnation) {
+            self_.incarnation = news.record.incarnation + 1;
+        }
+        return;
+    }
+    const time_point seen = now - std::chrono::milliseconds(news.age_ms);
+    if (now - seen > options_.remembered) {
+        return;
+    }
+    auto [position, added] =
+        others_.try_emplace(news.record.address, known_member{news.record, seen});
+    if (added) {
+        return;
+    }
+    known_member& member = position->second;
+    if (news.record.incarnation < member.record.incarnation) {
+        return;
+    }
+    if (news.record.incarnation > member.record.incarnation) {
+        member.alive = seen;
+    }
+    if (newer(news.record, member.record)) {
+        member.record = news.record;
+    }
+    member.alive = std::max(member.alive, seen);
+}
+
+void member_table::expire(time_point now)
+{
+    std::erase_if(others_, [&](const auto& entry) {
+        return now - entry.second.alive > options_.remembered;
+    });
+}
+
+heartbeat member_table::make_heartbeat(time_point now, random_source& random) const
+{
+    heartbeat message;
+    message.sender.record = self_;
+    std::vector<const known_member*> chosen;
+    for (const auto& [address, member] : others_) {
+        if (alive(member, now)) {
+            chosen.push_back(&member);
+        }
+    }
+    for (std::size_t index = 0; index + 1 < chosen.size(); ++index) {
+        std::swap(chosen[index], chosen[index + random.below(chosen.size() - index)]);
+    }
+    chosen.resize(std::min(chosen.size(), options_.records_limit));
+    for (const known_member* member : chosen) {
+        const auto age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - member->alive).count();
+        message.others.push_back(
+            {member->record, static_cast<std::uint32_t>(std::max<std::int64_t>(age, 0))});
+    }
+    return message;
+}
+
+std::vector<std::string> member_table::choose_peers(time_point now, random_source& random) const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [address, member] : others_) {
+        if (alive(member, now)) {
+            addresses.push_back(address);
+        }
+    }
+    for (std::size_t index = 0; index + 1 < addresses.size(); ++index) {
+        std::swap(addresses[index], addresses[index + random.below(addresses.size() - index)]);
+    }
+    addresses.resize(std::min(addresses.size(), options_.fanout));
+    return addresses;
+}
+
+bool member_table::alive(const known_member& member, time_point now) const
+{
+    return now - member.alive <= options_.silence;
+}
+
+std::vector<member_record> member_table::live(time_point now) const
+{
+    std::vector<member_record> records;
+    bool self_placed = false;
+    for (const auto& [address, member] : others_) {
+        if (!self_placed && self_.address < address) {
+            records.push_back(self_);
+            self_placed = true;
+        }
+        if (alive(member, now)) {
+            records.push_back(member.record);
+        }
+    }
+    if (!self_placed) {
+        records.push_back(self_);
+    }
+    return records;
+}
+
+std::size_t member_table::live_size(time_point now) const
+{
+    return 1 + static_cast<std::size_t>(std::count_if(
+                   others_.begin(), others_.end(),
+                   [&](const auto& entry) { return alive(entry.second, now); }));
+}
+
+std::size_t member_table::recent_size(time_point now) const
+{
+    return 1 + static_cast<std::size_t>(
+                   std::count_if(others_.begin(), others_.end(), [&](const auto& entry) {
+                       return now - entry.second.alive <= options_.remembered;
+                   }));
+}
+
+bool member_table::is_live(const std::string& address, time_point now) const
+{
+    if (address == self_.address) {
+        return true;
+    }
+    const auto found = others_.find(address);
+    return found != others_.end() && alive(found->second, now);
+}
+
+std::string member_table::owner_of(std::string_view key, time_point now) const
+{
+    const std::uint64_t hash = stable_hash(key);
+    std::string owner = self_.address;
+    std::uint64_t best = self_.leaving ? 0 : rendezvous_score(hash, self_.address);
+    for (const auto& [address, member] : others_) {
+        if (!alive(member, now) || member.record.leaving || !member.record.ready) {
+            continue;
+        }
+        if (const auto score = rendezvous_score(hash, address); score > best) {
+            best = score;
+            owner = address;
+        }
+    }
+    return owner;
+}
+
+std::optional<member_record> member_table::most_advanced(time_point now) const
+{
+    std::optional<member_record> best;
+    for (const auto& [address, member] : others_) {
+        if (alive(member, now) && member.record.revision > self_.revision &&
+            (!best || member.record.revision > best->revision)) {
+            best = member.record;
+        }
+    }
+    return best;
+}
+
+} // namespace quetzal::gateway
--- /dev/null
+++ b/libs/gateway/src/peer_link.cpp
@@ -0,0 +1,377 @@
+#include <quetzal/gateway/peer_link.hpp>
+
+#include <array>
+#include <deque>
+#include <set>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <quetzal/gateway/channel.hpp>
+#include <quetzal/gateway/decision_log.hpp>
+
+#include "peer_codec.hpp"
+
+namespace quetzal::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+namespace {
+
+constexpr duration heartbeat_interval = std::chrono::milliseconds(400);
+constexpr duration connect_timeout = std::chrono::milliseconds(500);
+constexpr std::size_t datagram_limit = 60u << 10;          // bytes, below the limit of UDP
+constexpr std::uint32_t frame_limit = 16u << 20;           // bytes of one message over TCP
+constexpr std::size_t queued_bytes_limit = 8u << 20;       // per peer; above, the peer is lost
+constexpr std::size_t frame_prefix = sizeof(std::uint32_t); // length before each message
+
+} // namespace
+
+struct peer_link::implementation : std::enable_shared_from_this<implementation>
+{
+    // One connection to a peer, opened by either side.
+    struct connection : std::enable_shared_from_this<connection>
+    {
+        connection(tcp::socket opened, std::string peer)
+            : socket(std::move(opened)), address(std::move(peer))
+        {
+        }
+
+        tcp::socket socket;
+        std::string address;
+        std::string outgoing; // waits for the next write
+        bool writing = false;
+        bool open = true;
+    };
+
+    implementation(asio::io_context& io, peer_link_options settings, member_table& table)
+        : context(io), options(std::move(settings)), members(table), datagrams(io), acceptor(io),
+          heartbeat_timer(io), random(stable_seed())
+    {
+    }
+
+    std::uint64_t stable_seed() const
+    {
+        return members.self().incarnation ^ std::hash<std::string>{}(options.address);
+    }
+
+    tl::expected<void, std::string> open_ports()
+    {
+        boost::system::error_code error;
+        const auto own = asio::ip::make_address(options.address, error);
+        if (error) {
+            return tl::unexpected("peer address " + options.address + ": " + error.message());
+        }
+        datagrams.open(udp::v4(), error);
+        if (!error) {
+            datagrams.bind({own, options.datagram_port}, error);
+        }
+        if (error) {
+            return tl::unexpected("peer datagram port: " + error.message());
+        }
+        acceptor.open(tcp::v4(), error);
+        if (!error) {
+            acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        }
+        if (!error) {
+            acceptor.bind({own, options.stream_port}, error);
+        }
+        if (!error) {
+            acceptor.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            return tl::unexpected("peer stream port: " + error.message());
+        }
+        return {};
+    }
+
+    void start_loops()
+    {
+        asio::co_spawn(context, receive_datagrams(shared_from_this()), asio::detached);
+        asio::co_spawn(context, accept_peers(shared_from_this()), asio::detached);
+        asio::co_spawn(context, send_heartbeats(shared_from_this()), asio::detached);
+    }
+
+    static asio::awaitable<void> receive_datagrams(std::shared_ptr<implementation> self)
+    {
+        std::array<char, datagram_limit> buffer;
+        while (true) {
+            boost::system::error_code error;
+            udp::endpoint from;
+            const std::size_t size = co_await self->datagrams.async_receive_from(
+                asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted) {
+                co_return;
+            }
+            if (error) {
+                log_event("peer_receive_failed", {{"error", error.message()}});
+                continue;
+            }
+            auto message = internal::decode<heartbeat>(std::string(buffer.data(), size));
+            if (!message) {
+                log_event("peer_datagram_malformed", {{"peer", from.address().to_string()}});
+                continue;
+            }
+            self->members.take(*message, boot_clock::now());
+        }
+    }
+
+    void send_heartbeat(const std::string& address, const std::string& bytes)
+    {
+        boost::system::error_code error;
+        const auto target = asio::ip::make_address(address, error);
+        if (error) {
+            return;
+        }
+        datagrams.send_to(asio::buffer(bytes), {target, options.datagram_port}, 0, error);
+        // A lost heartbeat is replaced by the next one; the member table notices lasting silence.
+    }
+
+    void heartbeat_round()
+    {
+        const time_point now = boot_clock::now();
+        members.expire(now);
+        const std::string bytes = internal::encode(members.make_heartbeat(now, random));
+        std::set<std::string> targets;
+        for (auto& address : members.choose_peers(now, random)) {
+            targets.insert(std::move(address));
+        }
+        for (const auto& seed : options.seeds) {
+            if (seed != options.address && !members.is_live(seed, now)) {
+                targets.insert(seed);
+            }
+        }
+        for (const auto& address : targets) {
+            send_heartbeat(address, bytes);
+        }
+    }
+
+    static asio::awaitable<void> send_heartbeats(std::shared_ptr<implementation> self)
+    {
+        while (true) {
+            self->heartbeat_round();
+            self->heartbeat_timer.expires_after(heartbeat_interval);
+            boost::system::error_code error;
+            co_await self->heartbeat_timer.async_wait(
+                asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                co_return;
+            }
+        }
+    }
+
+    static asio::awaitable<void> accept_peers(std::shared_ptr<implementation> self)
+    {
+        while (true) {
+            boost::system::error_code error;
+            tcp::socket socket = co_await self->acceptor.async_accept(
+                asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted) {
+                co_return;
+            }
+            if (error) {
+                continue; // the peer gave up
+            }
+            const auto remote = socket.remote_endpoint(error);
+            if (error) {
+                continue;
+            }
+            auto opened = std::make_shared<connection>(std::move(socket),
+                                                       remote.address().to_string());
+            configure_socket(opened->socket);
+            self->connections.try_emplace(opened->address, opened);
+            asio::co_spawn(self->context, read_messages(self, opened), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> read_messages(std::shared_ptr<implementation> self,
+                                               std::shared_ptr<connection> peer)
+    {
+        std::string bytes;
+        while (peer->open) {
+            boost::system::error_code error;
+            std::uint32_t length = 0;
+            co_await asio::async_read(peer->socket, asio::buffer(&length, sizeof(length)),
+                                      asio::redirect_error(asio::use_awaitable, error));
+            boost::endian::little_to_native_inplace(length);
+            if (error || length > frame_limit) {
+                break;
+            }
+            bytes.resize(length);
+            co_await asio::async_read(peer->socket, asio::buffer(bytes),
+                                      asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                break;
+            }
+            auto message = internal::decode<peer_message>(bytes);
+            if (!message) {
+                log_event("peer_message_malformed", {{"peer", peer->address}});
+                break;
+            }
+            self->handle_message(peer->address, std::move(*message));
+        }
+        self->lose(peer);
+    }
+
+    void lose(const std::shared_ptr<connection>& peer)
+    {
+        if (!peer->open) {
+            return;
+        }
+        peer->open = false;
+        boost::system::error_code ignored; // closing; nothing depends on the outcome
+        peer->socket.close(ignored);
+        if (const auto found = connections.find(peer->address);
+            found != connections.end() && found->second == peer) {
+            connections.erase(found);
+            handle_loss(peer->address);
+        }
+    }
+
+    static asio::awaitable<void> connect(std::shared_ptr<implementation> self,
+                                         std::shared_ptr<connection> peer)
+    {
+        boost::system::error_code error;
+        peer->writing = true; // nothing is written before the connection stands
+        const auto target = asio::ip::make_address(peer->address, error);
+        if (!error) {
+            peer->socket.open(tcp::v4(), error);
+        }
+        if (!error) {
+            // The peer knows this instance by its address.
+            peer->socket.bind({asio::ip::make_address(self->options.address), 0}, error);
+        }
+        lazy_deadline timeout(self->context.get_executor(), [peer] {
+            boost::system::error_code ignored;
+            peer->socket.close(ignored);
+        });
+        timeout.expires_after(connect_timeout);
+        if (!error) {
+            const tcp::endpoint address(target, self->options.stream_port);
+            co_await peer->socket.async_connect(address,
+                                                asio::redirect_error(asio::use_awaitable, error));
+        }
+        timeout.clear();
+        if (error) {
+            self->lose(peer);
+            co_return;
+        }
+        configure_socket(peer->socket);
+        asio::co_spawn(self->context, read_messages(self, peer), asio::detached);
+        peer->writing = false;
+        self->start_writing(peer);
+    }
+
+    static asio::awaitable<void> write_queued(std::shared_ptr<implementation> self,
+                                              std::shared_ptr<connection> peer)
+    {
+        while (peer->open && !peer->outgoing.empty()) {
+            const std::string bytes = std::exchange(peer->outgoing, {});
+            boost::system::error_code error;
+            co_await asio::async_write(peer->socket, asio::buffer(bytes),
+                                       asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                self->lose(peer);
+                co_return;
+            }
+        }
+        peer->writing = false;
+    }
+
+    void start_writing(const std::shared_ptr<connection>& peer)
+    {
+        if (peer->writing || !peer->open || peer->outgoing.empty()) {
+            return;
+        }
+        peer->writing = true;
+        asio::co_spawn(context, write_queued(shared_from_this(), peer), asio::detached);
+    }
+
+    std::shared_ptr<connection> connection_to(const std::string& address)
+    {
+        if (const auto found = connections.find(address); found != connections.end()) {
+            return found->second;
+        }
+        auto peer = std::make_shared<connection>(tcp::socket(context), address);
+        connections.emplace(address, peer);
+        asio::co_spawn(context, connect(shared_from_this(), peer), asio::detached);
+        return peer;
+    }
+
+    void send_message(const std::string& address, const peer_message& message)
+    {
+        const auto peer = connection_to(address);
+        const std::string bytes = internal::encode(message);
+        const auto length =
+            boost::endian::native_to_little(static_cast<std::uint32_t>(bytes.size()));
+        peer->outgoing.append(reinterpret_cast<const char*>(&length), frame_prefix);
+        peer->outgoing += bytes;
+        if (peer->outgoing.size() > queued_bytes_limit) {
+            log_event("peer_too_slow", {{"peer", address}});
+            lose(peer);
+            return;
+        }
+        if (!peer->writing) {
+            asio::post(context, [self = shared_from_this(), peer] { self->start_writing(peer); });
+        }
+    }
+
+    asio::io_context& context;
+    peer_link_options options;
+    member_table& members;
+    udp::socket datagrams;
+    tcp::acceptor acceptor;
+    asio::steady_timer heartbeat_timer;
+    random_source random;
+    std::map<std::string, std::shared_ptr<connection>> connections; // by peer address
+    message_handler handle_message;
+    loss_handler handle_loss;
+};
+
+peer_link::peer_link(asio::io_context& context, peer_link_options options, member_table& members)
+    : self_(std::make_shared<implementation>(context, std::move(options), members))
+{
+}
+
+peer_link::~peer_link()
+{
+    boost::system::error_code ignored; // the process stops
+    self_->datagrams.close(ignored);
+    self_->acceptor.close(ignored);
+    self_->heartbeat_timer.cancel();
+    self_->handle_message = [](const std::string&, const peer_message&) {};
+    self_->handle_loss = [](const std::string&) {};
+}
+
+void peer_link::on_message(message_handler handler) { self_->handle_message = std::move(handler); }
+
+void peer_link::on_loss(loss_handler handler) { self_->handle_loss = std::move(handler); }
+
+tl::expected<void, std::string> peer_link::start()
+{
+    if (auto opened = self_->open_ports(); !opened) {
+        return opened;
+    }
+    self_->start_loops();
+    return {};
+}
+
+void peer_link::send(const std::string& address, peer_message message)
+{
+    self_->send_message(address, message);
+}
+
+void peer_link::announce() { self_->heartbeat_round(); }
+
+} // namespace quetzal::gateway
--- /dev/null
+++ b/libs/gateway/src/request_flow.cpp
@@ -0,0 +1,659 @@
+#include <quetzal/gateway/request_flow.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <quetzal/base/hash.hpp>
+#include <quetzal/gateway/decision_log.hpp>
+
+namespace quetzal::gateway {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration connect_timeout = 300ms;
+constexpr duration send_timeout = 2s;
+constexpr duration poll_interval = 15ms; // while all endpoints are full
+constexpr std::size_t answer_limit = 8u << 20; // bytes of an answer that is not a stream
+constexpr unsigned refusal_limit = 3;          // endpoints that may refuse one request
+constexpr unsigned stray_answer_limit = 2;     // answers to other requests skipped on a connection
+// A repeatable request is tried elsewhere when its answer takes this many times the latency target.
+constexpr int slow_attempt_factor = 2;
+constexpr duration least_attempt_timeout = 400ms;
+// A resumable stream is resumed elsewhere after a pause this many times its latency target.
+constexpr duration stream_pause_limit = 1500ms;
+constexpr duration least_time_for_attempt = 20ms;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+constexpr duration default_retry_after = 300ms;
+constexpr int least_urgent_priority = 9;
+// Expected time of the request itself after its stages.
+constexpr duration after_stages = 250ms;
+
+std::int64_t milliseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+unsigned status_of(const failure& why)
+{
+    if (why.run == verdict::not_run) {
+        return status_unavailable;
+    }
+    return why.why == reason::deadline_passed ? status_gateway_timeout : status_bad_gateway;
+}
+
+// Reads "RUNNING,WAITING,SLOTS".
+std::optional<std::pair<std::uint32_t, std::uint32_t>> read_load(std::string_view text)
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    const char* const end = text.data() + text.size();
+    const auto first = std::from_chars(text.data(), end, running);
+    if (first.ec != std::errc{} || first.ptr == end || *first.ptr != ',') {
+        return std::nullopt;
+    }
+    if (std::from_chars(first.ptr + 1, end, waiting).ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return std::pair(running, waiting);
+}
+
+std::string_view header_value(const channel::fields& headers, const std::string& name)
+{
+    const auto value = headers[name];
+    return {value.data(), value.size()};
+}
+
+} // namespace
+
+request_flow::request_flow(asio::io_context& context, const catalog& view, endpoint_pools& pools,
+                           channel_pool& channels, stage_broker& broker, member_table& members,
+                           const header_names& names, fleet_budget_options budget)
+    : context_(context), view_(view), pools_(pools), channels_(channels), broker_(broker),
+      members_(members), names_(names), budget_(budget)
+{
+}
+
+std::optional<failure> request_flow::check_view(running_request& request, unsigned& status)
+{
+    const auto matched = view_.find_route(request.message.host, request.message.path());
+    if (matched == nullptr) {
+        status = status_not_found;
+        return failure{verdict::not_run, reason::not_found, "no route matches", {}};
+    }
+    request.matched = matched;
+    request.caller = {};
+    if (!matched->open) {
+        auto caller = view_.find_customer(request.message.key);
+        if (!caller) {
+            status = status_unauthorized;
+            return failure{verdict::not_run, reason::unauthorized, "no customer holds the key", {}};
+        }
+        request.caller = std::move(*caller);
+    }
+    request.priority =
+        request.caller.priority >= 0 && !request.caller.customer.empty() ? request.caller.priority
+                                                                          : matched->priority;
+    return std::nullopt;
+}
+
+std::optional<failure> request_flow::admit(running_request& request, unsigned& status)
+{
+    if (!view_.configured()) {
+        status = status_unavailable;
+        return failure{verdict::not_run, reason::stale_view, "no configuration is known yet",
+                       std::chrono::milliseconds(500)};
+    }
+    if (auto refused = check_view(request, status)) {
+        return refused;
+    }
+    const route& matched = *request.matched;
+    const time_point received = request.message.received;
+    request.deadline =
+        received + std::min(request.message.patience.value_or(matched.timeout), matched.timeout);
+    request.target_until = received + matched.latency_target;
+    return std::nullopt;
+}
+
+asio::awaitable<void> request_flow::serve(request_ptr request, answer_writer& answer)
+{
+    unsigned status = 0;
+    if (const auto refused = admit(*request, status)) {
+        co_await refuse(*request, answer, status, *refused);
+        co_return;
+    }
+    ++counters_.running;
+    lazy_deadline timeout(context_.get_executor(), [request] {
+        request->abort({verdict::may_have_run, reason::deadline_passed, "deadline passed", {}});
+    });
+    timeout.expires_after(request->deadline - boot_clock::now());
+    attempt_state state;
+    const route& matched = *request->matched;
+    state.repeatable = matched.kind == route_kind::idempotent ||
+                       (matched.kind == route_kind::stream && matched.resumable);
+    result<void> outcome;
+    std::shared_ptr<stage_plan> plan;
+    // Results of stages can expire before the endpoint fetches them; then they are made once more.
+    for (int round = 0; round < 2; ++round) {
+        if (!matched.stages.empty()) {
+            auto inputs = co_await run_stages(request, plan);
+            if (!inputs) {
+                outcome = tl::unexpected(inputs.error());
+                break;
+            }
+            state.inputs = std::move(*inputs);
+        }
+        outcome = co_await run_attempts(request, answer, state);
+        const bool again = !outcome && outcome.error().why == reason::answer_mismatch;
+        if (!again) {
+            break;
+        }
+    }
+    if (plan) {
+        broker_.release(plan->all_results());
+    }
+    --counters_.running;
+    if (!outcome) {
+        co_await refuse(*request, answer, status_of(outcome.error()), outcome.error());
+    } else {
+        count("answered");
+    }
+}
+
+asio::awaitable<result<std::vector<std::string>>>
+request_flow::run_stages(const request_ptr& request, std::shared_ptr<stage_plan>& plan)
+{
+    struct progress
+    {
+        explicit progress(asio::io_context& context) : changed(context) {}
+
+        asio::steady_timer changed; // expires never; cancelled to wake up the waiting coroutine
+        std::vector<std::pair<std::uint64_t, bool>> tickets; // and whether it is still open
+        std::optional<piece_fate> failed;
+        bool stopped = false;
+    };
+    const route& matched = *request->matched;
+    const auto counts = parse_piece_counts(request->message.piece_counts);
+    if (!counts) {
+        co_return not_run(reason::invalid_request, "the piece counts are malformed");
+    }
+    plan = std::make_shared<stage_plan>(matched.stages, *counts);
+    const auto state = std::make_shared<progress>(context_);
+    state->changed.expires_at(asio::steady_timer::time_point::max());
+    // Pieces are useful until the work that follows them can no longer be in time.
+    std::vector<duration> following(matched.stages.size(), after_stages);
+    for (std::size_t index = matched.stages.size(); index-- > 0;) {
+        const auto* definition = view_.find_service(matched.stages[index].service);
+        const duration own = definition != nullptr && definition->stage
+                                 ? definition->stage->call_time +
+                                       definition->stage->piece_time * definition->stage->batch / 2
+                                 : duration::zero();
+        for (const std::size_t earlier : matched.stages[index].after) {
+            if (earlier < index) {
+                following[earlier] = std::max(following[earlier], following[index] + own);
+            }
+        }
+    }
+    request->on_abort([state] { state->changed.cancel(); });
+    while (!plan->finished() && !state->failed && !request->aborted()) {
+        for (planned_piece& piece : plan->take_ready()) {
+            piece_order order;
+            order.request_id = request->message.id;
+            order.stage = static_cast<std::uint32_t>(piece.stage);
+            order.piece = static_cast<std::uint32_t>(piece.piece);
+            order.priority = request->priority;
+            if (piece.inputs.empty()) {
+                order.key = request->message.piece_key;
+            } else {
+                order.inputs = std::move(piece.inputs);
+            }
+            const std::size_t slot = state->tickets.size();
+            state->tickets.emplace_back(0, true);
+            auto done = [state, plan, slot, stage = piece.stage,
+                         number = piece.piece](piece_outcome outcome) {
+                state->tickets[slot].second = false;
+                if (outcome.fate == piece_fate::done) {
+                    plan->done(stage, number, std::move(outcome.handle));
+                } else if (!state->failed) {
+                    state->failed = outcome.fate;
+                }
+                state->changed.cancel();
+            };
+            state->tickets[slot].first = broker_.submit(
+                matched.stages[piece.stage].service, std::move(order),
+                request->target_until - following[piece.stage], request->deadline, std::move(done));
+        }
+        if (plan->finished() || state->failed || request->aborted()) {
+            break;
+        }
+        boost::system::error_code ignored; // cancelled: something has changed
+        co_await state->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    request->on_abort({});
+    for (const auto& [ticket, open] : state->tickets) {
+        if (open) {
+            broker_.cancel(ticket);
+        }
+    }
+    if (plan->finished()) {
+        co_return plan->final_results();
+    }
+    if (request->aborted()) {
+        // Making pieces is not running the request.
+        failure why = *request->aborted();
+        why.run = verdict::not_run;
+        co_return tl::unexpected(why);
+    }
+    if (*state->failed == piece_fate::gone) {
+        co_return not_run(reason::answer_mismatch, "the result of a stage has expired");
+    }
+    const bool late = *state->failed == piece_fate::late;
+    co_return not_run(late ? reason::deadline_unreachable : reason::endpoint_failed,
+                      late ? "a stage cannot be in time" : "a stage failed");
+}
+
+asio::awaitable<result<chosen_endpoint>> request_flow::choose(const request_ptr& request,
+                                                              const attempt_state& state)
+{
+    const route& matched = *request->matched;
+    std::string service;
+    if (matched.services.size() == 1) {
+        service = matched.services.front().service;
+    } else {
+        double total = 0;
+        for (const auto& candidate : matched.services) {
+            total += candidate.weight;
+        }
+        // All tries of one request go the same way.
+        double position = total *
+                          static_cast<double>(stable_hash(request->message.id) >> 11) * 0x1.0p-53;
+        for (const auto& candidate : matched.services) {
+            service = candidate.service;
+            position -= candidate.weight;
+            if (position < 0) {
+                break;
+            }
+        }
+    }
+    endpoint_wish wish{request->message.prefixes, state.tried};
+    const time_point patience_ends = std::min(request->target_until, request->deadline);
+    while (true) {
+        const time_point now = boot_clock::now();
+        auto chosen = pools_.start(view_, service, wish, members_.recent_size(now), now);
+        if (chosen) {
+            co_return std::move(*chosen);
+        }
+        if (request->aborted()) {
+            failure why = *request->aborted();
+            why.run = verdict::not_run;
+            co_return tl::unexpected(why);
+        }
+        if (!pools_.any_usable(view_, service)) {
+            co_return not_run(reason::no_endpoint, "no endpoint accepts work",
+                              std::chrono::milliseconds(500));
+        }
+        if (now >= patience_ends) {
+            co_return not_run(reason::overloaded, "all endpoints are full");
+        }
+        asio::steady_timer timer(context_, poll_interval);
+        boost::system::error_code ignored; // the timer is not cancelled
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<result<void>> request_flow::run_attempts(const request_ptr& request,
+                                                         answer_writer& answer,
+                                                         attempt_state& state)
+{
+    while (true) {
+        if (request->aborted()) {
+            failure why = *request->aborted();
+            why.run = state.runs > 0 ? verdict::may_have_run : verdict::not_run;
+            co_return tl::unexpected(why);
+        }
+        auto chosen = co_await choose(request, state);
+        if (!chosen) {
+            failure why = chosen.error();
+            why.run = state.runs > 0 ? verdict::may_have_run : why.run;
+            co_return tl::unexpected(why);
+        }
+        unsigned status = 0;
+        if (auto refused = check_view(*request, status)) {
+            serving::attempt_outcome unused;
+            unused.counts = false;
+            pools_.finish(*chosen, unused, boot_clock::now());
+            refused->run = state.runs > 0 ? verdict::may_have_run : verdict::not_run;
+            co_return tl::unexpected(*refused);
+        }
+        auto ended = co_await attempt(request, answer, state, *chosen);
+        if (std::holds_alternative<delivered>(ended)) {
+            co_return result<void>{};
+        }
+        auto& failed = std::get<attempt_failed>(ended);
+        state.tried.push_back(chosen->target.id);
+        const bool ran = failed.error.run != verdict::not_run;
+        (ran ? state.runs : state.refusals) += 1;
+        const time_point now = boot_clock::now();
+        if (failed.inputs_gone) {
+            co_return not_run(reason::answer_mismatch, "the result of a stage has expired");
+        }
+        if (request->aborted()) {
+            continue;
+        }
+        if (!may_repeat(*request, state, failed, now)) {
+            if (failed.answer && !answer.begun()) {
+                auto& kept = *failed.answer;
+                count("answered_failure");
+                co_await answer.whole(kept.status, std::move(kept.headers), std::move(kept.body));
+                co_return result<void>{};
+            }
+            failure why = failed.error;
+            why.run = state.runs > 0 ? verdict::may_have_run : why.run;
+            co_return tl::unexpected(why);
+        }
+        ++counters_.repeats;
+        log_event("attempt_repeated", {{"request", request->message.id},
+                                       {"endpoint", chosen->target.id},
+                                       {"verdict", to_string(failed.error.run)},
+                                       {"detail", failed.error.detail},
+                                       {"runs", state.runs},
+                                       {"events_sent", answer.begun()}});
+    }
+}
+
+bool request_flow::may_repeat(const running_request& request, const attempt_state& state,
+                              const attempt_failed& failed, time_point now)
+{
+    if (now + least_time_for_attempt >= request.deadline || state.refusals >= refusal_limit) {
+        return false;
+    }
+    const bool ran = failed.error.run != verdict::not_run;
+    if (ran && (!state.repeatable || state.runs >= request.matched->max_attempts)) {
+        return false;
+    }
+    if (failed.error.why == reason::no_endpoint) {
+        return true; // nothing arrived at an endpoint
+    }
+    const auto& service = request.matched->services.front().service;
+    return budget_.try_repeat(service, members_.recent_size(now), now);
+}
+
+duration request_flow::head_timeout(const running_request& request, const attempt_state& state,
+                                    time_point now) const
+{
+    const duration left = request.deadline - now + 100ms; // the deadline itself ends the attempt
+    const bool last = state.runs + 1 >= request.matched->max_attempts;
+    if (!state.repeatable || last) {
+        return left;
+    }
+    return std::min(left, std::max<duration>(request.matched->latency_target * slow_attempt_factor,
+                                             least_attempt_timeout));
+}
+
+std::string request_flow::request_head(const running_request& request, const attempt_state& state,
+                                       const chosen_endpoint& chosen, time_point now) const
+{
+    const auto& message = request.message;
+    std::string head = message.method + " " + message.target + " HTTP/1.1\r\n";
+    head += message.forwarded_headers;
+    const auto add = [&](const std::string& name, const std::string& value) {
+        head += name + ": " + value + "\r\n";
+    };
+    add(names_.deadline, std::to_string(std::max<std::int64_t>(
+                             milliseconds(request.deadline - now), 1)));
+    add(names_.expected_endpoint, chosen.target.id);
+    if (!request.caller.customer.empty()) {
+        add(names_.customer, request.caller.customer);
+    }
+    const auto& last_id = state.events.last_id();
+    if (last_id || !message.last_event_id.empty()) {
+        add(names_.last_event_id, last_id.value_or(message.last_event_id));
+    }
+    if (!request.matched->stages.empty()) {
+        std::string inputs;
+        for (const auto& handle : state.inputs) {
+            inputs += inputs.empty() ? handle : "," + handle;
+        }
+        add(names_.inputs, inputs);
+    }
+    if (request.matched->kind == route_kind::stream) {
+        add(names_.priority, std::to_string(std::clamp(2 + 2 * request.priority, 0,
+                                                       least_urgent_priority)));
+    }
+    if (!message.body.empty() || (message.method != "GET" && message.method != "HEAD")) {
+        add("Content-Length", std::to_string(message.body.size()));
+    }
+    return head + "\r\n";
+}
+
+asio::awaitable<request_flow::attempt_result>
+request_flow::attempt(const request_ptr& request, answer_writer& answer, attempt_state& state,
+                      const chosen_endpoint& chosen)
+{
+    serving::attempt_outcome outcome;
+    outcome.prompt = chosen.prompt;
+    outcome.expected_prefix = chosen.expected_prefix;
+    auto taken = co_await channels_.take(chosen.target, connect_timeout);
+    attempt_result ended = attempt_failed{};
+    if (!taken) {
+        ended = attempt_failed{{verdict::not_run, reason::no_endpoint, taken.error().detail, {}},
+                               {},
+                               false};
+    } else if (!view_.accepts_work(chosen.target) || request->aborted()) {
+        // The view has changed while the connection was opened.
+        outcome.counts = false;
+        channels_.give_back(chosen.target, *taken, boot_clock::now());
+        ended = attempt_failed{
+            {verdict::not_run, reason::no_endpoint, "the endpoint no longer accepts work", {}},
+            {},
+            false};
+    } else {
+        const std::shared_ptr<channel> connection = *taken;
+        request->on_abort([connection] { connection->close(); });
+        ended = co_await exchange(request, answer, state, chosen, connection, outcome);
+        request->on_abort({});
+        channels_.give_back(chosen.target, connection, boot_clock::now());
+    }
+    outcome.success = std::holds_alternative<delivered>(ended);
+    if (request->aborted()) {
+        outcome.counts = outcome.success;
+    }
+    pools_.finish(chosen, outcome, boot_clock::now());
+    co_return ended;
+}
+
+asio::awaitable<request_flow::attempt_result>
+request_flow::exchange(const request_ptr& request, answer_writer& answer, attempt_state& state,
+                       const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
+                       serving::attempt_outcome& outcome)
+{
+    const time_point started = boot_clock::now();
+    if (state.runs == 0 && state.refusals == 0) {
+        budget_.count_request(chosen.target.service, started);
+    }
+    const std::string head = request_head(*request, state, chosen, started);
+    const auto sent = co_await connection->send(head, request->message.body, send_timeout);
+    if (!sent) {
+        co_return attempt_failed{sent.error(), {}, false};
+    }
+    const bool head_request = request->message.method == "HEAD";
+    const duration timeout = head_timeout(*request, state, started);
+    unsigned status = 0;
+    for (unsigned stray = 0;; ++stray) {
+        const auto got = co_await connection->read_head(timeout, head_request);
+        if (!got) {
+            co_return attempt_failed{got.error(), {}, false};
+        }
+        status = *got;
+        const auto echoed = header_value(connection->headers(), names_.request_id);
+        if (echoed.empty() || echoed == request->message.id) {
+            break;
+        }
+        // An answer to an earlier request came late; the answer to this one may follow.
+        log_event("stray_answer", {{"request", request->message.id},
+                                   {"endpoint", chosen.target.id},
+                                   {"answers", echoed}});
+        const auto skipped = co_await connection->read_whole_body(answer_limit, timeout);
+        if (!skipped || stray >= stray_answer_limit) {
+            connection->close();
+            co_return attempt_failed{
+                {verdict::may_have_run, reason::answer_mismatch, "answer of another request", {}},
+                {},
+                false};
+        }
+    }
+    const time_point answered = boot_clock::now();
+    outcome.latency = answered - started;
+    const auto& headers = connection->headers();
+    if (const auto load = read_load(header_value(headers, names_.load))) {
+        pools_.report(chosen, load->first, load->second, answered);
+    }
+    const bool signed_answer = !header_value(headers, names_.signature).empty();
+    const bool encoded = headers.find("Content-Encoding") != headers.end();
+    const bool success = status >= 200 && status < 300;
+    const bool refused = headers.find(names_.not_run) != headers.end() ||
+                         status == status_misdirected;
+    if (success && (!signed_answer || encoded)) {
+        connection->close();
+        co_return attempt_failed{
+            {verdict::may_have_run, reason::answer_mismatch, "answer without signature", {}},
+            {},
+            false};
+    }
+    if (success && request->matched->kind == route_kind::stream) {
+        co_return co_await relay_stream(request, answer, state, chosen, connection, outcome);
+    }
+    std::string answer_headers = forwarded_answer_headers(headers);
+    auto body = co_await connection->read_whole_body(answer_limit, request->deadline - answered +
+                                                                       100ms);
+    outcome.whole = boot_clock::now() - started;
+    if (refused) {
+        outcome.counts = false;
+        const bool expected = status == status_unavailable || status == status_too_many;
+        co_return attempt_failed{{verdict::not_run,
+                                  expected ? reason::overloaded : reason::no_endpoint,
+                                  "endpoint refused with status " + std::to_string(status),
+                                  {}},
+                                 {},
+                                 status == status_conflict};
+    }
+    if (!body) {
+        co_return attempt_failed{body.error(), {}, false};
+    }
+    const bool server_failure = status >= 500;
+    if (server_failure) {
+        attempt_failed failed{{verdict::ran, reason::endpoint_failed,
+                               "endpoint answered " + std::to_string(status),
+                               {}},
+                              kept_answer{status, std::move(answer_headers), std::move(*body)},
+                              false};
+        if (!signed_answer) {
+            failed.answer.reset();
+        }
+        co_return failed;
+    }
+    co_await answer.whole(status, std::move(answer_headers), std::move(*body));
+    co_return delivered{};
+}
+
+asio::awaitable<request_flow::attempt_result>
+request_flow::relay_stream(const request_ptr& request, answer_writer& answer, attempt_state& state,
+                           const chosen_endpoint&, std::shared_ptr<channel> connection,
+                           serving::attempt_outcome& outcome)
+{
+    if (!answer.begun()) {
+        state.first_headers = forwarded_answer_headers(connection->headers());
+    }
+    state.events.drop_partial_event();
+    const time_point started = boot_clock::now() - outcome.latency;
+    bool first = true;
+    while (true) {
+        std::string bytes;
+        const time_point now = boot_clock::now();
+        const duration left = request->deadline - now + 100ms;
+        const duration timeout = state.repeatable ? std::min<duration>(left, stream_pause_limit)
+                                                  : left;
+        const auto more = co_await connection->read_body(bytes, timeout);
+        if (!more) {
+            co_return attempt_failed{more.error(), {}, false};
+        }
+        state.events.add(bytes);
+        const bool last = !*more;
+        std::string events = last ? state.events.take_whole_events() + state.events.take_rest()
+                                  : state.events.take_whole_events();
+        if (events.empty() && !last) {
+            continue;
+        }
+        if (first) {
+            first = false;
+            outcome.latency = boot_clock::now() - started;
+        }
+        const bool written =
+            co_await answer.part(200, state.first_headers, std::move(events), last);
+        if (!written) {
+            request->abort({verdict::may_have_run, reason::cancelled, "the caller is gone", {}});
+            connection->close();
+            co_return attempt_failed{*request->aborted(), {}, false};
+        }
+        if (last) {
+            outcome.whole = boot_clock::now() - started;
+            co_return delivered{};
+        }
+    }
+}
+
+asio::awaitable<void> request_flow::refuse(running_request& request, answer_writer& answer,
+                                           unsigned status, const failure& why)
+{
+    const bool caller_gone = why.why == reason::cancelled;
+    if (why.why == reason::unauthorized && why.run == verdict::not_run) {
+        status = status_unauthorized;
+    } else if (why.why == reason::not_found && why.run == verdict::not_run) {
+        status = status_not_found;
+    } else if (why.why == reason::invalid_request) {
+        status = status_bad_request;
+    }
+    count((caller_gone ? "left_" : "refused_") + std::string(to_string(why.why)));
+    log_event(caller_gone ? "caller_left" : "request_refused",
+              {{"request", request.message.id},
+               {"route", request.matched ? std::string_view(request.matched->name) : "none"},
+               {"status", status},
+               {"verdict", to_string(why.run)},
+               {"reason", to_string(why.why)},
+               {"detail", why.detail},
+               {"configuration", view_.version()},
+               {"after_ms", milliseconds(boot_clock::now() - request.message.received)}});
+    if (caller_gone || answer.begun()) {
+        answer.cut();
+        co_return;
+    }
+    std::string headers = "Content-Type: application/json\r\n";
+    if (status == status_unavailable) {
+        const double seconds = std::chrono::duration<double>(
+                                   why.retry_after ? duration(*why.retry_after) : default_retry_after)
+                                   .count();
+        headers += "Retry-After: " + std::to_string(seconds) + "\r\n";
+    }
+    std::string body = "{\"verdict\":\"";
+    body += to_string(why.run);
+    body += "\",\"reason\":\"";
+    body += to_string(why.why);
+    body += "\"}";
+    co_await answer.whole(status, std::move(headers), std::move(body));
+}
+
+} // namespace quetzal::gateway
