--- a/libs/gateway/include/quetzal/gateway/catalog.hpp
+++ b/libs/gateway/include/quetzal/gateway/catalog.hpp
@@ -66,7 +66,8 @@
     unsigned batch = 1;       // pieces of one call
     duration call_time{};     // approximate time of a call without its pieces
     duration piece_time{};    // approximate time of each piece
-    duration result_lifetime{}; // after the end of the call
+    std::uint64_t result_room = 0; // bytes for results, 0: unknown
+    duration result_lifetime{};    // after the end of the call
 };
 
 // Capacity of one model engine.
--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -80,6 +80,10 @@
 // connections whose other side has gone silent.
 void configure_socket(boost::asio::ip::tcp::socket& socket);
 
+// Head of a request with a JSON body that only the endpoint of that id may answer.
+std::string post_head(const std::string& target, const std::string& host, std::size_t body_size,
+                      const std::string& expected_header, const std::string& expected_id);
+
 } // namespace quetzal::gateway
 
 #endif
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -1,8 +1,8 @@
 #ifndef QUETZAL_GATEWAY_PEER_LINK_HPP
 #define QUETZAL_GATEWAY_PEER_LINK_HPP
 
-// What instances of the fleet send each other: heartbeats as datagrams, and over TCP the pieces of
-// stages for the instance that gathers them, their results, and copies of the published documents
+// What instances of the fleet send each other: heartbeats as datagrams, and over TCP the stages
+// of requests for the instance that conducts them, their results, and copies of the published documents
 // for instances that cannot read them from the platform.
 
 #include <cstdint>
@@ -16,7 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <quetzal/base/verdict.hpp>
 #include <quetzal/gateway/member_table.hpp>
-#include <quetzal/gateway/piece_queue.hpp>
+#include <quetzal/gateway/stage_job.hpp>
 
 namespace quetzal::gateway {
 
@@ -47,21 +47,21 @@
     }
 };
 
-// Messages over TCP.
-struct piece_submission
+// Messages over TCP. Tickets are those of the instance that serves the request.
+struct job_submission
 {
-    std::uint64_t ticket = 0; // of the sender
-    std::string service;
-    piece_order order;
+    std::uint64_t ticket = 0;
+    stage_job job;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(ticket, service, order);
+        archive(ticket, job);
     }
 };
 
-struct piece_cancellation
+// The job is given up, or its results are needed no more.
+struct job_release
 {
     std::uint64_t ticket = 0;
 
@@ -72,17 +72,15 @@
     }
 };
 
-// Result of a piece: a handle, or why there is none.
-struct piece_answer
+struct job_answer
 {
     std::uint64_t ticket = 0;
-    std::string handle;    // names the result when done
-    std::uint8_t fate = 0; // a `piece_fate`
+    job_outcome outcome;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(ticket, handle, fate);
+        archive(ticket, outcome);
     }
 };
 
@@ -97,8 +95,8 @@
     }
 };
 
-using peer_message = std::variant<piece_submission, piece_cancellation, piece_answer,
-                                  snapshot_request, document_snapshot>;
+using peer_message =
+    std::variant<job_submission, job_release, job_answer, snapshot_request, document_snapshot>;
 
 struct peer_link_options
 {
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -19,8 +19,7 @@
 #include <quetzal/gateway/event_splitter.hpp>
 #include <quetzal/gateway/fleet_retry_budget.hpp>
 #include <quetzal/gateway/member_table.hpp>
-#include <quetzal/gateway/stage_broker.hpp>
-#include <quetzal/gateway/stage_plan.hpp>
+#include <quetzal/gateway/stage_conductor.hpp>
 
 namespace quetzal::gateway {
 
@@ -37,7 +36,7 @@
 {
 public:
     request_flow(boost::asio::io_context& context, const catalog& view, endpoint_pools& pools,
-                 channel_pool& channels, stage_broker& broker, member_table& members,
+                 channel_pool& channels, stage_conductor& conductor, member_table& members,
                  const header_names& names, fleet_budget_options budget);
 
     // Serves one request and writes its answer, or cuts the connection.
@@ -73,6 +72,7 @@
     {
         std::vector<std::string> tried;  // endpoints
         std::vector<std::string> inputs; // handles of the last stages' results
+        std::uint64_t job = 0;           // ticket of the stages; 0: none
         event_splitter events;
         std::string first_headers; // of a stream, from its first endpoint
         unsigned runs = 0;         // attempts that may have run
@@ -83,7 +83,7 @@
     std::optional<failure> admit(running_request& request, unsigned& status);
     std::optional<failure> check_view(running_request& request, unsigned& status);
     boost::asio::awaitable<result<std::vector<std::string>>>
-    run_stages(const request_ptr& request, std::shared_ptr<stage_plan>& plan);
+    run_stages(const request_ptr& request, std::uint64_t& ticket);
     boost::asio::awaitable<result<void>> run_attempts(const request_ptr& request,
                                                       answer_writer& answer, attempt_state& state);
     boost::asio::awaitable<result<chosen_endpoint>> choose(const request_ptr& request,
@@ -116,7 +116,7 @@
     const catalog& view_;
     endpoint_pools& pools_;
     channel_pool& channels_;
-    stage_broker& broker_;
+    stage_conductor& conductor_;
     member_table& members_;
     const header_names& names_;
     fleet_retry_budget budget_;
--- /dev/null
+++ b/libs/gateway/include/quetzal/gateway/stage_conductor.hpp
@@ -0,0 +1,108 @@
+#ifndef QUETZAL_GATEWAY_STAGE_CONDUCTOR_HPP
+#define QUETZAL_GATEWAY_STAGE_CONDUCTOR_HPP
+
+// Carries out what the stage scheduler decides. One instance, chosen by rendezvous hashing over the
+// live instances, schedules the stages of the whole fleet; the others send it their jobs. When it
+// is lost, the jobs go to the next one. Every instance can conduct, whether it is asked by itself
+// or by a peer.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <quetzal/gateway/catalog.hpp>
+#include <quetzal/gateway/channel_pool.hpp>
+#include <quetzal/gateway/header_names.hpp>
+#include <quetzal/gateway/member_table.hpp>
+#include <quetzal/gateway/peer_link.hpp>
+#include <quetzal/gateway/stage_protocol.hpp>
+#include <quetzal/gateway/stage_scheduler.hpp>
+
+namespace quetzal::gateway {
+
+// A job of a request that this instance serves.
+struct own_job
+{
+    stage_job content; // its times are set when it is sent
+    time_point useful_until;
+    time_point deadline;
+};
+
+class stage_conductor
+{
+public:
+    using completion = std::function<void(job_outcome outcome)>;
+
+    stage_conductor(boost::asio::io_context& context, const catalog& view, channel_pool& channels,
+                    member_table& members, peer_link& peers, header_names names,
+                    stage_protocol protocol, fleet_budget_options budget);
+
+    // Runs the stages of a request; `done` is called once unless the job is released before.
+    // Returns a ticket.
+    std::uint64_t submit(own_job job, completion done);
+
+    // Gives up a job, or its results when it is done.
+    void release(std::uint64_t ticket);
+
+    // Takes a message of a peer that concerns jobs.
+    void take(const std::string& from, const job_submission& message);
+    void take(const std::string& from, const job_release& message);
+    void take(const std::string& from, const job_answer& message);
+
+    // Sends the jobs again that a lost peer conducted, and drops those it had submitted.
+    void peer_lost(const std::string& address);
+
+    // Follows changes of the catalog.
+    void refresh() { schedule_dispatch(duration::zero()); }
+
+private:
+    // A job of this instance, conducted by itself or by a peer.
+    struct open_job
+    {
+        own_job job;
+        completion done;
+        std::string conductor;
+        bool answered = false;
+    };
+
+    void send_job(std::uint64_t ticket, open_job& job);
+    void answer_own(std::uint64_t ticket, const job_outcome& outcome);
+    void perform(const scheduler_actions& actions);
+    void perform(const start_call& action);
+    void perform(const job_ended& action);
+    void perform(const release_results& action);
+    void schedule_dispatch(duration delay);
+    boost::asio::awaitable<void> run_call(start_call call);
+    boost::asio::awaitable<result<std::vector<piece_outcome>>> exchange(const start_call& call);
+    boost::asio::awaitable<void> send_releases(std::string maker, std::vector<std::string> handles);
+    boost::asio::awaitable<void> watch_conductors();
+
+    boost::asio::io_context& context_;
+    const catalog& view_;
+    channel_pool& channels_;
+    member_table& members_;
+    peer_link& peers_;
+    header_names names_;
+    stage_protocol protocol_;
+    stage_scheduler scheduler_;
+    std::uint64_t next_number_ = 1;
+    std::map<std::uint64_t, open_job> open_; // by ticket
+    // Jobs that this instance conducts: who asked (empty: itself) and that instance's ticket.
+    std::map<job_number, std::pair<std::string, std::uint64_t>> askers_;
+    std::map<std::pair<std::string, std::uint64_t>, job_number> numbers_;
+    std::map<std::string, std::vector<std::string>> releases_; // handles by maker
+    boost::asio::steady_timer dispatch_timer_;
+    boost::asio::steady_timer release_timer_;
+    boost::asio::steady_timer watch_timer_;
+    bool dispatch_scheduled_ = false;
+    bool release_scheduled_ = false;
+};
+
+} // namespace quetzal::gateway
+
+#endif
--- a/libs/gateway/include/quetzal/gateway/stage_protocol.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_protocol.hpp
@@ -10,31 +10,15 @@
 #include <vector>
 
 #include <quetzal/base/time.hpp>
-#include <quetzal/gateway/piece_queue.hpp>
+#include <quetzal/gateway/stage_scheduler.hpp>
 
 namespace quetzal::gateway {
 
-// What became of one piece of a call.
-enum class piece_fate
-{
-    done,
-    late,   // its time had run out before its turn
-    gone,   // one of its inputs no longer exists
-    no_room, // the endpoint has no memory for the result now
-    failed
-};
-
-struct piece_outcome
-{
-    piece_fate fate = piece_fate::failed;
-    std::string handle; // names the result when done
-};
-
 struct stage_protocol
 {
     std::string run_target;     // path of a call
     std::string release_target; // path that gives up results
-    std::function<std::string(const std::vector<waiting_piece>&, time_point now)> encode_call;
+    std::function<std::string(const std::vector<called_piece>&, time_point now)> encode_call;
     // Returns nothing when the body is not an answer for that number of pieces.
     std::function<std::optional<std::vector<piece_outcome>>(std::string_view body,
                                                             std::size_t pieces)>
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -44,6 +44,14 @@
     set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
+std::string post_head(const std::string& target, const std::string& host, std::size_t body_size,
+                      const std::string& expected_header, const std::string& expected_id)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: " + host +
+           "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body_size) +
+           "\r\n" + expected_header + ": " + expected_id + "\r\n\r\n";
+}
+
 channel::channel(const asio::any_io_executor& executor)
     : socket_(executor), timeout_(executor, [this] {
           timed_out_ = true;
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -81,9 +81,9 @@
 } // namespace
 
 request_flow::request_flow(asio::io_context& context, const catalog& view, endpoint_pools& pools,
-                           channel_pool& channels, stage_broker& broker, member_table& members,
+                           channel_pool& channels, stage_conductor& conductor, member_table& members,
                            const header_names& names, fleet_budget_options budget)
-    : context_(context), view_(view), pools_(pools), channels_(channels), broker_(broker),
+    : context_(context), view_(view), pools_(pools), channels_(channels), conductor_(conductor),
       members_(members), names_(names), budget_(budget)
 {
 }
@@ -123,9 +123,12 @@
     }
     const route& matched = *request.matched;
     const time_point received = request.message.received;
-    request.deadline =
-        received + std::min(request.message.patience.value_or(matched.timeout), matched.timeout);
-    request.target_until = received + matched.latency_target;
+    const duration patience = request.message.patience.value_or(matched.timeout);
+    request.deadline = received + std::min(patience, matched.timeout);
+    // A caller that comes back after a refusal has used part of its time: its latency target counts
+    // from its first try.
+    const duration used = std::max(matched.timeout - patience, duration::zero());
+    request.target_until = received + matched.latency_target - used;
     return std::nullopt;
 }
 
@@ -146,11 +149,10 @@
     state.repeatable = matched.kind == route_kind::idempotent ||
                        (matched.kind == route_kind::stream && matched.resumable);
     result<void> outcome;
-    std::shared_ptr<stage_plan> plan;
     // Results of stages can expire before the endpoint fetches them; then they are made once more.
     for (int round = 0; round < 2; ++round) {
         if (!matched.stages.empty()) {
-            auto inputs = co_await run_stages(request, plan);
+            auto inputs = co_await run_stages(request, state.job);
             if (!inputs) {
                 outcome = tl::unexpected(inputs.error());
                 break;
@@ -162,10 +164,9 @@
         if (!again) {
             break;
         }
+        conductor_.release(state.job);
     }
-    if (plan) {
-        broker_.release(plan->all_results());
-    }
+    conductor_.release(state.job);
     --counters_.running;
     if (!outcome) {
         co_await refuse(*request, answer, status_of(outcome.error()), outcome.error());
@@ -175,95 +176,65 @@
 }
 
 asio::awaitable<result<std::vector<std::string>>>
-request_flow::run_stages(const request_ptr& request, std::shared_ptr<stage_plan>& plan)
+request_flow::run_stages(const request_ptr& request, std::uint64_t& ticket)
 {
-    struct progress
+    struct waiting_answer
     {
-        explicit progress(asio::io_context& context) : changed(context) {}
+        explicit waiting_answer(asio::io_context& context) : arrived(context) {}
 
-        asio::steady_timer changed; // expires never; cancelled to wake up the waiting coroutine
-        std::vector<std::pair<std::uint64_t, bool>> tickets; // and whether it is still open
-        std::optional<piece_fate> failed;
-        bool stopped = false;
+        asio::steady_timer arrived; // never expires; cancelled to wake up the waiting coroutine
+        std::optional<job_outcome> outcome;
     };
     const route& matched = *request->matched;
     const auto counts = parse_piece_counts(request->message.piece_counts);
     if (!counts) {
         co_return not_run(reason::invalid_request, "the piece counts are malformed");
     }
-    plan = std::make_shared<stage_plan>(matched.stages, *counts);
-    const auto state = std::make_shared<progress>(context_);
-    state->changed.expires_at(asio::steady_timer::time_point::max());
-    // Pieces are useful until the work that follows them can no longer be in time.
-    std::vector<duration> following(matched.stages.size(), after_stages);
-    for (std::size_t index = matched.stages.size(); index-- > 0;) {
-        const auto* definition = view_.find_service(matched.stages[index].service);
-        const duration own = definition != nullptr && definition->stage
-                                 ? definition->stage->call_time +
-                                       definition->stage->piece_time * definition->stage->batch / 2
-                                 : duration::zero();
-        for (const std::size_t earlier : matched.stages[index].after) {
-            if (earlier < index) {
-                following[earlier] = std::max(following[earlier], following[index] + own);
-            }
-        }
-    }
-    request->on_abort([state] { state->changed.cancel(); });
-    while (!plan->finished() && !state->failed && !request->aborted()) {
-        for (planned_piece& piece : plan->take_ready()) {
-            piece_order order;
-            order.request_id = request->message.id;
-            order.stage = static_cast<std::uint32_t>(piece.stage);
-            order.piece = static_cast<std::uint32_t>(piece.piece);
-            order.priority = request->priority;
-            if (piece.inputs.empty()) {
-                order.key = request->message.piece_key;
-            } else {
-                order.inputs = std::move(piece.inputs);
-            }
-            const std::size_t slot = state->tickets.size();
-            state->tickets.emplace_back(0, true);
-            auto done = [state, plan, slot, stage = piece.stage,
-                         number = piece.piece](piece_outcome outcome) {
-                state->tickets[slot].second = false;
-                if (outcome.fate == piece_fate::done) {
-                    plan->done(stage, number, std::move(outcome.handle));
-                } else if (!state->failed) {
-                    state->failed = outcome.fate;
-                }
-                state->changed.cancel();
-            };
-            state->tickets[slot].first = broker_.submit(
-                matched.stages[piece.stage].service, std::move(order),
-                request->target_until - following[piece.stage], request->deadline, std::move(done));
-        }
-        if (plan->finished() || state->failed || request->aborted()) {
-            break;
-        }
-        boost::system::error_code ignored; // cancelled: something has changed
-        co_await state->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    own_job job;
+    job.useful_until = request->target_until - after_stages;
+    job.deadline = request->deadline;
+    job.content.request_id = request->message.id;
+    job.content.piece_key = request->message.piece_key;
+    job.content.priority = request->priority;
+    for (std::size_t index = 0; index < matched.stages.size(); ++index) {
+        const stage_definition& stage = matched.stages[index];
+        job.content.stages.push_back({stage.service,
+                                      {stage.after.begin(), stage.after.end()},
+                                      stage.result_size,
+                                      index < counts->size() ? (*counts)[index] : 0});
+    }
+    const auto answer = std::make_shared<waiting_answer>(context_);
+    answer->arrived.expires_at(asio::steady_timer::time_point::max());
+    request->on_abort([answer] { answer->arrived.cancel(); });
+    ticket = conductor_.submit(std::move(job), [answer](job_outcome outcome) {
+        answer->outcome = std::move(outcome);
+        answer->arrived.cancel();
+    });
+    if (!answer->outcome && !request->aborted()) {
+        boost::system::error_code ignored; // cancelled: the answer is there, or the request ended
+        co_await answer->arrived.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     request->on_abort({});
-    for (const auto& [ticket, open] : state->tickets) {
-        if (open) {
-            broker_.cancel(ticket);
-        }
-    }
-    if (plan->finished()) {
-        co_return plan->final_results();
-    }
-    if (request->aborted()) {
-        // Making pieces is not running the request.
-        failure why = *request->aborted();
+    if (request->aborted() || !answer->outcome) {
+        // Making results of stages is not running the request.
+        failure why = request->aborted().value_or(
+            failure{verdict::not_run, reason::internal_error, "no answer of the conductor", {}});
         why.run = verdict::not_run;
         co_return tl::unexpected(why);
     }
-    if (*state->failed == piece_fate::gone) {
-        co_return not_run(reason::answer_mismatch, "the result of a stage has expired");
-    }
-    const bool late = *state->failed == piece_fate::late;
-    co_return not_run(late ? reason::deadline_unreachable : reason::endpoint_failed,
-                      late ? "a stage cannot be in time" : "a stage failed");
+    job_outcome& outcome = *answer->outcome;
+    const std::chrono::milliseconds retry_after(outcome.retry_after_ms);
+    switch (outcome.fate) {
+    case job_fate::done:
+        co_return std::move(outcome.results);
+    case job_fate::refused:
+        co_return not_run(reason::overloaded, "the stages cannot be in time", retry_after);
+    case job_fate::late:
+        co_return not_run(reason::deadline_unreachable, "the stages were too slow", retry_after);
+    case job_fate::failed:
+        break;
+    }
+    co_return not_run(reason::endpoint_failed, "a stage failed", retry_after);
 }
 
 asio::awaitable<result<chosen_endpoint>> request_flow::choose(const request_ptr& request,
@@ -601,6 +572,7 @@
         if (first) {
             first = false;
             outcome.latency = boot_clock::now() - started;
+            conductor_.release(state.job); // the endpoint has fetched them
         }
         const bool written =
             co_await answer.part(200, state.first_headers, std::move(events), last);
--- /dev/null
+++ b/libs/gateway/src/stage_conductor.cpp
@@ -0,0 +1,353 @@
+#include <quetzal/gateway/stage_conductor.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <quetzal/gateway/decision_log.hpp>
+
+namespace quetzal::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Pieces of requests that arrive together share a call.
+constexpr duration gather_delay = std::chrono::milliseconds(3);
+// Waiting pieces are looked at again after this long, for deadlines and avoided endpoints.
+constexpr duration recheck_delay = std::chrono::milliseconds(50);
+constexpr duration connect_timeout = std::chrono::milliseconds(400);
+constexpr duration send_timeout = std::chrono::milliseconds(500);
+// A call that takes this many times its expected time is given up.
+constexpr int give_up_factor = 3;
+constexpr duration give_up_margin = std::chrono::milliseconds(300);
+constexpr duration release_delay = std::chrono::milliseconds(20);
+constexpr duration watch_interval = std::chrono::milliseconds(200);
+constexpr std::size_t answer_limit = 1u << 20;          // bytes of the answer to a call
+constexpr std::size_t release_answer_limit = 16u << 10; // bytes
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unavailable = 503;
+constexpr std::string_view conductor_key = "stages";
+
+std::int64_t milliseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+std::string address_text(const asio::ip::tcp::endpoint& address)
+{
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+} // namespace
+
+stage_conductor::stage_conductor(asio::io_context& context, const catalog& view,
+                                 channel_pool& channels, member_table& members, peer_link& peers,
+                                 header_names names, stage_protocol protocol,
+                                 fleet_budget_options budget)
+    : context_(context), view_(view), channels_(channels), members_(members), peers_(peers),
+      names_(std::move(names)), protocol_(std::move(protocol)), scheduler_(view, budget),
+      dispatch_timer_(context), release_timer_(context), watch_timer_(context)
+{
+    asio::co_spawn(context_, watch_conductors(), asio::detached);
+}
+
+std::uint64_t stage_conductor::submit(own_job job, completion done)
+{
+    const std::uint64_t ticket = next_number_++;
+    open_job& opened =
+        open_.emplace(ticket, open_job{std::move(job), std::move(done), {}, false}).first->second;
+    send_job(ticket, opened);
+    return ticket;
+}
+
+void stage_conductor::send_job(std::uint64_t ticket, open_job& opened)
+{
+    const time_point now = boot_clock::now();
+    stage_job& content = opened.job.content;
+    content.useful_ms = static_cast<std::int32_t>(milliseconds(opened.job.useful_until - now));
+    content.remaining_ms = static_cast<std::uint32_t>(
+        std::max<std::int64_t>(milliseconds(opened.job.deadline - now), 0));
+    opened.conductor = members_.owner_of(conductor_key, now);
+    if (opened.conductor == members_.self().address) {
+        take({}, job_submission{ticket, content});
+    } else {
+        peers_.send(opened.conductor, job_submission{ticket, content});
+    }
+}
+
+void stage_conductor::release(std::uint64_t ticket)
+{
+    const auto found = open_.find(ticket);
+    if (found == open_.end()) {
+        return;
+    }
+    const std::string conductor = found->second.conductor;
+    open_.erase(found);
+    if (conductor == members_.self().address) {
+        take({}, job_release{ticket});
+    } else {
+        peers_.send(conductor, job_release{ticket});
+    }
+}
+
+void stage_conductor::answer_own(std::uint64_t ticket, const job_outcome& outcome)
+{
+    const auto found = open_.find(ticket);
+    if (found == open_.end() || found->second.answered) {
+        return;
+    }
+    found->second.answered = true;
+    const completion done = std::move(found->second.done);
+    if (outcome.fate != job_fate::done) {
+        open_.erase(found);
+    }
+    done(outcome);
+}
+
+void stage_conductor::take(const std::string& from, const job_submission& message)
+{
+    const job_number number = next_number_++;
+    askers_[number] = {from, message.ticket};
+    numbers_[{from, message.ticket}] = number;
+    perform(scheduler_.add(number, message.job, boot_clock::now()));
+    schedule_dispatch(gather_delay);
+}
+
+void stage_conductor::take(const std::string& from, const job_release& message)
+{
+    const auto found = numbers_.find({from, message.ticket});
+    if (found == numbers_.end()) {
+        return;
+    }
+    const job_number number = found->second;
+    numbers_.erase(found);
+    askers_.erase(number);
+    perform(scheduler_.cancel(number));
+}
+
+void stage_conductor::take(const std::string&, const job_answer& message)
+{
+    answer_own(message.ticket, message.outcome);
+}
+
+void stage_conductor::peer_lost(const std::string& address)
+{
+    std::vector<std::uint64_t> moved;
+    for (const auto& [ticket, job] : open_) {
+        if (job.conductor == address && !job.answered) {
+            moved.push_back(ticket);
+        }
+    }
+    for (const std::uint64_t ticket : moved) {
+        open_job& job = open_.at(ticket);
+        log_event("job_moved",
+                  {{"request", job.job.content.request_id}, {"lost_conductor", address}});
+        send_job(ticket, job);
+    }
+    std::vector<std::pair<std::string, std::uint64_t>> orphans;
+    for (const auto& [asker, number] : numbers_) {
+        if (asker.first == address) {
+            orphans.push_back(asker);
+        }
+    }
+    for (const auto& [asker, ticket] : orphans) {
+        take(asker, job_release{ticket});
+    }
+}
+
+asio::awaitable<void> stage_conductor::watch_conductors()
+{
+    while (true) {
+        watch_timer_.expires_after(watch_interval);
+        boost::system::error_code error;
+        co_await watch_timer_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        const time_point now = boot_clock::now();
+        std::vector<std::string> silent;
+        for (const auto& [ticket, job] : open_) {
+            if (!job.answered && !members_.is_live(job.conductor, now) &&
+                std::find(silent.begin(), silent.end(), job.conductor) == silent.end()) {
+                silent.push_back(job.conductor);
+            }
+        }
+        for (const auto& address : silent) {
+            peer_lost(address);
+        }
+    }
+}
+
+void stage_conductor::schedule_dispatch(duration delay)
+{
+    if (dispatch_scheduled_) {
+        return;
+    }
+    dispatch_scheduled_ = true;
+    dispatch_timer_.expires_after(delay);
+    dispatch_timer_.async_wait([this](const boost::system::error_code& error) {
+        dispatch_scheduled_ = false;
+        if (error) {
+            return;
+        }
+        perform(scheduler_.dispatch(boot_clock::now()));
+        if (scheduler_.has_waiting()) {
+            schedule_dispatch(recheck_delay);
+        }
+    });
+}
+
+void stage_conductor::perform(const scheduler_actions& actions)
+{
+    for (const auto& action : actions) {
+        std::visit([this](const auto& content) { perform(content); }, action);
+    }
+}
+
+void stage_conductor::perform(const start_call& action)
+{
+    asio::co_spawn(context_, run_call(action), asio::detached);
+}
+
+void stage_conductor::perform(const job_ended& action)
+{
+    const auto found = askers_.find(action.job);
+    if (found == askers_.end()) {
+        return;
+    }
+    const auto asker = found->second;
+    if (action.outcome.fate != job_fate::done) {
+        askers_.erase(found);
+        numbers_.erase(asker);
+    }
+    if (asker.first.empty()) {
+        answer_own(asker.second, action.outcome);
+    } else {
+        peers_.send(asker.first, job_answer{asker.second, action.outcome});
+    }
+}
+
+void stage_conductor::perform(const release_results& action)
+{
+    for (const auto& handle : action.handles) {
+        releases_[protocol_.maker_of(handle)].push_back(handle);
+    }
+    if (release_scheduled_) {
+        return;
+    }
+    release_scheduled_ = true;
+    release_timer_.expires_after(release_delay);
+    release_timer_.async_wait([this](const boost::system::error_code& error) {
+        release_scheduled_ = false;
+        if (error) {
+            return;
+        }
+        for (auto& [maker, handles] : std::exchange(releases_, {})) {
+            asio::co_spawn(context_, send_releases(maker, std::move(handles)), asio::detached);
+        }
+    });
+}
+
+asio::awaitable<void> stage_conductor::run_call(start_call call)
+{
+    const auto outcomes = co_await exchange(call);
+    const time_point now = boot_clock::now();
+    if (outcomes) {
+        perform(scheduler_.call_ended(call.call, *outcomes, now));
+    } else {
+        const failure& error = outcomes.error();
+        log_event("stage_call_failed", {{"service", call.target.service},
+                                        {"endpoint", call.target.id},
+                                        {"pieces", call.pieces.size()},
+                                        {"first_request", call.pieces.front().request_id},
+                                        {"verdict", to_string(error.run)},
+                                        {"detail", error.detail}});
+        perform(scheduler_.call_failed(call.call, error.run, error.why == reason::overloaded, now));
+    }
+    perform(scheduler_.dispatch(now));
+    if (scheduler_.has_waiting()) {
+        schedule_dispatch(recheck_delay);
+    }
+}
+
+asio::awaitable<result<std::vector<piece_outcome>>>
+stage_conductor::exchange(const start_call& call)
+{
+    const endpoint& target = call.target;
+    auto taken = co_await channels_.take(target, connect_timeout);
+    if (!taken) {
+        co_return tl::unexpected(taken.error());
+    }
+    const std::shared_ptr<channel> connection = *taken;
+    if (!view_.accepts_work(target)) {
+        channels_.give_back(target, connection, boot_clock::now());
+        co_return not_run(reason::no_endpoint, "the endpoint no longer accepts work");
+    }
+    const std::string body = protocol_.encode_call(call.pieces, boot_clock::now());
+    const std::string head = post_head(protocol_.run_target, address_text(target.address),
+                                       body.size(), names_.expected_endpoint, target.id);
+    if (const auto sent = co_await connection->send(head, body, send_timeout); !sent) {
+        co_return tl::unexpected(sent.error());
+    }
+    const duration timeout = call.expected * give_up_factor + give_up_margin;
+    const auto status = co_await connection->read_head(timeout);
+    if (!status) {
+        co_return tl::unexpected(status.error());
+    }
+    const bool refused = connection->headers().find(names_.not_run) != connection->headers().end() ||
+                         *status == status_misdirected;
+    auto answer = co_await connection->read_whole_body(answer_limit, timeout);
+    if (!answer) {
+        co_return tl::unexpected(answer.error());
+    }
+    channels_.give_back(target, connection, boot_clock::now());
+    const std::string detail = "stage call answered with status " + std::to_string(*status);
+    if (refused) {
+        co_return not_run(*status == status_unavailable ? reason::overloaded : reason::no_endpoint,
+                          detail);
+    }
+    auto outcomes = *status == status_ok ? protocol_.decode_call(*answer, call.pieces.size())
+                                         : std::nullopt;
+    if (!outcomes) {
+        co_return may_have_run(reason::endpoint_failed, detail);
+    }
+    co_return std::move(*outcomes);
+}
+
+asio::awaitable<void> stage_conductor::send_releases(std::string maker,
+                                                     std::vector<std::string> handles)
+{
+    const auto& endpoints = view_.endpoints();
+    const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const auto& entry) {
+        return address_text(entry.second.address) == maker;
+    });
+    if (found == endpoints.end() || !view_.accepts_work(found->second)) {
+        co_return; // the maker is gone or gets nothing new; its results expire by themselves
+    }
+    const endpoint target = found->second;
+    auto taken = co_await channels_.take(target, connect_timeout);
+    if (!taken) {
+        co_return; // the results expire by themselves
+    }
+    const std::shared_ptr<channel> connection = *taken;
+    const std::string body = protocol_.encode_release(handles);
+    const std::string head = post_head(protocol_.release_target, maker, body.size(),
+                                       names_.expected_endpoint, target.id);
+    if (const auto sent = co_await connection->send(head, body, send_timeout); !sent) {
+        co_return;
+    }
+    if (const auto status = co_await connection->read_head(send_timeout); !status) {
+        co_return;
+    }
+    const auto answer = co_await connection->read_whole_body(release_answer_limit, send_timeout);
+    if (answer) {
+        channels_.give_back(target, connection, boot_clock::now());
+    }
+}
+
+} // namespace quetzal::gateway
--- a/libs/gateway/src/stage_plan.cpp
+++ b/libs/gateway/src/stage_plan.cpp
@@ -2,69 +2,82 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace quetzal::gateway {
 
-stage_plan::stage_plan(const std::vector<stage_definition>& stages,
-                       const std::vector<std::size_t>& counts)
+stage_plan::stage_plan(const std::vector<job_stage>& stages) : stages_(stages.size())
 {
-    stages_.resize(stages.size());
     for (std::size_t index = 0; index < stages.size(); ++index) {
         stage_state& stage = stages_[index];
-        stage.after = stages[index].after;
-        stage.open = index < counts.size() ? counts[index] : 0;
+        std::copy_if(stages[index].after.begin(), stages[index].after.end(),
+                     std::back_inserter(stage.after),
+                     [&](std::uint32_t earlier) { return earlier < index; });
+        stage.open = stages[index].pieces;
         stage.handles.resize(stage.open);
         open_pieces_ += stage.open;
-    }
-    for (std::size_t index = 0; index < stages.size(); ++index) {
-        for (const std::size_t earlier : stages[index].after) {
-            if (earlier < stages_.size()) {
-                stages_[earlier].followed = true;
-            }
+        for (const std::uint32_t earlier : stage.after) {
+            stages_[earlier].followed = true;
+            stages_[earlier].open_followers += stage.open > 0 ? 1 : 0;
         }
     }
 }
 
 bool stage_plan::ready(const stage_state& stage) const
 {
-    return std::all_of(stage.after.begin(), stage.after.end(), [&](std::size_t earlier) {
-        return earlier >= stages_.size() || stages_[earlier].open == 0;
-    });
+    return std::all_of(stage.after.begin(), stage.after.end(),
+                       [&](std::uint32_t earlier) { return stages_[earlier].open == 0; });
 }
 
-std::vector<planned_piece> stage_plan::take_ready()
+std::vector<std::size_t> stage_plan::take_ready()
 {
-    std::vector<planned_piece> pieces;
+    std::vector<std::size_t> started;
     for (std::size_t index = 0; index < stages_.size(); ++index) {
         stage_state& stage = stages_[index];
-        if (stage.started || !ready(stage)) {
-            continue;
-        }
-        stage.started = true;
-        std::vector<std::string> inputs;
-        for (const std::size_t earlier : stage.after) {
-            if (earlier < stages_.size()) {
-                inputs.insert(inputs.end(), stages_[earlier].handles.begin(),
-                              stages_[earlier].handles.end());
-            }
-        }
-        for (std::size_t piece = 0; piece < stage.handles.size(); ++piece) {
-            pieces.push_back({index, piece, inputs});
+        if (!stage.started && stage.open > 0 && ready(stage)) {
+            stage.started = true;
+            started.push_back(index);
         }
     }
-    return pieces;
+    return started;
 }
 
-void stage_plan::done(std::size_t stage, std::size_t piece, std::string handle)
+std::vector<std::string> stage_plan::inputs_of(std::size_t stage) const
 {
+    std::vector<std::string> inputs;
+    for (const std::uint32_t earlier : stages_[stage].after) {
+        inputs.insert(inputs.end(), stages_[earlier].handles.begin(),
+                      stages_[earlier].handles.end());
+    }
+    return inputs;
+}
+
+std::vector<std::string> stage_plan::done(std::size_t stage, std::size_t piece, std::string handle)
+{
+    std::vector<std::string> released;
     stage_state& state = stages_[stage];
     if (!state.handles[piece].empty()) {
-        return;
+        released.push_back(std::move(handle)); // made twice
+        return released;
     }
     state.handles[piece] = std::move(handle);
-    --state.open;
     --open_pieces_;
+    if (--state.open == 0) {
+        finish_stage(state, released);
+    }
+    return released;
+}
+
+void stage_plan::finish_stage(stage_state& stage, std::vector<std::string>& released)
+{
+    for (const std::uint32_t earlier : stage.after) {
+        stage_state& input = stages_[earlier];
+        if (--input.open_followers == 0 && !input.released) {
+            input.released = true;
+            released.insert(released.end(), input.handles.begin(), input.handles.end());
+        }
+    }
 }
 
 std::vector<std::string> stage_plan::final_results() const
@@ -78,30 +91,32 @@
     return results;
 }
 
-std::vector<std::string> stage_plan::all_results() const
+std::vector<std::string> stage_plan::held_results() const
 {
     std::vector<std::string> results;
     for (const stage_state& stage : stages_) {
-        std::copy_if(stage.handles.begin(), stage.handles.end(), std::back_inserter(results),
-                     [](const std::string& handle) { return !handle.empty(); });
+        if (!stage.released) {
+            std::copy_if(stage.handles.begin(), stage.handles.end(), std::back_inserter(results),
+                         [](const std::string& handle) { return !handle.empty(); });
+        }
     }
     return results;
 }
 
-std::optional<std::vector<std::size_t>> parse_piece_counts(std::string_view text)
+std::optional<std::vector<std::uint32_t>> parse_piece_counts(std::string_view text)
 {
-    std::vector<std::size_t> counts;
+    std::vector<std::uint32_t> counts;
     std::size_t total = 0;
     const char* position = text.data();
     const char* const end = text.data() + text.size();
     while (position < end) {
-        std::size_t count = 0;
+        std::uint32_t count = 0;
         const auto [after, error] = std::from_chars(position, end, count);
-        total += count;
-        if (error != std::errc{} || count > most_pieces || total > most_pieces ||
+        if (error != std::errc{} || count > most_pieces || total + count > most_pieces ||
             (after != end && *after != ',')) {
             return std::nullopt;
         }
+        total += count;
         counts.push_back(count);
         position = after == end ? end : after + 1;
     }
--- /dev/null
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -0,0 +1,576 @@
+#include <quetzal/gateway/stage_scheduler.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace quetzal::gateway {
+
+namespace {
+
+// A call slower than this many times its expected time marks its endpoint as slow.
+constexpr double slow_factor = 2;
+constexpr duration slow_avoidance = std::chrono::seconds(2);
+constexpr duration failure_avoidance = std::chrono::milliseconds(500); // doubles with each failure
+constexpr unsigned avoidance_doublings = 3;
+constexpr duration full_avoidance = std::chrono::milliseconds(30); // until a call may have ended
+constexpr duration room_avoidance = std::chrono::milliseconds(60); // until results may be freed
+constexpr unsigned repeat_limit = 12; // pieces of one job that are made again
+// Share of a full call that a piece finds around it at usual load.
+constexpr double usual_fill = 0.6;
+// Urgency that a piece gains where its inputs lie, against moving results between zones.
+constexpr duration same_zone_bonus = std::chrono::milliseconds(150);
+constexpr duration arrival_smoothing = std::chrono::seconds(2); // of the rate of arriving work
+constexpr double most_arriving = 0.9; // share of the endpoints' time
+constexpr duration longest_held = std::chrono::seconds(30); // of results by a request
+constexpr duration least_retry_after = std::chrono::milliseconds(200);
+constexpr duration longest_retry_after = std::chrono::seconds(5);
+
+duration scaled(duration value, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+duration call_duration(const stage_capacity& capacity, double pieces)
+{
+    return capacity.call_time + scaled(capacity.piece_time, pieces);
+}
+
+} // namespace
+
+stage_scheduler::stage_scheduler(const catalog& view, fleet_budget_options budget)
+    : view_(view), budget_(budget)
+{
+}
+
+duration stage_scheduler::work_of(const std::string& service, std::uint32_t pieces) const
+{
+    const auto* definition = view_.find_service(service);
+    if (definition == nullptr || !definition->stage) {
+        return duration::zero();
+    }
+    const stage_capacity& capacity = *definition->stage;
+    const duration piece = capacity.piece_time + capacity.call_time / capacity.batch;
+    return piece * pieces / std::max(capacity.slots, 1u);
+}
+
+std::size_t stage_scheduler::active_workers(const std::string& service, time_point now) const
+{
+    const auto usable = view_.usable_endpoints(service);
+    const auto active = std::count_if(usable.begin(), usable.end(), [&](const endpoint* value) {
+        const auto known = workers_.find(value->id);
+        return known == workers_.end() || known->second.avoided_until <= now ||
+               known->second.failures == 0;
+    });
+    return static_cast<std::size_t>(active);
+}
+
+duration stage_scheduler::expected_time(const stage_job& content, time_point now) const
+{
+    duration longest_backlog{};
+    std::vector<duration> finished(content.stages.size());
+    duration chain{};
+    for (std::size_t index = 0; index < content.stages.size(); ++index) {
+        const job_stage& stage = content.stages[index];
+        for (const std::uint32_t earlier : stage.after) {
+            if (earlier < index) {
+                finished[index] = std::max(finished[index], finished[earlier]);
+            }
+        }
+        const auto* definition = view_.find_service(stage.service);
+        if (stage.pieces == 0 || definition == nullptr || !definition->stage) {
+            continue;
+        }
+        const stage_capacity& capacity = *definition->stage;
+        finished[index] += call_duration(capacity, capacity.batch * usual_fill);
+        chain = std::max(chain, finished[index]);
+        const auto state = services_.find(stage.service);
+        if (state == services_.end()) {
+            continue;
+        }
+        duration ahead{};
+        for (const auto& [priority, work] : state->second.committed) {
+            ahead += priority <= content.priority ? work : duration::zero();
+        }
+        double arriving = 0; // more urgent work, in endpoint time for each second
+        for (const auto& [priority, work] : state->second.arriving) {
+            arriving += priority < content.priority ? work : 0;
+        }
+        const auto workers =
+            static_cast<double>(std::max<std::size_t>(active_workers(stage.service, now), 1));
+        const double share = 1 - std::min(arriving / workers, most_arriving);
+        longest_backlog = std::max(longest_backlog, scaled(ahead, 1 / (workers * share)));
+    }
+    return chain + longest_backlog;
+}
+
+void stage_scheduler::note_arrival(const stage_job& content, time_point now)
+{
+    for (const job_stage& stage : content.stages) {
+        service_state& state = services_[stage.service];
+        const double elapsed =
+            std::chrono::duration<double>(now - state.arriving_updated).count();
+        const double smoothing = std::chrono::duration<double>(arrival_smoothing).count();
+        const double kept = 1 / (1 + elapsed / smoothing);
+        for (auto& [priority, rate] : state.arriving) {
+            rate *= kept;
+        }
+        state.arriving_updated = now;
+        state.arriving[content.priority] +=
+            std::chrono::duration<double>(work_of(stage.service, stage.pieces)).count() / smoothing;
+    }
+}
+
+scheduler_actions stage_scheduler::add(job_number number, const stage_job& content, time_point now)
+{
+    action_list actions;
+    const duration expected = expected_time(content, now);
+    const duration useful = std::chrono::milliseconds(content.useful_ms);
+    const duration remaining = std::chrono::milliseconds(content.remaining_ms);
+    note_arrival(content, now);
+    // A request whose latency target has passed already is worth serving late.
+    const duration allowed = useful > duration::zero() ? useful : remaining / 2;
+    if (expected > allowed) {
+        const duration wait = std::clamp(expected - allowed, least_retry_after, longest_retry_after);
+        job_outcome refused;
+        refused.fate = job_fate::refused;
+        refused.retry_after_ms = static_cast<std::uint32_t>(wait / std::chrono::milliseconds(1));
+        actions.push_back(job_ended{number, std::move(refused)});
+        return actions;
+    }
+    auto [position, added] = jobs_.insert_or_assign(number, running_job(content.stages));
+    running_job& job = position->second;
+    job.request_id = content.request_id;
+    job.piece_key = content.piece_key;
+    job.zone = content.zone;
+    job.stages = content.stages;
+    job.priority = content.priority;
+    job.useful_until = now + useful;
+    job.deadline = now + remaining;
+    job.following.assign(content.stages.size(), duration::zero());
+    for (std::size_t index = content.stages.size(); index-- > 0;) {
+        const auto* definition = view_.find_service(content.stages[index].service);
+        const bool made = definition != nullptr && definition->stage &&
+                          content.stages[index].pieces > 0;
+        const duration own =
+            made ? call_duration(*definition->stage, definition->stage->batch * usual_fill)
+                 : duration::zero();
+        for (const std::uint32_t earlier : content.stages[index].after) {
+            if (earlier < index) {
+                job.following[earlier] =
+                    std::max(job.following[earlier], job.following[index] + own);
+            }
+        }
+    }
+    for (const job_stage& stage : content.stages) {
+        job.open.push_back(stage.pieces);
+    }
+    commit_open(job, 1);
+    if (job.plan.finished()) {
+        end_job(number, job_fate::done, now, actions);
+        return actions;
+    }
+    queue_ready(number, job);
+    return actions;
+}
+
+void stage_scheduler::commit(const running_job& job, std::size_t stage, std::uint32_t pieces,
+                             int direction)
+{
+    const std::string& service = job.stages[stage].service;
+    duration& committed = services_[service].committed[job.priority];
+    committed = std::max(committed + work_of(service, pieces) * direction, duration::zero());
+}
+
+void stage_scheduler::commit_open(const running_job& job, int direction)
+{
+    for (std::size_t stage = 0; stage < job.stages.size(); ++stage) {
+        commit(job, stage, job.open[stage], direction);
+    }
+}
+
+void stage_scheduler::queue_ready(job_number number, running_job& job)
+{
+    for (const std::size_t stage : job.plan.take_ready()) {
+        const job_stage& definition = job.stages[stage];
+        std::string zone = job.zone;
+        const auto inputs = job.plan.inputs_of(stage);
+        if (!inputs.empty()) {
+            std::map<std::string, std::size_t> count;
+            for (const auto& handle : inputs) {
+                if (const auto maker = makers_.find(handle); maker != makers_.end()) {
+                    ++count[workers_[maker->second].zone];
+                }
+            }
+            std::size_t most = 0;
+            for (const auto& [name, number_there] : count) {
+                if (number_there > most) {
+                    most = number_there;
+                    zone = name;
+                }
+            }
+        }
+        for (std::size_t piece = 0; piece < definition.pieces; ++piece) {
+            services_[definition.service].waiting.push_back(
+                {number, stage, piece, job.priority, job.useful_until - job.following[stage],
+                 job.deadline - job.following[stage], definition.result_size, zone});
+        }
+    }
+}
+
+void stage_scheduler::drop_waiting(job_number number)
+{
+    for (auto& [service, state] : services_) {
+        std::erase_if(state.waiting,
+                      [&](const waiting_piece& piece) { return piece.job == number; });
+    }
+}
+
+void stage_scheduler::end_job(job_number number, job_fate fate, time_point now,
+                              action_list& actions)
+{
+    const auto found = jobs_.find(number);
+    if (found == jobs_.end() || found->second.finished) {
+        return;
+    }
+    running_job& job = found->second;
+    commit_open(job, -1);
+    job_outcome outcome;
+    outcome.fate = fate;
+    if (fate == job_fate::done) {
+        outcome.results = job.plan.final_results();
+        job.finished = true;
+        job.finished_at = now;
+        actions.push_back(job_ended{number, std::move(outcome)});
+        return;
+    }
+    drop_waiting(number);
+    release_handles(job.plan.held_results(), actions);
+    outcome.retry_after_ms =
+        static_cast<std::uint32_t>(least_retry_after / std::chrono::milliseconds(1));
+    jobs_.erase(found);
+    actions.push_back(job_ended{number, std::move(outcome)});
+}
+
+scheduler_actions stage_scheduler::cancel(job_number number)
+{
+    action_list actions;
+    const auto found = jobs_.find(number);
+    if (found == jobs_.end()) {
+        return actions;
+    }
+    if (!found->second.finished) {
+        commit_open(found->second, -1);
+        drop_waiting(number);
+    }
+    release_handles(found->second.plan.held_results(), actions);
+    jobs_.erase(found);
+    return actions;
+}
+
+scheduler_actions stage_scheduler::release(job_number number) { return cancel(number); }
+
+void stage_scheduler::release_handles(std::vector<std::string> handles, action_list& actions)
+{
+    if (handles.empty()) {
+        return;
+    }
+    for (const auto& handle : handles) {
+        if (const auto maker = makers_.find(handle); maker != makers_.end()) {
+            workers_[maker->second].held.erase(handle);
+            makers_.erase(maker);
+        }
+    }
+    actions.push_back(release_results{std::move(handles)});
+}
+
+std::uint64_t stage_scheduler::used_room(worker& target, time_point now) const
+{
+    std::uint64_t used = target.reserved;
+    for (const auto& [handle, result] : target.held) {
+        used += result.expires > now ? result.size : 0;
+    }
+    return used;
+}
+
+const endpoint* stage_scheduler::idle_worker(const std::string& service,
+                                             const stage_capacity& capacity, time_point now,
+                                             const std::vector<std::string>& skip)
+{
+    const endpoint* best = nullptr;
+    const endpoint* avoided = nullptr;
+    bool others_work = false;
+    for (const endpoint* candidate : view_.usable_endpoints(service)) {
+        worker& known = workers_[candidate->id];
+        known.service = service;
+        known.zone = candidate->zone;
+        const bool avoid = known.avoided_until > now;
+        others_work = others_work || (known.calls > 0 && !avoid);
+        if (known.calls >= capacity.slots ||
+            std::find(skip.begin(), skip.end(), candidate->id) != skip.end()) {
+            continue;
+        }
+        const endpoint*& slot = avoid ? avoided : best;
+        const auto order = [&](const endpoint* value) {
+            worker& other = workers_[value->id];
+            return std::tuple(other.failures, avoid ? other.avoided_until : time_point{},
+                              used_room(other, now));
+        };
+        if (slot == nullptr || order(candidate) < order(slot)) {
+            slot = candidate;
+        }
+    }
+    if (best != nullptr) {
+        return best;
+    }
+    // Avoided endpoints are used only when no other endpoint works on the queue.
+    return others_work ? nullptr : avoided;
+}
+
+std::vector<called_piece> stage_scheduler::take_call(service_state& state,
+                                                     const stage_capacity& capacity, worker& target,
+                                                     time_point now)
+{
+    const auto rank = [&](const waiting_piece& piece) {
+        const bool late = piece.useful_until < now + capacity.call_time;
+        const bool near = piece.input_zone.empty() || piece.input_zone == target.zone;
+        return std::tuple(late, piece.priority,
+                          piece.useful_until + (near ? duration::zero() : same_zone_bonus),
+                          piece.job, piece.stage, piece.piece);
+    };
+    auto& waiting = state.waiting;
+    std::sort(waiting.begin(), waiting.end(),
+              [&](const waiting_piece& left, const waiting_piece& right) {
+                  return rank(left) < rank(right);
+              });
+    std::uint64_t used = used_room(target, now);
+    std::vector<called_piece> call;
+    std::vector<waiting_piece> rest;
+    for (waiting_piece& piece : waiting) {
+        const bool fits = capacity.result_room == 0 ||
+                          used + piece.result_size <= capacity.result_room;
+        const auto job = jobs_.find(piece.job);
+        if (call.size() >= capacity.batch || !fits || job == jobs_.end()) {
+            rest.push_back(std::move(piece));
+            continue;
+        }
+        used += piece.result_size;
+        called_piece taken;
+        taken.job = piece.job;
+        taken.stage = piece.stage;
+        taken.piece = piece.piece;
+        taken.request_id = job->second.request_id;
+        taken.inputs = job->second.plan.inputs_of(piece.stage);
+        if (taken.inputs.empty()) {
+            taken.key = job->second.piece_key;
+        }
+        taken.result_size = piece.result_size;
+        taken.deadline = job->second.deadline;
+        call.push_back(std::move(taken));
+    }
+    waiting = std::move(rest);
+    return call;
+}
+
+void stage_scheduler::dispatch_service(const std::string& service, service_state& state,
+                                       time_point now, action_list& actions)
+{
+    const auto* definition = view_.find_service(service);
+    if (definition == nullptr || !definition->stage) {
+        return;
+    }
+    const stage_capacity& capacity = *definition->stage;
+    std::set<job_number> hopeless;
+    for (const waiting_piece& piece : state.waiting) {
+        if (piece.hopeless < now + capacity.call_time) {
+            hopeless.insert(piece.job);
+        }
+    }
+    for (const job_number number : hopeless) {
+        end_job(number, job_fate::late, now, actions);
+    }
+    std::vector<std::string> without_room;
+    while (!state.waiting.empty()) {
+        const endpoint* target = idle_worker(service, capacity, now, without_room);
+        if (target == nullptr) {
+            return;
+        }
+        worker& used = workers_[target->id];
+        auto pieces = take_call(state, capacity, used, now);
+        if (pieces.empty()) {
+            without_room.push_back(target->id);
+            continue;
+        }
+        running_call call;
+        call.endpoint_id = target->id;
+        call.service = service;
+        call.pieces = pieces;
+        call.started = now;
+        call.expected = call_duration(capacity, static_cast<double>(pieces.size()));
+        for (const called_piece& piece : pieces) {
+            call.reserved += piece.result_size;
+        }
+        used.reserved += call.reserved;
+        ++used.calls;
+        const std::uint64_t number = next_call_++;
+        actions.push_back(start_call{number, *target, std::move(pieces), call.expected});
+        calls_.emplace(number, std::move(call));
+    }
+}
+
+scheduler_actions stage_scheduler::dispatch(time_point now)
+{
+    action_list actions;
+    for (auto& [service, state] : services_) {
+        dispatch_service(service, state, now, actions);
+    }
+    // Results of jobs that were never released have expired at their makers.
+    std::erase_if(jobs_, [&](const auto& entry) {
+        return entry.second.finished && now - entry.second.finished_at > longest_held;
+    });
+    // Results expire at their makers when nobody has asked to release them.
+    for (auto& [id, known] : workers_) {
+        std::erase_if(known.held, [&](const auto& entry) {
+            const bool expired = entry.second.expires <= now;
+            if (expired) {
+                makers_.erase(entry.first);
+            }
+            return expired;
+        });
+    }
+    return actions;
+}
+
+scheduler_actions stage_scheduler::call_ended(std::uint64_t number,
+                                              const std::vector<piece_outcome>& outcomes,
+                                              time_point now)
+{
+    action_list actions;
+    const auto found = calls_.find(number);
+    if (found == calls_.end()) {
+        return actions;
+    }
+    const running_call call = std::move(found->second);
+    calls_.erase(found);
+    worker& used = workers_[call.endpoint_id];
+    used.calls -= used.calls > 0 ? 1 : 0;
+    used.reserved -= std::min(used.reserved, call.reserved);
+    used.failures = 0;
+    const auto factor = static_cast<double>((now - call.started).count()) /
+                        static_cast<double>(std::max<duration::rep>(call.expected.count(), 1));
+    if (factor > slow_factor) {
+        used.avoided_until = now + slow_avoidance;
+    }
+    const auto* definition = view_.find_service(call.service);
+    const duration lifetime = definition != nullptr && definition->stage
+                                  ? definition->stage->result_lifetime
+                                  : duration::zero();
+    for (std::size_t index = 0; index < call.pieces.size() && index < outcomes.size(); ++index) {
+        const called_piece& piece = call.pieces[index];
+        switch (outcomes[index].fate) {
+        case piece_fate::done:
+            used.held[outcomes[index].handle] = {piece.result_size, now + lifetime};
+            makers_[outcomes[index].handle] = call.endpoint_id;
+            finish_piece(piece, outcomes[index].handle, now, actions);
+            break;
+        case piece_fate::no_room:
+            used.avoided_until = std::max(used.avoided_until, now + room_avoidance);
+            repeat_piece(piece, false, now, actions);
+            break;
+        case piece_fate::late:
+            end_job(piece.job, job_fate::late, now, actions);
+            break;
+        case piece_fate::gone:
+            end_job(piece.job, job_fate::failed, now, actions);
+            break;
+        case piece_fate::failed:
+            repeat_piece(piece, true, now, actions);
+            break;
+        }
+    }
+    return actions;
+}
+
+scheduler_actions stage_scheduler::call_failed(std::uint64_t number, verdict run, bool full,
+                                               time_point now)
+{
+    action_list actions;
+    const auto found = calls_.find(number);
+    if (found == calls_.end()) {
+        return actions;
+    }
+    const running_call call = std::move(found->second);
+    calls_.erase(found);
+    worker& used = workers_[call.endpoint_id];
+    used.calls -= used.calls > 0 ? 1 : 0;
+    used.reserved -= std::min(used.reserved, call.reserved);
+    if (full) {
+        used.avoided_until = now + full_avoidance;
+    } else {
+        const auto doublings = std::min(used.failures++, avoidance_doublings);
+        used.avoided_until = now + failure_avoidance * (1 << doublings);
+    }
+    for (const called_piece& piece : call.pieces) {
+        repeat_piece(piece, run != verdict::not_run, now, actions);
+    }
+    return actions;
+}
+
+void stage_scheduler::finish_piece(const called_piece& piece, std::string handle, time_point now,
+                                   action_list& actions)
+{
+    const auto found = jobs_.find(piece.job);
+    if (found == jobs_.end() || found->second.finished) {
+        release_handles({std::move(handle)}, actions); // the job was given up meanwhile
+        return;
+    }
+    running_job& job = found->second;
+    if (job.open[piece.stage] > 0) {
+        --job.open[piece.stage];
+        commit(job, piece.stage, 1, -1);
+    }
+    release_handles(job.plan.done(piece.stage, piece.piece, std::move(handle)), actions);
+    if (job.plan.finished()) {
+        end_job(piece.job, job_fate::done, now, actions);
+    } else {
+        queue_ready(piece.job, job);
+    }
+}
+
+void stage_scheduler::repeat_piece(const called_piece& piece, bool may_have_run, time_point now,
+                                   action_list& actions)
+{
+    const auto found = jobs_.find(piece.job);
+    if (found == jobs_.end()) {
+        return;
+    }
+    running_job& job = found->second;
+    const std::string& service = job.stages[piece.stage].service;
+    const bool allowed =
+        !may_have_run ||
+        (job.repeats++ < repeat_limit && budget_.try_repeat(service, 1, now));
+    if (!allowed) {
+        end_job(piece.job, job_fate::failed, now, actions);
+        return;
+    }
+    services_[service].waiting.push_back({piece.job, piece.stage, piece.piece, job.priority,
+                                          job.useful_until - job.following[piece.stage],
+                                          job.deadline - job.following[piece.stage],
+                                          piece.result_size, job.zone});
+}
+
+bool stage_scheduler::has_waiting() const
+{
+    return std::any_of(services_.begin(), services_.end(),
+                       [](const auto& entry) { return !entry.second.waiting.empty(); });
+}
+
+std::size_t stage_scheduler::waiting_pieces(const std::string& service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.waiting.size();
+}
+
+} // namespace quetzal::gateway
