Copy the published limits of a connection

Cause: the loop of a caller's connection kept a reference to the limits of the configuration while it waited.

Ruled out: exceptions in tasks (now logged, none seen), the watch for callers that leave (a trial logged each close: all came from the header timeout, 0 ms after it was set).

Change: a copy. The request flow also kept a reference to a route that a check could replace; it shares ownership now. caller_server_test fails with the reference.

--- a/libs/gateway/include/quetzal/gateway/caller_server.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_server.hpp
@@ -37,6 +37,9 @@
     // Opens the port. Returns an error text on failure.
     tl::expected<void, std::string> start();
 
+    // The port that the server listens on; of use when a free one was asked for.
+    std::uint16_t port() const;
+
     // Lets every connection end after its current answer.
     void drain();
 
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -5,8 +5,6 @@
 #include <sys/socket.h>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,6 +18,7 @@
 #include <quetzal/gateway/channel.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/lazy_deadline.hpp>
+#include <quetzal/gateway/spawn.hpp>
 
 namespace quetzal::gateway {
 
@@ -29,7 +28,7 @@
 
 namespace {
 
-constexpr duration write_timeout = std::chrono::seconds(5); // for a caller that does not read
+constexpr duration write_timeout = std::chrono::seconds(5);      // for a caller that does not read
 constexpr duration accept_pause = std::chrono::milliseconds(50); // after an error of accept
 constexpr std::size_t read_buffer_limit = 64u << 10;             // bytes read ahead
 constexpr int listen_backlog = 1024;
@@ -96,9 +95,8 @@
 };
 
 // One caller's connection, and the writer of its answers.
-struct caller_server::implementation::connection final
-    : answer_writer,
-      std::enable_shared_from_this<connection>
+struct caller_server::implementation::connection final : answer_writer,
+                                                         std::enable_shared_from_this<connection>
 {
     connection(tcp::socket accepted, implementation& owner)
         : socket(std::move(accepted)), server(owner), timeout(socket.get_executor(), [this] {
@@ -189,9 +187,8 @@
                 return;
             }
             char byte = 0;
-            const auto got = error ? 0
-                                   : ::recv(self->socket.native_handle(), &byte, 1,
-                                            MSG_PEEK | MSG_DONTWAIT);
+            const auto got =
+                error ? 0 : ::recv(self->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             const bool waiting = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
             if (waiting) {
                 self->watch();
@@ -235,8 +232,9 @@
     if (error == http::error::body_limit) {
         return {413, "body too large", false};
     }
-    const bool gone = error == http::error::end_of_stream || error == http::error::partial_message ||
-                      error.category() != http::make_error_code(http::error::bad_version).category();
+    const bool gone =
+        error == http::error::end_of_stream || error == http::error::partial_message ||
+        error.category() != http::make_error_code(http::error::bad_version).category();
     if (gone || !began) {
         return {0, "closed", true};
     }
@@ -245,13 +243,13 @@
 
 } // namespace
 
-asio::awaitable<void>
-caller_server::implementation::serve(std::shared_ptr<implementation> self,
-                                     std::shared_ptr<connection> caller)
+asio::awaitable<void> caller_server::implementation::serve(std::shared_ptr<implementation> self,
+                                                           std::shared_ptr<connection> caller)
 {
     ++self->open;
     while (caller->keep && caller->socket.is_open()) {
-        const caller_limits& limits = self->view.limits();
+        // A copy: a new configuration may replace it while the connection waits.
+        const caller_limits limits = self->view.limits();
         request_parser parser;
         parser.header_limit(limits.header_size);
         parser.body_limit(limits.body_size);
@@ -291,8 +289,7 @@
         caller->head_request = parser.get().method() == http::verb::head;
         caller->stream_begun = false;
         caller->answered = false;
-        result<caller_request> request =
-            not_run(reason::invalid_request, std::string(outcome.why));
+        result<caller_request> request = not_run(reason::invalid_request, std::string(outcome.why));
         if (outcome.refused == 0) {
             auto& message = parser.get();
             std::string method(message.method_string().data(), message.method_string().size());
@@ -338,8 +335,8 @@
 {
     while (self->acceptor.is_open()) {
         boost::system::error_code error;
-        tcp::socket socket = co_await self->acceptor.async_accept(
-            asio::redirect_error(asio::use_awaitable, error));
+        tcp::socket socket =
+            co_await self->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
@@ -356,7 +353,7 @@
         }
         configure_socket(socket);
         auto caller = std::make_shared<connection>(std::move(socket), *self);
-        asio::co_spawn(self->context, serve(self, std::move(caller)), asio::detached);
+        spawn(self->context, "serve", serve(self, std::move(caller)));
     }
 }
 
@@ -386,11 +383,20 @@
     if (error) {
         return tl::unexpected("port of callers: " + error.message());
     }
-    asio::co_spawn(self_->context, implementation::accept_loop(self_), asio::detached);
+    spawn(self_->context, "accept_loop", implementation::accept_loop(self_));
     return {};
 }
 
-void caller_server::drain() { self_->draining = true; }
+std::uint16_t caller_server::port() const
+{
+    boost::system::error_code ignored; // 0 when the port is not open
+    return self_->acceptor.local_endpoint(ignored).port();
+}
+
+void caller_server::drain()
+{
+    self_->draining = true;
+}
 
 void caller_server::stop_accepting()
 {
@@ -398,8 +404,14 @@
     self_->acceptor.close(ignored);
 }
 
-std::size_t caller_server::busy() const { return self_->busy; }
+std::size_t caller_server::busy() const
+{
+    return self_->busy;
+}
 
-std::size_t caller_server::open() const { return self_->open; }
+std::size_t caller_server::open() const
+{
+    return self_->open;
+}
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -5,8 +5,6 @@
 #include <set>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
@@ -18,6 +16,7 @@
 #include <boost/endian/conversion.hpp>
 #include <quetzal/gateway/channel.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/spawn.hpp>
 
 #include "peer_codec.hpp"
 
@@ -98,9 +97,9 @@
 
     void start_loops()
     {
-        asio::co_spawn(context, receive_datagrams(shared_from_this()), asio::detached);
-        asio::co_spawn(context, accept_peers(shared_from_this()), asio::detached);
-        asio::co_spawn(context, send_heartbeats(shared_from_this()), asio::detached);
+        spawn(context, "receive_datagrams", receive_datagrams(shared_from_this()));
+        spawn(context, "accept_peers", accept_peers(shared_from_this()));
+        spawn(context, "send_heartbeats", send_heartbeats(shared_from_this()));
     }
 
     static asio::awaitable<void> receive_datagrams(std::shared_ptr<implementation> self)
@@ -191,7 +190,7 @@
                                                        remote.address().to_string());
             configure_socket(opened->socket);
             self->connections.try_emplace(opened->address, opened);
-            asio::co_spawn(self->context, read_messages(self, opened), asio::detached);
+            spawn(self->context, "read_messages", read_messages(self, opened));
         }
     }
 
@@ -268,7 +267,7 @@
             co_return;
         }
         configure_socket(peer->socket);
-        asio::co_spawn(self->context, read_messages(self, peer), asio::detached);
+        spawn(self->context, "read_messages", read_messages(self, peer));
         peer->writing = false;
         self->start_writing(peer);
     }
@@ -295,7 +294,7 @@
             return;
         }
         peer->writing = true;
-        asio::co_spawn(context, write_queued(shared_from_this(), peer), asio::detached);
+        spawn(context, "write_queued", write_queued(shared_from_this(), peer));
     }
 
     std::shared_ptr<connection> connection_to(const std::string& address)
@@ -305,7 +304,7 @@
         }
         auto peer = std::make_shared<connection>(tcp::socket(context), address);
         connections.emplace(address, peer);
-        asio::co_spawn(context, connect(shared_from_this(), peer), asio::detached);
+        spawn(context, "connect", connect(shared_from_this(), peer));
         return peer;
     }
 
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -145,7 +145,9 @@
     });
     timeout.expires_after(request->deadline - boot_clock::now());
     attempt_state state;
-    const route& matched = *request->matched;
+    // Kept here: a new configuration may replace the request's route while it waits.
+    const std::shared_ptr<const route> admitted = request->matched;
+    const route& matched = *admitted;
     state.repeatable = matched.kind == route_kind::idempotent ||
                        (matched.kind == route_kind::stream && matched.resumable);
     result<void> outcome;
--- a/libs/gateway/src/stage_conductor.cpp
+++ b/libs/gateway/src/stage_conductor.cpp
@@ -3,11 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/spawn.hpp>
 
 namespace quetzal::gateway {
 
@@ -53,7 +52,7 @@
       names_(std::move(names)), protocol_(std::move(protocol)), scheduler_(view, budget),
       dispatch_timer_(context), release_timer_(context), watch_timer_(context)
 {
-    asio::co_spawn(context_, watch_conductors(), asio::detached);
+    spawn(context_, "watch_conductors", watch_conductors());
 }
 
 std::uint64_t stage_conductor::submit(own_job job, completion done)
@@ -211,7 +210,7 @@
 
 void stage_conductor::perform(const start_call& action)
 {
-    asio::co_spawn(context_, run_call(action), asio::detached);
+    spawn(context_, "run_call", run_call(action));
 }
 
 void stage_conductor::perform(const job_ended& action)
@@ -248,7 +247,7 @@
             return;
         }
         for (auto& [maker, handles] : std::exchange(releases_, {})) {
-            asio::co_spawn(context_, send_releases(maker, std::move(handles)), asio::detached);
+            spawn(context_, "send_releases", send_releases(maker, std::move(handles)));
         }
     });
 }
