Give duties to settled and trusted instances

Ruled out: slow discovery (a trial logged the members: all eight know each other 0.3 to 0.6 s after the start).

Change: an instance with which a connection broke gets no duties for 1 s; duties go to instances that have been ready for 2 s unless nobody else could; a conductor that is no longer the owner hands back the jobs that no call has touched. Silence of 1.3 s instead of 1.8 s takes an instance for dead.

--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -25,15 +25,16 @@
     std::uint64_t serial = 0;
     std::string zone;
     std::uint16_t caller_port = 0;
-    bool ready = false;   // takes callers
-    bool leaving = false; // is stopping
+    bool ready = false;              // takes callers
+    bool leaving = false;            // is stopping
+    bool settled = false;            // has been ready for long enough to take over duties
     std::uint64_t revision = 0;      // of the published documents that it has seen
     std::uint64_t configuration = 0; // version of the configuration in force there
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(address, incarnation, serial, zone, caller_port, ready, leaving, revision,
+        archive(address, incarnation, serial, zone, caller_port, ready, leaving, settled, revision,
                 configuration);
     }
 };
@@ -66,10 +67,15 @@
 struct member_table_options
 {
     // An instance is taken for dead when nothing proves it alive for this long.
-    duration silence = std::chrono::milliseconds(1800);
+    duration silence = std::chrono::milliseconds(1300);
     // A dead instance still counts in `recent_size` for this long, so that shares of fleet-wide
     // bounds do not grow while an instance may only be cut off.
     duration remembered = std::chrono::seconds(30);
+    // A ready instance takes over duties after this long, unless nobody else could. So an instance
+    // that was restarted does not pull duties to itself while its peers still work on them.
+    duration settling = std::chrono::seconds(2);
+    // An instance with which a connection broke gets no duties for this long.
+    duration distrust = std::chrono::milliseconds(1000);
     std::size_t fanout = 6;         // peers that get each heartbeat
     std::size_t records_limit = 24; // others described by one heartbeat
 };
@@ -80,13 +86,19 @@
     member_table(member_table_options options, member_record self);
 
     // Changes what this instance says about itself.
-    void set_ready(bool ready);
+    void set_ready(bool ready, time_point now);
     void set_leaving();
     void set_known(std::uint64_t revision, std::uint64_t configuration);
 
     // Takes what a peer reported. Records of this instance itself are ignored.
     void take(const heartbeat& message, time_point now);
 
+    // Notes that the connection to an instance broke.
+    void distrust(const std::string& address, time_point now);
+
+    // Lets this instance take over duties when it has been ready for long enough.
+    void settle(time_point now);
+
     // Forgets instances that have been silent for longer than `remembered`.
     void expire(time_point now);
 
@@ -108,8 +120,9 @@
 
     bool is_live(const std::string& address, time_point now) const;
 
-    // The live instance with the greatest rendezvous score for the key among those that are not
-    // leaving; this instance if it knows no other.
+    // The instance that has the duty named by the key: the one with the greatest rendezvous score
+    // among the live instances that are settled, or among the ready ones if none is settled; this
+    // instance if it knows no other.
     std::string owner_of(std::string_view key, time_point now) const;
 
     // The peer that has seen the newest documents, if any has seen newer ones than this instance.
@@ -124,10 +137,13 @@
 
     void merge(const aged_record& news, time_point now);
     bool alive(const known_member& member, time_point now) const;
+    bool trusted(const std::string& address, time_point now) const;
 
     member_table_options options_;
     member_record self_;
     std::map<std::string, known_member> others_; // by address
+    std::map<std::string, time_point> distrusted_until_;
+    time_point ready_since_{};
 };
 
 } // namespace quetzal::gateway
--- a/libs/gateway/include/quetzal/gateway/stage_job.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_job.hpp
@@ -47,7 +47,8 @@
     done,
     refused, // cannot be in time at the present load; nothing was made
     late,    // was admitted and can no longer be in time
-    failed   // a piece could not be made
+    failed,  // a piece could not be made
+    moved    // another instance conducts now; nothing was made
 };
 
 // What became of a job.
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -86,6 +86,9 @@
     // Gives up a job and its results.
     scheduler_actions cancel(job_number job);
 
+    // Hands back the jobs of which no piece has been called yet, for another instance to conduct.
+    scheduler_actions hand_back(time_point now);
+
     // The request has its inputs: the results of a finished job are needed no more.
     scheduler_actions release(job_number job);
 
@@ -125,6 +128,7 @@
         time_point deadline;
         stage_plan plan;
         unsigned repeats = 0;
+        bool called = false;   // a call has carried one of its pieces
         bool finished = false; // its results are held for the request
         time_point finished_at;
     };
@@ -155,7 +159,7 @@
         unsigned calls = 0;
         unsigned failures = 0; // in a row
         time_point avoided_until{};
-        std::uint64_t reserved = 0; // bytes of results being made
+        std::uint64_t reserved = 0;              // bytes of results being made
         std::map<std::string, held_result> held; // by handle
     };
 
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -21,18 +21,46 @@
 {
 }
 
-void member_table::set_ready(bool ready)
+void member_table::set_ready(bool ready, time_point now)
 {
     if (self_.ready != ready) {
         self_.ready = ready;
+        self_.settled = false;
+        ready_since_ = now;
         ++self_.serial;
     }
 }
 
+void member_table::settle(time_point now)
+{
+    if (!self_.ready || self_.settled) {
+        return;
+    }
+    const bool others_settled = std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
+        return alive(entry.second, now) && entry.second.record.settled;
+    });
+    if (!others_settled || now - ready_since_ >= options_.settling) {
+        self_.settled = true;
+        ++self_.serial;
+    }
+}
+
+void member_table::distrust(const std::string& address, time_point now)
+{
+    distrusted_until_[address] = now + options_.distrust;
+}
+
+bool member_table::trusted(const std::string& address, time_point now) const
+{
+    const auto found = distrusted_until_.find(address);
+    return found == distrusted_until_.end() || found->second <= now;
+}
+
 void member_table::set_leaving()
 {
     self_.ready = false;
     self_.leaving = true;
+    self_.settled = false;
     ++self_.serial;
 }
 
@@ -86,9 +114,9 @@
 
 void member_table::expire(time_point now)
 {
-    std::erase_if(others_, [&](const auto& entry) {
-        return now - entry.second.alive > options_.remembered;
-    });
+    std::erase_if(distrusted_until_, [&](const auto& entry) { return entry.second <= now; });
+    std::erase_if(
+        others_, [&](const auto& entry) { return now - entry.second.alive > options_.remembered; });
 }
 
 heartbeat member_table::make_heartbeat(time_point now, random_source& random) const
@@ -155,9 +183,9 @@
 
 std::size_t member_table::live_size(time_point now) const
 {
-    return 1 + static_cast<std::size_t>(std::count_if(
-                   others_.begin(), others_.end(),
-                   [&](const auto& entry) { return alive(entry.second, now); }));
+    return 1 + static_cast<std::size_t>(
+                   std::count_if(others_.begin(), others_.end(),
+                                 [&](const auto& entry) { return alive(entry.second, now); }));
 }
 
 std::size_t member_table::recent_size(time_point now) const
@@ -181,14 +209,22 @@
 {
     const std::uint64_t hash = stable_hash(key);
     std::string owner = self_.address;
-    std::uint64_t best = self_.leaving ? 0 : rendezvous_score(hash, self_.address);
-    for (const auto& [address, member] : others_) {
-        if (!alive(member, now) || member.record.leaving || !member.record.ready) {
-            continue;
+    // Settled instances go before ready ones; an instance that is neither serves only itself.
+    std::pair<int, std::uint64_t> best(0, 0);
+    const auto consider = [&](const member_record& candidate) {
+        if (!candidate.ready || candidate.leaving) {
+            return;
         }
-        if (const auto score = rendezvous_score(hash, address); score > best) {
-            best = score;
-            owner = address;
+        const std::pair rank(candidate.settled ? 2 : 1, rendezvous_score(hash, candidate.address));
+        if (rank > best) {
+            best = rank;
+            owner = candidate.address;
+        }
+    };
+    consider(self_);
+    for (const auto& [address, member] : others_) {
+        if (alive(member, now) && trusted(address, now)) {
+            consider(member.record);
         }
     }
     return owner;
@@ -199,7 +235,8 @@
     std::optional<member_record> best;
     for (const auto& [address, member] : others_) {
         if (alive(member, now) && member.record.revision > self_.revision &&
-            (!best || member.record.revision > best->revision)) {
+            (!best || member.record.revision > best->revision))
+        {
             best = member.record;
         }
     }
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -28,11 +28,11 @@
 
 namespace {
 
-constexpr duration heartbeat_interval = std::chrono::milliseconds(400);
+constexpr duration heartbeat_interval = std::chrono::milliseconds(350);
 constexpr duration connect_timeout = std::chrono::milliseconds(500);
-constexpr std::size_t datagram_limit = 60u << 10;          // bytes, below the limit of UDP
-constexpr std::uint32_t frame_limit = 16u << 20;           // bytes of one message over TCP
-constexpr std::size_t queued_bytes_limit = 8u << 20;       // per peer; above, the peer is lost
+constexpr std::size_t datagram_limit = 60u << 10;           // bytes, below the limit of UDP
+constexpr std::uint32_t frame_limit = 16u << 20;            // bytes of one message over TCP
+constexpr std::size_t queued_bytes_limit = 8u << 20;        // per peer; above, the peer is lost
 constexpr std::size_t frame_prefix = sizeof(std::uint32_t); // length before each message
 
 } // namespace
@@ -141,6 +141,7 @@
     {
         const time_point now = boot_clock::now();
         members.expire(now);
+        members.settle(now);
         const std::string bytes = internal::encode(members.make_heartbeat(now, random));
         std::set<std::string> targets;
         for (auto& address : members.choose_peers(now, random)) {
@@ -186,8 +187,8 @@
             if (error) {
                 continue;
             }
-            auto opened = std::make_shared<connection>(std::move(socket),
-                                                       remote.address().to_string());
+            auto opened =
+                std::make_shared<connection>(std::move(socket), remote.address().to_string());
             configure_socket(opened->socket);
             self->connections.try_emplace(opened->address, opened);
             spawn(self->context, "read_messages", read_messages(self, opened));
@@ -232,8 +233,10 @@
         boost::system::error_code ignored; // closing; nothing depends on the outcome
         peer->socket.close(ignored);
         if (const auto found = connections.find(peer->address);
-            found != connections.end() && found->second == peer) {
+            found != connections.end() && found->second == peer)
+        {
             connections.erase(found);
+            members.distrust(peer->address, boot_clock::now());
             handle_loss(peer->address);
         }
     }
@@ -353,9 +356,15 @@
     self_->handle_loss = [](const std::string&) {};
 }
 
-void peer_link::on_message(message_handler handler) { self_->handle_message = std::move(handler); }
+void peer_link::on_message(message_handler handler)
+{
+    self_->handle_message = std::move(handler);
+}
 
-void peer_link::on_loss(loss_handler handler) { self_->handle_loss = std::move(handler); }
+void peer_link::on_loss(loss_handler handler)
+{
+    self_->handle_loss = std::move(handler);
+}
 
 tl::expected<void, std::string> peer_link::start()
 {
@@ -371,6 +380,9 @@
     self_->send_message(address, message);
 }
 
-void peer_link::announce() { self_->heartbeat_round(); }
+void peer_link::announce()
+{
+    self_->heartbeat_round();
+}
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -19,7 +19,7 @@
 
 constexpr duration connect_timeout = 300ms;
 constexpr duration send_timeout = 2s;
-constexpr duration poll_interval = 15ms; // while all endpoints are full
+constexpr duration poll_interval = 15ms;       // while all endpoints are full
 constexpr std::size_t answer_limit = 8u << 20; // bytes of an answer that is not a stream
 constexpr unsigned refusal_limit = 3;          // endpoints that may refuse one request
 constexpr unsigned stray_answer_limit = 2;     // answers to other requests skipped on a connection
@@ -81,8 +81,9 @@
 } // namespace
 
 request_flow::request_flow(asio::io_context& context, const catalog& view, endpoint_pools& pools,
-                           channel_pool& channels, stage_conductor& conductor, member_table& members,
-                           const header_names& names, fleet_budget_options budget)
+                           channel_pool& channels, stage_conductor& conductor,
+                           member_table& members, const header_names& names,
+                           fleet_budget_options budget)
     : context_(context), view_(view), pools_(pools), channels_(channels), conductor_(conductor),
       members_(members), names_(names), budget_(budget)
 {
@@ -105,9 +106,9 @@
         }
         request.caller = std::move(*caller);
     }
-    request.priority =
-        request.caller.priority >= 0 && !request.caller.customer.empty() ? request.caller.priority
-                                                                          : matched->priority;
+    request.priority = request.caller.priority >= 0 && !request.caller.customer.empty()
+                           ? request.caller.priority
+                           : matched->priority;
     return std::nullopt;
 }
 
@@ -234,6 +235,7 @@
     case job_fate::late:
         co_return not_run(reason::deadline_unreachable, "the stages were too slow", retry_after);
     case job_fate::failed:
+    case job_fate::moved: // answered by the conductor itself
         break;
     }
     co_return not_run(reason::endpoint_failed, "a stage failed", retry_after);
@@ -252,8 +254,8 @@
             total += candidate.weight;
         }
         // All tries of one request go the same way.
-        double position = total *
-                          static_cast<double>(stable_hash(request->message.id) >> 11) * 0x1.0p-53;
+        double position =
+            total * static_cast<double>(stable_hash(request->message.id) >> 11) * 0x1.0p-53;
         for (const auto& candidate : matched.services) {
             service = candidate.service;
             position -= candidate.weight;
@@ -288,9 +290,8 @@
     }
 }
 
-asio::awaitable<result<void>> request_flow::run_attempts(const request_ptr& request,
-                                                         answer_writer& answer,
-                                                         attempt_state& state)
+asio::awaitable<result<void>>
+request_flow::run_attempts(const request_ptr& request, answer_writer& answer, attempt_state& state)
 {
     while (true) {
         if (request->aborted()) {
@@ -386,8 +387,8 @@
     const auto add = [&](const std::string& name, const std::string& value) {
         head += name + ": " + value + "\r\n";
     };
-    add(names_.deadline, std::to_string(std::max<std::int64_t>(
-                             milliseconds(request.deadline - now), 1)));
+    add(names_.deadline,
+        std::to_string(std::max<std::int64_t>(milliseconds(request.deadline - now), 1)));
     add(names_.expected_endpoint, chosen.target.id);
     if (!request.caller.customer.empty()) {
         add(names_.customer, request.caller.customer);
@@ -404,8 +405,8 @@
         add(names_.inputs, inputs);
     }
     if (request.matched->kind == route_kind::stream) {
-        add(names_.priority, std::to_string(std::clamp(2 + 2 * request.priority, 0,
-                                                       least_urgent_priority)));
+        add(names_.priority,
+            std::to_string(std::clamp(2 + 2 * request.priority, 0, least_urgent_priority)));
     }
     if (!message.body.empty() || (message.method != "GET" && message.method != "HEAD")) {
         add("Content-Length", std::to_string(message.body.size()));
@@ -413,9 +414,10 @@
     return head + "\r\n";
 }
 
-asio::awaitable<request_flow::attempt_result>
-request_flow::attempt(const request_ptr& request, answer_writer& answer, attempt_state& state,
-                      const chosen_endpoint& chosen)
+asio::awaitable<request_flow::attempt_result> request_flow::attempt(const request_ptr& request,
+                                                                    answer_writer& answer,
+                                                                    attempt_state& state,
+                                                                    const chosen_endpoint& chosen)
 {
     serving::attempt_outcome outcome;
     outcome.prompt = chosen.prompt;
@@ -423,9 +425,8 @@
     auto taken = co_await channels_.take(chosen.target, connect_timeout);
     attempt_result ended = attempt_failed{};
     if (!taken) {
-        ended = attempt_failed{{verdict::not_run, reason::no_endpoint, taken.error().detail, {}},
-                               {},
-                               false};
+        ended = attempt_failed{
+            {verdict::not_run, reason::no_endpoint, taken.error().detail, {}}, {}, false};
     } else if (!view_.accepts_work(chosen.target) || request->aborted()) {
         // The view has changed while the connection was opened.
         outcome.counts = false;
@@ -498,8 +499,8 @@
     const bool signed_answer = !header_value(headers, names_.signature).empty();
     const bool encoded = headers.find("Content-Encoding") != headers.end();
     const bool success = status >= 200 && status < 300;
-    const bool refused = headers.find(names_.not_run) != headers.end() ||
-                         status == status_misdirected;
+    const bool refused =
+        headers.find(names_.not_run) != headers.end() || status == status_misdirected;
     if (success && (!signed_answer || encoded)) {
         connection->close();
         co_return attempt_failed{
@@ -511,8 +512,8 @@
         co_return co_await relay_stream(request, answer, state, chosen, connection, outcome);
     }
     std::string answer_headers = forwarded_answer_headers(headers);
-    auto body = co_await connection->read_whole_body(answer_limit, request->deadline - answered +
-                                                                       100ms);
+    auto body =
+        co_await connection->read_whole_body(answer_limit, request->deadline - answered + 100ms);
     outcome.whole = boot_clock::now() - started;
     if (refused) {
         outcome.counts = false;
@@ -529,7 +530,8 @@
     }
     const bool server_failure = status >= 500;
     if (server_failure) {
-        attempt_failed failed{{verdict::ran, reason::endpoint_failed,
+        attempt_failed failed{{verdict::ran,
+                               reason::endpoint_failed,
                                "endpoint answered " + std::to_string(status),
                                {}},
                               kept_answer{status, std::move(answer_headers), std::move(*body)},
@@ -558,8 +560,8 @@
         std::string bytes;
         const time_point now = boot_clock::now();
         const duration left = request->deadline - now + 100ms;
-        const duration timeout = state.repeatable ? std::min<duration>(left, stream_pause_limit)
-                                                  : left;
+        const duration timeout =
+            state.repeatable ? std::min<duration>(left, stream_pause_limit) : left;
         const auto more = co_await connection->read_body(bytes, timeout);
         if (!more) {
             co_return attempt_failed{more.error(), {}, false};
@@ -621,9 +623,10 @@
     }
     std::string headers = "Content-Type: application/json\r\n";
     if (status == status_unavailable) {
-        const double seconds = std::chrono::duration<double>(
-                                   why.retry_after ? duration(*why.retry_after) : default_retry_after)
-                                   .count();
+        const double seconds =
+            std::chrono::duration<double>(why.retry_after ? duration(*why.retry_after)
+                                                          : default_retry_after)
+                .count();
         headers += "Retry-After: " + std::to_string(seconds) + "\r\n";
     }
     std::string body = "{\"verdict\":\"";
--- a/libs/gateway/src/stage_conductor.cpp
+++ b/libs/gateway/src/stage_conductor.cpp
@@ -100,6 +100,10 @@
     if (found == open_.end() || found->second.answered) {
         return;
     }
+    if (outcome.fate == job_fate::moved) {
+        send_job(ticket, found->second);
+        return;
+    }
     found->second.answered = true;
     const completion done = std::move(found->second.done);
     if (outcome.fate != job_fate::done) {
@@ -172,13 +176,17 @@
         std::vector<std::string> silent;
         for (const auto& [ticket, job] : open_) {
             if (!job.answered && !members_.is_live(job.conductor, now) &&
-                std::find(silent.begin(), silent.end(), job.conductor) == silent.end()) {
+                std::find(silent.begin(), silent.end(), job.conductor) == silent.end())
+            {
                 silent.push_back(job.conductor);
             }
         }
         for (const auto& address : silent) {
             peer_lost(address);
         }
+        if (members_.owner_of(conductor_key, now) != members_.self().address) {
+            perform(scheduler_.hand_back(now));
+        }
     }
 }
 
@@ -298,8 +306,9 @@
     if (!status) {
         co_return tl::unexpected(status.error());
     }
-    const bool refused = connection->headers().find(names_.not_run) != connection->headers().end() ||
-                         *status == status_misdirected;
+    const bool refused =
+        connection->headers().find(names_.not_run) != connection->headers().end() ||
+        *status == status_misdirected;
     auto answer = co_await connection->read_whole_body(answer_limit, timeout);
     if (!answer) {
         co_return tl::unexpected(answer.error());
@@ -310,8 +319,8 @@
         co_return not_run(*status == status_unavailable ? reason::overloaded : reason::no_endpoint,
                           detail);
     }
-    auto outcomes = *status == status_ok ? protocol_.decode_call(*answer, call.pieces.size())
-                                         : std::nullopt;
+    auto outcomes =
+        *status == status_ok ? protocol_.decode_call(*answer, call.pieces.size()) : std::nullopt;
     if (!outcomes) {
         co_return may_have_run(reason::endpoint_failed, detail);
     }
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -23,8 +23,8 @@
 // Urgency that a piece gains where its inputs lie, against moving results between zones.
 constexpr duration same_zone_bonus = std::chrono::milliseconds(150);
 constexpr duration arrival_smoothing = std::chrono::seconds(2); // of the rate of arriving work
-constexpr double most_arriving = 0.9; // share of the endpoints' time
-constexpr duration longest_held = std::chrono::seconds(30); // of results by a request
+constexpr double most_arriving = 0.9;                           // share of the endpoints' time
+constexpr duration longest_held = std::chrono::seconds(30);     // of results by a request
 constexpr duration least_retry_after = std::chrono::milliseconds(200);
 constexpr duration longest_retry_after = std::chrono::seconds(5);
 
@@ -117,8 +117,7 @@
 {
     for (const job_stage& stage : content.stages) {
         service_state& state = services_[stage.service];
-        const double elapsed =
-            std::chrono::duration<double>(now - state.arriving_updated).count();
+        const double elapsed = std::chrono::duration<double>(now - state.arriving_updated).count();
         const double smoothing = std::chrono::duration<double>(arrival_smoothing).count();
         const double kept = 1 / (1 + elapsed / smoothing);
         for (auto& [priority, rate] : state.arriving) {
@@ -140,7 +139,8 @@
     // A request whose latency target has passed already is worth serving late.
     const duration allowed = useful > duration::zero() ? useful : remaining / 2;
     if (expected > allowed) {
-        const duration wait = std::clamp(expected - allowed, least_retry_after, longest_retry_after);
+        const duration wait =
+            std::clamp(expected - allowed, least_retry_after, longest_retry_after);
         job_outcome refused;
         refused.fate = job_fate::refused;
         refused.retry_after_ms = static_cast<std::uint32_t>(wait / std::chrono::milliseconds(1));
@@ -161,8 +161,8 @@
     job.following.assign(content.stages.size(), duration::zero());
     for (std::size_t index = content.stages.size(); index-- > 0;) {
         const auto* definition = view_.find_service(content.stages[index].service);
-        const bool made = definition != nullptr && definition->stage &&
-                          content.stages[index].pieces > 0;
+        const bool made =
+            definition != nullptr && definition->stage && content.stages[index].pieces > 0;
         const duration own =
             made ? call_duration(*definition->stage, definition->stage->batch * usual_fill)
                  : duration::zero();
@@ -279,7 +279,25 @@
     return actions;
 }
 
-scheduler_actions stage_scheduler::release(job_number number) { return cancel(number); }
+scheduler_actions stage_scheduler::hand_back(time_point now)
+{
+    std::vector<job_number> untouched;
+    for (const auto& [number, job] : jobs_) {
+        if (!job.called && !job.finished) {
+            untouched.push_back(number);
+        }
+    }
+    action_list actions;
+    for (const job_number number : untouched) {
+        end_job(number, job_fate::moved, now, actions);
+    }
+    return actions;
+}
+
+scheduler_actions stage_scheduler::release(job_number number)
+{
+    return cancel(number);
+}
 
 void stage_scheduler::release_handles(std::vector<std::string> handles, action_list& actions)
 {
@@ -318,7 +336,8 @@
         const bool avoid = known.avoided_until > now;
         others_work = others_work || (known.calls > 0 && !avoid);
         if (known.calls >= capacity.slots ||
-            std::find(skip.begin(), skip.end(), candidate->id) != skip.end()) {
+            std::find(skip.begin(), skip.end(), candidate->id) != skip.end())
+        {
             continue;
         }
         const endpoint*& slot = avoid ? avoided : best;
@@ -358,14 +377,15 @@
     std::vector<called_piece> call;
     std::vector<waiting_piece> rest;
     for (waiting_piece& piece : waiting) {
-        const bool fits = capacity.result_room == 0 ||
-                          used + piece.result_size <= capacity.result_room;
+        const bool fits =
+            capacity.result_room == 0 || used + piece.result_size <= capacity.result_room;
         const auto job = jobs_.find(piece.job);
         if (call.size() >= capacity.batch || !fits || job == jobs_.end()) {
             rest.push_back(std::move(piece));
             continue;
         }
         used += piece.result_size;
+        job->second.called = true;
         called_piece taken;
         taken.job = piece.job;
         taken.stage = piece.stage;
@@ -558,8 +578,7 @@
     running_job& job = found->second;
     const std::string& service = job.stages[piece.stage].service;
     const bool allowed =
-        !may_have_run ||
-        (job.repeats++ < repeat_limit && budget_.try_repeat(service, 1, now));
+        !may_have_run || (job.repeats++ < repeat_limit && budget_.try_repeat(service, 1, now));
     if (!allowed) {
         end_job(piece.job, job_fate::failed, now, actions);
         return;
