Order requests of one customer priority by the priority of their routes

Change: the customer's priority orders first, the route's second, in admission, calls and the endpoints' priority header.

--- a/libs/gateway/include/quetzal/gateway/catalog.hpp
+++ b/libs/gateway/include/quetzal/gateway/catalog.hpp
@@ -61,11 +61,11 @@
 // Capacity of one endpoint that runs pieces of stages.
 struct stage_capacity
 {
-    unsigned slots = 1;       // calls in progress
-    unsigned queue = 0;       // calls that may wait
-    unsigned batch = 1;       // pieces of one call
-    duration call_time{};     // approximate time of a call without its pieces
-    duration piece_time{};    // approximate time of each piece
+    unsigned slots = 1;            // calls in progress
+    unsigned queue = 0;            // calls that may wait
+    unsigned batch = 1;            // pieces of one call
+    duration call_time{};          // approximate time of a call without its pieces
+    duration piece_time{};         // approximate time of each piece
     std::uint64_t result_room = 0; // bytes for results, 0: unknown
     duration result_lifetime{};    // after the end of the call
 };
@@ -133,8 +133,8 @@
 // Result of looking up a caller's key.
 struct caller_identity
 {
-    std::string customer; // empty on open routes
-    int priority = 0;
+    std::string customer;        // empty on open routes
+    std::optional<int> priority; // of the customer
 };
 
 // The current view. Commands replace parts of it; queries never change it.
--- a/libs/gateway/src/catalog.cpp
+++ b/libs/gateway/src/catalog.cpp
@@ -36,7 +36,10 @@
     endpoints_.insert_or_assign(id, std::move(value));
 }
 
-void catalog::remove_endpoint(const std::string& id) { endpoints_.erase(id); }
+void catalog::remove_endpoint(const std::string& id)
+{
+    endpoints_.erase(id);
+}
 
 void catalog::set_evacuated(const std::string& zone, bool evacuated, time_point now)
 {
@@ -50,8 +53,8 @@
     // A zone usually comes back with endpoints that were restarted, and their entries may not say
     // so yet.
     for (auto& [id, value] : endpoints_) {
-        if (const auto* known = find_service(value.service);
-            known != nullptr && value.zone == zone) {
+        if (const auto* known = find_service(value.service); known != nullptr && value.zone == zone)
+        {
             value.cold_until = std::max(value.cold_until, now + known->cold_period);
         }
     }
@@ -73,7 +76,8 @@
     for (const std::size_t index : found->second) {
         const route& candidate = configuration_->routes[index];
         if (path.starts_with(candidate.prefix) &&
-            (best == nullptr || candidate.prefix.size() > best->prefix.size())) {
+            (best == nullptr || candidate.prefix.size() > best->prefix.size()))
+        {
             best = &candidate;
         }
     }
@@ -96,7 +100,7 @@
         return std::nullopt;
     }
     const customer& holder = configuration_->customers[found->second];
-    return caller_identity{holder.name, holder.priority.value_or(-1)};
+    return caller_identity{holder.name, holder.priority};
 }
 
 const service_definition* catalog::find_service(const std::string& name) const
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -39,6 +39,7 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 constexpr duration default_retry_after = 300ms;
+constexpr int route_priorities = 16; // more urgent ones are told apart
 constexpr int least_urgent_priority = 9;
 // Expected time of the request itself after its stages.
 constexpr duration after_stages = 250ms;
@@ -72,6 +73,25 @@
     return std::pair(running, waiting);
 }
 
+// The customer's priority goes before the route's, which orders the requests of customers that have
+// the same one.
+int effective_priority(const caller_identity& caller, const route& matched)
+{
+    const int route_priority = std::clamp(matched.priority, 0, route_priorities - 1);
+    const int customer_priority = caller.priority.value_or(route_priority);
+    return customer_priority * route_priorities + route_priority;
+}
+
+// The same order in the few levels that endpoints know.
+int endpoint_priority(int effective)
+{
+    constexpr int levels_of_routes = 3;
+    const int customer_priority = effective / route_priorities;
+    const int route_priority = std::min(effective % route_priorities, levels_of_routes - 1);
+    return std::clamp(customer_priority * levels_of_routes + route_priority, 0,
+                      least_urgent_priority);
+}
+
 std::string_view header_value(const channel::fields& headers, const std::string& name)
 {
     const auto value = headers[name];
@@ -106,9 +126,7 @@
         }
         request.caller = std::move(*caller);
     }
-    request.priority = request.caller.priority >= 0 && !request.caller.customer.empty()
-                           ? request.caller.priority
-                           : matched->priority;
+    request.priority = effective_priority(request.caller, *matched);
     return std::nullopt;
 }
 
@@ -405,8 +423,7 @@
         add(names_.inputs, inputs);
     }
     if (request.matched->kind == route_kind::stream) {
-        add(names_.priority,
-            std::to_string(std::clamp(2 + 2 * request.priority, 0, least_urgent_priority)));
+        add(names_.priority, std::to_string(endpoint_priority(request.priority)));
     }
     if (!message.body.empty() || (message.method != "GET" && message.method != "HEAD")) {
         add("Content-Length", std::to_string(message.body.size()));
