Make the results of a job in one availability zone

Change: the scheduler gives each job the zone whose endpoints have least work; a job with large results gets the zone of the engine that will fetch them. An endpoint of another zone takes a piece after 40 ms, or when the piece is pressed for time.

--- a/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
+++ b/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
@@ -55,6 +55,10 @@
                                          const endpoint_wish& wish, std::size_t instances,
                                          time_point now);
 
+    // The availability zone of the endpoint that a request would get now, or an empty text.
+    std::string likely_zone(const catalog& view, const std::string& service,
+                            const endpoint_wish& wish, time_point now);
+
     // Notes the end of a request that was started.
     void finish(const chosen_endpoint& chosen, const serving::attempt_outcome& outcome,
                 time_point now);
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -82,10 +82,12 @@
 
     std::optional<failure> admit(running_request& request, unsigned& status);
     std::optional<failure> check_view(running_request& request, unsigned& status);
-    boost::asio::awaitable<result<std::vector<std::string>>>
-    run_stages(const request_ptr& request, std::uint64_t& ticket);
+    boost::asio::awaitable<result<std::vector<std::string>>> run_stages(const request_ptr& request,
+                                                                        std::uint64_t& ticket);
     boost::asio::awaitable<result<void>> run_attempts(const request_ptr& request,
                                                       answer_writer& answer, attempt_state& state);
+    std::string service_of(const running_request& request) const;
+    std::string wanted_zone(const running_request& request, const std::vector<job_stage>& stages);
     boost::asio::awaitable<result<chosen_endpoint>> choose(const request_ptr& request,
                                                            const attempt_state& state);
     boost::asio::awaitable<attempt_result> attempt(const request_ptr& request,
@@ -97,8 +99,7 @@
                                                     std::shared_ptr<channel> connection,
                                                     serving::attempt_outcome& outcome);
     boost::asio::awaitable<attempt_result> relay_stream(const request_ptr& request,
-                                                        answer_writer& answer,
-                                                        attempt_state& state,
+                                                        answer_writer& answer, attempt_state& state,
                                                         const chosen_endpoint& chosen,
                                                         std::shared_ptr<channel> connection,
                                                         serving::attempt_outcome& outcome);
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -142,7 +142,8 @@
         time_point useful_until; // later, the results are too late for the latency target
         time_point hopeless;     // later, the deadline cannot be met
         std::uint64_t result_size = 0;
-        std::string input_zone; // where most of its inputs lie, or where its results are wanted
+        std::string zone; // where most of its inputs lie, or where its results are wanted
+        time_point queued;
     };
 
     struct held_result
@@ -178,6 +179,8 @@
         std::vector<waiting_piece> waiting;
         // Work that admitted jobs still need here, by priority, in endpoint time with full calls.
         std::map<std::int32_t, duration> committed;
+        // The same by availability zone, for jobs that prefer one.
+        std::map<std::string, duration> committed_in_zone;
         // Work that arrives in one second by priority, smoothed.
         std::map<std::int32_t, double> arriving;
         time_point arriving_updated{};
@@ -185,7 +188,8 @@
 
     using action_list = scheduler_actions;
 
-    void queue_ready(job_number number, running_job& job);
+    void queue_ready(job_number number, running_job& job, time_point now);
+    std::string choose_zone(const stage_job& content) const;
     void end_job(job_number number, job_fate fate, time_point now, action_list& actions);
     void drop_waiting(job_number number);
     void commit(const running_job& job, std::size_t stage, std::uint32_t pieces, int direction);
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -41,7 +41,8 @@
     return limit;
 }
 
-endpoint_pools::pool& endpoint_pools::pool_of(const service_definition& definition, std::uint32_t concurrency)
+endpoint_pools::pool& endpoint_pools::pool_of(const service_definition& definition,
+                                              std::uint32_t concurrency)
 {
     auto& owned = pools_[definition.name];
     if (!owned) {
@@ -149,13 +150,27 @@
             continue;
         }
         members.chooser.started(picked->endpoint, now);
-        const auto prompt =
-            wish.prefixes.empty() ? serving::prompt_prefix{} : wish.prefixes.back();
+        const auto prompt = wish.prefixes.empty() ? serving::prompt_prefix{} : wish.prefixes.back();
         return chosen_endpoint{*target, picked->endpoint, picked->expected_prefix, prompt, now};
     }
     return std::nullopt;
 }
 
+std::string endpoint_pools::likely_zone(const catalog& view, const std::string& service,
+                                        const endpoint_wish& wish, time_point now)
+{
+    const auto found = pools_.find(service);
+    if (found == pools_.end()) {
+        return {};
+    }
+    serving::choice_request request;
+    request.prefixes = wish.prefixes;
+    const auto picked = found->second->chooser.choose(request, random_, now);
+    const endpoint* target =
+        picked ? view.find_endpoint(found->second->chooser.id(picked->endpoint).name) : nullptr;
+    return target == nullptr ? std::string() : target->zone;
+}
+
 void endpoint_pools::finish(const chosen_endpoint& chosen, const serving::attempt_outcome& outcome,
                             time_point now)
 {
@@ -165,7 +180,8 @@
     }
     const auto member = found->second->members.find(chosen.target.id);
     if (member == found->second->members.end() || member->second.first != chosen.index ||
-        !member->second.second.same_incarnation(chosen.target)) {
+        !member->second.second.same_incarnation(chosen.target))
+    {
         return; // the endpoint has left or restarted since
     }
     found->second->chooser.finished(chosen.index, outcome, now);
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -39,6 +39,8 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 constexpr duration default_retry_after = 300ms;
+// Results of this many bytes are made where the endpoint is that will fetch them.
+constexpr std::uint64_t large_results = 256u << 10;
 constexpr int route_priorities = 16; // more urgent ones are told apart
 constexpr int least_urgent_priority = 9;
 // Expected time of the request itself after its stages.
@@ -221,6 +223,7 @@
                                       stage.result_size,
                                       index < counts->size() ? (*counts)[index] : 0});
     }
+    job.content.zone = wanted_zone(*request, job.content.stages);
     const auto answer = std::make_shared<waiting_answer>(context_);
     answer->arrived.expires_at(asio::steady_timer::time_point::max());
     request->on_abort([answer] { answer->arrived.cancel(); });
@@ -259,29 +262,51 @@
     co_return not_run(reason::endpoint_failed, "a stage failed", retry_after);
 }
 
-asio::awaitable<result<chosen_endpoint>> request_flow::choose(const request_ptr& request,
-                                                              const attempt_state& state)
+std::string request_flow::service_of(const running_request& request) const
 {
-    const route& matched = *request->matched;
-    std::string service;
-    if (matched.services.size() == 1) {
-        service = matched.services.front().service;
-    } else {
-        double total = 0;
-        for (const auto& candidate : matched.services) {
-            total += candidate.weight;
+    const auto& services = request.matched->services;
+    double total = 0;
+    for (const auto& candidate : services) {
+        total += candidate.weight;
+    }
+    // All attempts of one request go the same way.
+    double position =
+        total * static_cast<double>(stable_hash(request.message.id) >> 11) * 0x1.0p-53;
+    for (const auto& candidate : services) {
+        position -= candidate.weight;
+        if (position < 0) {
+            return candidate.service;
         }
-        // All tries of one request go the same way.
-        double position =
-            total * static_cast<double>(stable_hash(request->message.id) >> 11) * 0x1.0p-53;
-        for (const auto& candidate : matched.services) {
-            service = candidate.service;
-            position -= candidate.weight;
-            if (position < 0) {
-                break;
+    }
+    return services.back().service;
+}
+
+std::string request_flow::wanted_zone(const running_request& request,
+                                      const std::vector<job_stage>& stages)
+{
+    std::vector<bool> followed(stages.size());
+    for (const job_stage& stage : stages) {
+        for (const std::uint32_t earlier : stage.after) {
+            if (stage.pieces > 0 && earlier < stages.size()) {
+                followed[earlier] = true;
             }
         }
     }
+    std::uint64_t moved = 0; // bytes that the endpoint fetches
+    for (std::size_t index = 0; index < stages.size(); ++index) {
+        moved += followed[index] ? 0 : stages[index].pieces * stages[index].result_size;
+    }
+    if (moved < large_results) {
+        return {};
+    }
+    return pools_.likely_zone(view_, service_of(request), {request.message.prefixes, {}},
+                              boot_clock::now());
+}
+
+asio::awaitable<result<chosen_endpoint>> request_flow::choose(const request_ptr& request,
+                                                              const attempt_state& state)
+{
+    const std::string service = service_of(*request);
     endpoint_wish wish{request->message.prefixes, state.tried};
     const time_point patience_ends = std::min(request->target_until, request->deadline);
     while (true) {
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -20,8 +20,12 @@
 constexpr unsigned repeat_limit = 12; // pieces of one job that are made again
 // Share of a full call that a piece finds around it at usual load.
 constexpr double usual_fill = 0.6;
-// Urgency that a piece gains where its inputs lie, against moving results between zones.
-constexpr duration same_zone_bonus = std::chrono::milliseconds(150);
+// Results that move between zones cost transfer time on shared links. A piece gains this much
+// urgency in its own zone, and waits this long before an endpoint of another zone takes it, unless
+// it is pressed for time.
+constexpr duration same_zone_bonus = std::chrono::milliseconds(400);
+constexpr duration other_zone_wait = std::chrono::milliseconds(40);
+constexpr duration pressed_slack = std::chrono::milliseconds(250);
 constexpr duration arrival_smoothing = std::chrono::seconds(2); // of the rate of arriving work
 constexpr double most_arriving = 0.9;                           // share of the endpoints' time
 constexpr duration longest_held = std::chrono::seconds(30);     // of results by a request
@@ -153,7 +157,7 @@
     running_job& job = position->second;
     job.request_id = content.request_id;
     job.piece_key = content.piece_key;
-    job.zone = content.zone;
+    job.zone = content.zone.empty() ? choose_zone(content) : content.zone;
     job.stages = content.stages;
     job.priority = content.priority;
     job.useful_until = now + useful;
@@ -181,7 +185,7 @@
         end_job(number, job_fate::done, now, actions);
         return actions;
     }
-    queue_ready(number, job);
+    queue_ready(number, job, now);
     return actions;
 }
 
@@ -190,7 +194,53 @@
 {
     const std::string& service = job.stages[stage].service;
     duration& committed = services_[service].committed[job.priority];
-    committed = std::max(committed + work_of(service, pieces) * direction, duration::zero());
+    const duration work = work_of(service, pieces) * direction;
+    committed = std::max(committed + work, duration::zero());
+    if (!job.zone.empty()) {
+        duration& there = services_[service].committed_in_zone[job.zone];
+        there = std::max(there + work, duration::zero());
+    }
+}
+
+std::string stage_scheduler::choose_zone(const stage_job& content) const
+{
+    // The zone in which the busiest of the job's services has the least work for each endpoint.
+    std::map<std::string, std::pair<std::size_t, double>> zones; // services there, greatest load
+    std::size_t services = 0;
+    for (const job_stage& stage : content.stages) {
+        if (stage.pieces == 0) {
+            continue;
+        }
+        ++services;
+        std::map<std::string, std::size_t> workers;
+        for (const endpoint* value : view_.usable_endpoints(stage.service)) {
+            ++workers[value->zone];
+        }
+        const auto state = services_.find(stage.service);
+        for (const auto& [zone, count] : workers) {
+            double load = 0;
+            if (state != services_.end()) {
+                const auto there = state->second.committed_in_zone.find(zone);
+                load =
+                    there == state->second.committed_in_zone.end()
+                        ? 0
+                        : static_cast<double>(there->second.count()) / static_cast<double>(count);
+            }
+            auto& [present, greatest] = zones[zone];
+            ++present;
+            greatest = std::max(greatest, load);
+        }
+    }
+    std::string best;
+    double least = 0;
+    for (const auto& [zone, state] : zones) {
+        const auto& [present, load] = state;
+        if (present == services && (best.empty() || load < least)) {
+            best = zone;
+            least = load;
+        }
+    }
+    return best;
 }
 
 void stage_scheduler::commit_open(const running_job& job, int direction)
@@ -200,7 +250,7 @@
     }
 }
 
-void stage_scheduler::queue_ready(job_number number, running_job& job)
+void stage_scheduler::queue_ready(job_number number, running_job& job, time_point now)
 {
     for (const std::size_t stage : job.plan.take_ready()) {
         const job_stage& definition = job.stages[stage];
@@ -224,7 +274,7 @@
         for (std::size_t piece = 0; piece < definition.pieces; ++piece) {
             services_[definition.service].waiting.push_back(
                 {number, stage, piece, job.priority, job.useful_until - job.following[stage],
-                 job.deadline - job.following[stage], definition.result_size, zone});
+                 job.deadline - job.following[stage], definition.result_size, zone, now});
         }
     }
 }
@@ -363,7 +413,7 @@
 {
     const auto rank = [&](const waiting_piece& piece) {
         const bool late = piece.useful_until < now + capacity.call_time;
-        const bool near = piece.input_zone.empty() || piece.input_zone == target.zone;
+        const bool near = piece.zone.empty() || piece.zone == target.zone;
         return std::tuple(late, piece.priority,
                           piece.useful_until + (near ? duration::zero() : same_zone_bonus),
                           piece.job, piece.stage, piece.piece);
@@ -380,7 +430,10 @@
         const bool fits =
             capacity.result_room == 0 || used + piece.result_size <= capacity.result_room;
         const auto job = jobs_.find(piece.job);
-        if (call.size() >= capacity.batch || !fits || job == jobs_.end()) {
+        const bool ripe = piece.zone.empty() || piece.zone == target.zone ||
+                          now - piece.queued >= other_zone_wait ||
+                          piece.useful_until < now + capacity.call_time + pressed_slack;
+        if (call.size() >= capacity.batch || !fits || !ripe || job == jobs_.end()) {
             rest.push_back(std::move(piece));
             continue;
         }
@@ -564,7 +617,7 @@
     if (job.plan.finished()) {
         end_job(piece.job, job_fate::done, now, actions);
     } else {
-        queue_ready(piece.job, job);
+        queue_ready(piece.job, job, now);
     }
 }
 
@@ -586,7 +639,7 @@
     services_[service].waiting.push_back({piece.job, piece.stage, piece.piece, job.priority,
                                           job.useful_until - job.following[piece.stage],
                                           job.deadline - job.following[piece.stage],
-                                          piece.result_size, job.zone});
+                                          piece.result_size, job.zone, now});
 }
 
 bool stage_scheduler::has_waiting() const
