Keep large results for a moment from makers that have no room

Avoiding the whole endpoint also held up small results that fit.

Change: after no room, results of that size or more go elsewhere for 60 ms.

--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -160,7 +160,11 @@
         unsigned calls = 0;
         unsigned failures = 0; // in a row
         time_point avoided_until{};
-        std::uint64_t reserved = 0;              // bytes of results being made
+        std::uint64_t reserved = 0; // bytes of results being made
+        // Results of this size or more did not fit lately, because of results that another
+        // conductor had made.
+        std::uint64_t blocked_size = 0;
+        time_point blocked_until{};
         std::map<std::string, held_result> held; // by handle
     };
 
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -16,7 +16,9 @@
 constexpr duration failure_avoidance = std::chrono::milliseconds(500); // doubles with each failure
 constexpr unsigned avoidance_doublings = 3;
 constexpr duration full_avoidance = std::chrono::milliseconds(30); // until a call may have ended
-constexpr duration room_avoidance = std::chrono::milliseconds(60); // until results may be freed
+// Results that this conductor knows nothing of expire after some seconds; until then, large results
+// are tried again after this long.
+constexpr duration room_retry = std::chrono::milliseconds(60);
 constexpr unsigned repeat_limit = 12; // pieces of one job that are made again
 // Share of a full call that a piece finds around it at usual load.
 constexpr double usual_fill = 0.6;
@@ -427,8 +429,9 @@
     std::vector<called_piece> call;
     std::vector<waiting_piece> rest;
     for (waiting_piece& piece : waiting) {
-        const bool fits =
-            capacity.result_room == 0 || used + piece.result_size <= capacity.result_room;
+        const bool blocked = target.blocked_until > now && piece.result_size >= target.blocked_size;
+        const bool fits = !blocked && (capacity.result_room == 0 ||
+                                       used + piece.result_size <= capacity.result_room);
         const auto job = jobs_.find(piece.job);
         const bool ripe = piece.zone.empty() || piece.zone == target.zone ||
                           now - piece.queued >= other_zone_wait ||
@@ -558,7 +561,10 @@
             finish_piece(piece, outcomes[index].handle, now, actions);
             break;
         case piece_fate::no_room:
-            used.avoided_until = std::max(used.avoided_until, now + room_avoidance);
+            used.blocked_size = used.blocked_until > now
+                                    ? std::min(used.blocked_size, piece.result_size)
+                                    : piece.result_size;
+            used.blocked_until = now + room_retry;
             repeat_piece(piece, false, now, actions);
             break;
         case piece_fate::late:
