Agree on the conductor at once after a start

Change: jobs wait until the instance has joined (400 ms after the start if a peer was heard, 800 ms if none); a new peer is answered at once with the known members; duties need a configuration, not readiness, and a change is announced at once; an endpoint that refused a call as full is left alone for 30 ms.

--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -27,7 +27,7 @@
     std::uint16_t caller_port = 0;
     bool ready = false;              // takes callers
     bool leaving = false;            // is stopping
-    bool settled = false;            // has been ready for long enough to take over duties
+    bool settled = false;            // has run for long enough to take over duties
     std::uint64_t revision = 0;      // of the published documents that it has seen
     std::uint64_t configuration = 0; // version of the configuration in force there
 
@@ -71,7 +71,11 @@
     // A dead instance still counts in `recent_size` for this long, so that shares of fleet-wide
     // bounds do not grow while an instance may only be cut off.
     duration remembered = std::chrono::seconds(30);
-    // A ready instance takes over duties after this long, unless nobody else could. So an instance
+    // Time from the start until news of all peers has arrived, if one is heard, and until an
+    // instance that hears nobody is alone.
+    duration joining = std::chrono::milliseconds(400);
+    duration alone = std::chrono::milliseconds(800);
+    // An instance takes over duties this long after its start, unless nobody else could. So one
     // that was restarted does not pull duties to itself while its peers still work on them.
     duration settling = std::chrono::seconds(2);
     // An instance with which a connection broke gets no duties for this long.
@@ -83,15 +87,21 @@
 class member_table
 {
 public:
-    member_table(member_table_options options, member_record self);
+    // `now` is the start of this process.
+    member_table(member_table_options options, member_record self, time_point now);
+
+    // Whether this instance has had the time to learn of its peers: some peer was heard and the
+    // news of the others could arrive, or nobody has answered for long enough to be alone.
+    bool joined(time_point now) const;
 
     // Changes what this instance says about itself.
-    void set_ready(bool ready, time_point now);
+    void set_ready(bool ready);
     void set_leaving();
     void set_known(std::uint64_t revision, std::uint64_t configuration);
 
-    // Takes what a peer reported. Records of this instance itself are ignored.
-    void take(const heartbeat& message, time_point now);
+    // Takes what a peer reported. Records of this instance itself are ignored. Returns whether the
+    // sender's process was not known before, so that it should be told at once who is alive.
+    bool take(const heartbeat& message, time_point now);
 
     // Notes that the connection to an instance broke.
     void distrust(const std::string& address, time_point now);
@@ -121,7 +131,7 @@
     bool is_live(const std::string& address, time_point now) const;
 
     // The instance that has the duty named by the key: the one with the greatest rendezvous score
-    // among the live instances that are settled, or among the ready ones if none is settled; this
+    // among the live instances that are settled, or among all if none is settled; this
     // instance if it knows no other.
     std::string owner_of(std::string_view key, time_point now) const;
 
@@ -143,7 +153,7 @@
     member_record self_;
     std::map<std::string, known_member> others_; // by address
     std::map<std::string, time_point> distrusted_until_;
-    time_point ready_since_{};
+    time_point started_;
 };
 
 } // namespace quetzal::gateway
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -158,8 +158,9 @@
         std::string service;
         std::string zone;
         unsigned calls = 0;
-        unsigned failures = 0; // in a row
-        time_point avoided_until{};
+        unsigned failures = 0;      // in a row
+        time_point avoided_until{}; // slow or failing: used only when no other endpoint works
+        time_point full_until{};    // has refused a call as full: not used at all
         std::uint64_t reserved = 0; // bytes of results being made
         // Results of this size or more did not fit lately, because of results that another
         // conductor had made.
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -16,30 +16,33 @@
 
 } // namespace
 
-member_table::member_table(member_table_options options, member_record self)
-    : options_(options), self_(std::move(self))
+member_table::member_table(member_table_options options, member_record self, time_point now)
+    : options_(options), self_(std::move(self)), started_(now)
 {
 }
 
-void member_table::set_ready(bool ready, time_point now)
+bool member_table::joined(time_point now) const
+{
+    return now - started_ >= (others_.empty() ? options_.alone : options_.joining);
+}
+
+void member_table::set_ready(bool ready)
 {
     if (self_.ready != ready) {
         self_.ready = ready;
-        self_.settled = false;
-        ready_since_ = now;
         ++self_.serial;
     }
 }
 
 void member_table::settle(time_point now)
 {
-    if (!self_.ready || self_.settled) {
+    if (self_.configuration == 0 || self_.leaving || self_.settled || !joined(now)) {
         return;
     }
     const bool others_settled = std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
         return alive(entry.second, now) && entry.second.record.settled;
     });
-    if (!others_settled || now - ready_since_ >= options_.settling) {
+    if (!others_settled || now - started_ >= options_.settling) {
         self_.settled = true;
         ++self_.serial;
     }
@@ -73,12 +76,16 @@
     }
 }
 
-void member_table::take(const heartbeat& message, time_point now)
+bool member_table::take(const heartbeat& message, time_point now)
 {
+    const auto known = others_.find(message.sender.record.address);
+    const bool news = known == others_.end() ||
+                      known->second.record.incarnation != message.sender.record.incarnation;
     merge(message.sender, now);
     for (const aged_record& other : message.others) {
         merge(other, now);
     }
+    return news;
 }
 
 void member_table::merge(const aged_record& news, time_point now)
@@ -209,10 +216,10 @@
 {
     const std::uint64_t hash = stable_hash(key);
     std::string owner = self_.address;
-    // Settled instances go before ready ones; an instance that is neither serves only itself.
+    // Settled instances go before others; an instance without a configuration serves only itself.
     std::pair<int, std::uint64_t> best(0, 0);
     const auto consider = [&](const member_record& candidate) {
-        if (!candidate.ready || candidate.leaving) {
+        if (candidate.configuration == 0 || candidate.leaving) {
             return;
         }
         const std::pair rank(candidate.settled ? 2 : 1, rendezvous_score(hash, candidate.address));
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -122,7 +122,11 @@
                 log_event("peer_datagram_malformed", {{"peer", from.address().to_string()}});
                 continue;
             }
-            self->members.take(*message, boot_clock::now());
+            const time_point now = boot_clock::now();
+            if (self->members.take(*message, now)) {
+                const auto answer = self->members.make_heartbeat(now, self->random);
+                self->send_heartbeat(message->sender.record.address, internal::encode(answer));
+            }
         }
     }
 
--- a/libs/gateway/src/stage_conductor.cpp
+++ b/libs/gateway/src/stage_conductor.cpp
@@ -24,7 +24,7 @@
 constexpr int give_up_factor = 3;
 constexpr duration give_up_margin = std::chrono::milliseconds(300);
 constexpr duration release_delay = std::chrono::milliseconds(20);
-constexpr duration watch_interval = std::chrono::milliseconds(200);
+constexpr duration watch_interval = std::chrono::milliseconds(100);
 constexpr std::size_t answer_limit = 1u << 20;          // bytes of the answer to a call
 constexpr std::size_t release_answer_limit = 16u << 10; // bytes
 constexpr unsigned status_ok = 200;
@@ -67,6 +67,10 @@
 void stage_conductor::send_job(std::uint64_t ticket, open_job& opened)
 {
     const time_point now = boot_clock::now();
+    if (!members_.joined(now)) {
+        opened.conductor.clear(); // sent when this instance knows its peers
+        return;
+    }
     stage_job& content = opened.job.content;
     content.useful_ms = static_cast<std::int32_t>(milliseconds(opened.job.useful_until - now));
     content.remaining_ms = static_cast<std::uint32_t>(
@@ -174,9 +178,11 @@
         }
         const time_point now = boot_clock::now();
         std::vector<std::string> silent;
-        for (const auto& [ticket, job] : open_) {
-            if (!job.answered && !members_.is_live(job.conductor, now) &&
-                std::find(silent.begin(), silent.end(), job.conductor) == silent.end())
+        for (auto& [ticket, job] : open_) {
+            if (job.conductor.empty()) {
+                send_job(ticket, job);
+            } else if (!job.answered && !members_.is_live(job.conductor, now) &&
+                       std::find(silent.begin(), silent.end(), job.conductor) == silent.end())
             {
                 silent.push_back(job.conductor);
             }
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -387,7 +387,7 @@
         known.zone = candidate->zone;
         const bool avoid = known.avoided_until > now;
         others_work = others_work || (known.calls > 0 && !avoid);
-        if (known.calls >= capacity.slots ||
+        if (known.calls >= capacity.slots || known.full_until > now ||
             std::find(skip.begin(), skip.end(), candidate->id) != skip.end())
         {
             continue;
@@ -595,7 +595,7 @@
     used.calls -= used.calls > 0 ? 1 : 0;
     used.reserved -= std::min(used.reserved, call.reserved);
     if (full) {
-        used.avoided_until = now + full_avoidance;
+        used.full_until = now + full_avoidance;
     } else {
         const auto doublings = std::min(used.failures++, avoidance_doublings);
         used.avoided_until = now + failure_avoidance * (1 << doublings);
