--- a/libs/gateway/include/quetzal/gateway/cold_gate.hpp
+++ b/libs/gateway/include/quetzal/gateway/cold_gate.hpp
@@ -20,18 +20,19 @@
     double slack = 5;
 };
 
-// Every instance takes an equal part of the bound in each sliding second. When the parts are smaller
-// than one request, instances take turns by their rank: an instance sends at most one request in as
-// many seconds as one whole request needs.
+// Every instance takes an equal part of the bound in each sliding second. When the parts are
+// smaller than one request, only so many instances may send to the endpoint, one request a second
+// each, as the bound allows: those that come first in the endpoint's rendezvous order.
 class cold_gate
 {
 public:
     explicit cold_gate(cold_gate_options options) : options_(options) {}
 
     // Whether a request may be sent to the cold endpoint now; if so it is counted. `rate` is in
-    // requests per second; `instances` is the number of instances that may send to the endpoint.
+    // requests per second; `instances` is the number of instances in the fleet, and `rank` that of
+    // those that come before this one in the endpoint's rendezvous order.
     bool try_send(const std::string& endpoint_id, double rate, std::size_t instances,
-                  time_point now);
+                  std::size_t rank, time_point now);
 
 private:
     cold_gate_options options_;
--- a/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
+++ b/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
@@ -14,6 +14,7 @@
 #include <quetzal/base/random.hpp>
 #include <quetzal/gateway/catalog.hpp>
 #include <quetzal/gateway/cold_gate.hpp>
+#include <quetzal/gateway/member_table.hpp>
 #include <quetzal/serving/endpoint_chooser.hpp>
 
 namespace quetzal::gateway {
@@ -52,7 +53,7 @@
     // Chooses an endpoint that accepts work and counts the request as started there. Returns
     // nothing when no endpoint has a free place.
     std::optional<chosen_endpoint> start(const catalog& view, const std::string& service,
-                                         const endpoint_wish& wish, std::size_t instances,
+                                         const endpoint_wish& wish, const member_table& members,
                                          time_point now);
 
     // The availability zone of the endpoint that a request would get now, or an empty text.
--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -66,8 +66,10 @@
 
 struct member_table_options
 {
-    // An instance is taken for dead when nothing proves it alive for this long.
+    // An instance is taken for dead when nothing proves it alive for this long. In fleets of more
+    // than eight, news takes further rounds: this much longer for each doubling.
     duration silence = std::chrono::milliseconds(1300);
+    duration silence_per_doubling = std::chrono::milliseconds(400);
     // A dead instance still counts in `recent_size` for this long, so that shares of fleet-wide
     // bounds do not grow while an instance may only be cut off.
     duration remembered = std::chrono::seconds(30);
@@ -81,7 +83,7 @@
     // An instance with which a connection broke gets no duties for this long.
     duration distrust = std::chrono::milliseconds(1000);
     std::size_t fanout = 6;         // peers that get each heartbeat
-    std::size_t records_limit = 24; // others described by one heartbeat
+    std::size_t records_limit = 32; // others described by one heartbeat
 };
 
 class member_table
@@ -114,6 +116,10 @@
 
     heartbeat make_heartbeat(time_point now, random_source& random) const;
 
+    // A heartbeat for a process that has just been heard of. It tells that process of a former one
+    // at its address whose wall clock was ahead, so that it can outnumber it.
+    heartbeat make_reply(const std::string& address, time_point now, random_source& random) const;
+
     // Addresses of the peers that the next heartbeat goes to.
     std::vector<std::string> choose_peers(time_point now, random_source& random) const;
 
@@ -130,6 +136,9 @@
 
     bool is_live(const std::string& address, time_point now) const;
 
+    // Number of live instances that go before this one for the key, by rendezvous score.
+    std::size_t rank_for(std::string_view key, time_point now) const;
+
     // The instance that has the duty named by the key: the one with the greatest rendezvous score
     // among the live instances that are settled, or among all if none is settled; this
     // instance if it knows no other.
@@ -147,6 +156,7 @@
 
     void merge(const aged_record& news, time_point now);
     bool alive(const known_member& member, time_point now) const;
+    duration silence() const;
     bool trusted(const std::string& address, time_point now) const;
 
     member_table_options options_;
--- /dev/null
+++ b/libs/gateway/src/caller_request_test.cpp
@@ -0,0 +1,116 @@
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <quetzal/gateway/caller_request.hpp>
+#include <quetzal/testing/section.hpp>
+
+using namespace quetzal;
+using namespace quetzal::gateway;
+using quetzal::testing::check;
+using quetzal::testing::section;
+namespace http = boost::beast::http;
+
+namespace {
+
+header_names test_names()
+{
+    header_names names;
+    names.request_id = "Id";
+    names.deadline = "Deadline";
+    names.key = "Key";
+    names.last_event_id = "Last-Event-Id";
+    names.prompt_parts = "Prompt";
+    names.token_usage = "Usage";
+    names.piece_counts = "Pieces";
+    names.piece_key = "Piece-Key";
+    names.customer = "Customer";
+    names.expected_endpoint = "Expect-Endpoint";
+    names.priority = "Priority";
+    names.inputs = "Inputs";
+    names.reserved = {"Hold", "Kv-From"};
+    return names;
+}
+
+result<caller_request> read(const http::fields& headers, std::string target = "/a/?q=1")
+{
+    return read_caller_request("POST", std::move(target), headers, "body", test_names(), {});
+}
+
+} // namespace
+
+// Guards against callers that set what only the system may set, and against keys that reach an
+// endpoint.
+Test(caller_request, headers)
+{
+    http::fields headers;
+    headers.set("Host", "Pule25.Example:80");
+    headers.set("Id", "abc");
+    headers.set("Key", "secret");
+    headers.set("Deadline", "1500");
+    headers.set("Customer", "forged");
+    headers.set("Expect-Endpoint", "forged");
+    headers.set("Priority", "0");
+    headers.set("Inputs", "forged");
+    headers.set("Hold", "forged");
+    headers.set("kv-from", "forged");
+    headers.set("Connection", "keep-alive, X-Hop");
+    headers.set("X-Hop", "1");
+    headers.set("X-Kept", "yes");
+    const auto request = read(headers);
+    check(request.has_value(), "it is read");
+    section("what the system reads", [&] {
+        check(request->host == "pule25.example", "the host, without port, in lower case");
+        check(request->path() == "/a/", "the path without the query");
+        check(request->key == "secret" && request->id == "abc", "key and id");
+        check(request->patience == std::chrono::milliseconds(1500), "the caller's time");
+    });
+    section("what goes to the endpoint", [&] {
+        const auto& lines = request->forwarded_headers;
+        check(lines.find("X-Kept: yes\r\n") != std::string::npos, "other headers");
+        check(lines.find("Id: abc\r\n") != std::string::npos, "the id as it was sent");
+        check(lines.find("forged") == std::string::npos, "nothing that only the system sets");
+        check(lines.find("secret") == std::string::npos, "no key");
+        check(lines.find("X-Hop") == std::string::npos, "nothing of the connection");
+    });
+}
+
+Test(caller_request, malformed)
+{
+    http::fields good;
+    good.set("Host", "h");
+    good.set("Id", "abc");
+    check(read(good).has_value(), "the least request");
+    check(!read(good, "http://h/a/"), "a target that is no path");
+    check(!read({}), "no id");
+    for (const auto& [name, value] : {std::pair("Deadline", "1s"), std::pair("Prompt", "a:b"),
+                                      std::pair("Deadline", "-5"), std::pair("Prompt", "x")})
+    {
+        http::fields bad = good;
+        bad.set(name, value);
+        const auto request = read(bad);
+        check(!request && request.error().run == verdict::not_run,
+              std::string("refused: ") + value);
+    }
+    http::fields twice = good;
+    twice.insert("Id", "other");
+    check(!read(twice), "two ids");
+}
+
+// Guards against sessions that gather on few endpoints because all share a prompt template.
+Test(caller_request, prompt_parts)
+{
+    const auto prefixes = [](const char* text) {
+        http::fields headers;
+        headers.set("Host", "h");
+        headers.set("Id", "abc");
+        headers.set("Prompt", text);
+        return read(headers)->prefixes;
+    };
+    const auto first = prefixes("5c:800,91:410,e4:250");
+    const auto same_session = prefixes("5c:800,91:410,ff:90");
+    const auto other_session = prefixes("5c:800,92:410,e4:250");
+    check(first.size() == 2 && first[0].tokens == 1210 && first[1].tokens == 1460, "lengths");
+    check(first[0].hash == same_session[0].hash, "a session shares its prefix");
+    check(first[0].hash != other_session[0].hash, "sessions are told apart");
+    check(prefixes("5c:800").size() == 1, "a lone part is kept");
+}
--- a/libs/gateway/src/cold_gate.cpp
+++ b/libs/gateway/src/cold_gate.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 bool cold_gate::try_send(const std::string& endpoint_id, double rate, std::size_t instances,
-                         time_point now)
+                         std::size_t rank, time_point now)
 {
     if (rate <= 0) {
         return true;
@@ -26,10 +26,11 @@
     }
     const double bound = (rate * options_.overage + options_.slack) * bound_share;
     const double share = bound / static_cast<double>(std::max<std::size_t>(instances, 1));
+    if (share < 1 && static_cast<double>(rank) + 1 > bound) {
+        return false;
+    }
     const auto allowed = static_cast<std::size_t>(std::max(1.0, std::floor(share)));
-    const double seconds = share < 1 ? 1 / share : 1;
-    const duration window =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    constexpr duration window = std::chrono::seconds(1);
     auto& sent = sent_[endpoint_id];
     while (!sent.empty() && sent.front() <= now - window) {
         sent.pop_front();
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -119,37 +119,39 @@
 std::optional<chosen_endpoint> endpoint_pools::start(const catalog& view,
                                                      const std::string& service,
                                                      const endpoint_wish& wish,
-                                                     std::size_t instances, time_point now)
+                                                     const member_table& members, time_point now)
 {
     const auto found = pools_.find(service);
     const auto* definition = view.find_service(service);
     if (found == pools_.end() || definition == nullptr) {
         return std::nullopt;
     }
-    pool& members = *found->second;
+    pool& chosen_pool = *found->second;
     std::vector<serving::endpoint_index> avoid;
     for (const auto& id : wish.avoid) {
-        if (const auto tried = members.members.find(id); tried != members.members.end()) {
+        if (const auto tried = chosen_pool.members.find(id); tried != chosen_pool.members.end()) {
             avoid.push_back(tried->second.first);
         }
     }
-    for (std::size_t tries = 0; tries <= members.members.size(); ++tries) {
+    for (std::size_t tries = 0; tries <= chosen_pool.members.size(); ++tries) {
         serving::choice_request request;
         request.prefixes = wish.prefixes;
         request.avoid = avoid;
-        const auto picked = members.chooser.choose(request, random_, now);
+        const auto picked = chosen_pool.chooser.choose(request, random_, now);
         if (!picked) {
             return std::nullopt;
         }
-        const endpoint* target = view.find_endpoint(members.chooser.id(picked->endpoint).name);
-        const bool refused = target == nullptr || !view.accepts_work(*target) ||
-                             (target->cold_until > now &&
-                              !cold_.try_send(target->id, definition->cold_rate, instances, now));
+        const endpoint* target = view.find_endpoint(chosen_pool.chooser.id(picked->endpoint).name);
+        const bool refused =
+            target == nullptr || !view.accepts_work(*target) ||
+            (target->cold_until > now &&
+             !cold_.try_send(target->id, definition->cold_rate, members.recent_size(now),
+                             members.rank_for(target->id, now), now));
         if (refused) {
             avoid.push_back(picked->endpoint);
             continue;
         }
-        members.chooser.started(picked->endpoint, now);
+        chosen_pool.chooser.started(picked->endpoint, now);
         const auto prompt = wish.prefixes.empty() ? serving::prompt_prefix{} : wish.prefixes.back();
         return chosen_endpoint{*target, picked->endpoint, picked->expected_prefix, prompt, now};
     }
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -139,6 +139,12 @@
     for (std::size_t index = 0; index + 1 < chosen.size(); ++index) {
         std::swap(chosen[index], chosen[index + random.below(chosen.size() - index)]);
     }
+    // Half of them are the freshest, the others any, so that no news stays behind.
+    const std::size_t freshest = std::min(chosen.size(), options_.records_limit / 2);
+    std::partial_sort(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(freshest),
+                      chosen.end(), [](const known_member* left, const known_member* right) {
+                          return left->alive > right->alive;
+                      });
     chosen.resize(std::min(chosen.size(), options_.records_limit));
     for (const known_member* member : chosen) {
         const auto age =
@@ -149,6 +155,16 @@
     return message;
 }
 
+heartbeat member_table::make_reply(const std::string& address, time_point now,
+                                   random_source& random) const
+{
+    heartbeat message = make_heartbeat(now, random);
+    if (const auto known = others_.find(address); known != others_.end()) {
+        message.others.push_back({known->second.record, 0});
+    }
+    return message;
+}
+
 std::vector<std::string> member_table::choose_peers(time_point now, random_source& random) const
 {
     std::vector<std::string> addresses;
@@ -166,7 +182,27 @@
 
 bool member_table::alive(const known_member& member, time_point now) const
 {
-    return now - member.alive <= options_.silence;
+    return now - member.alive <= silence();
+}
+
+duration member_table::silence() const
+{
+    constexpr std::size_t small_fleet = 8;
+    duration allowed = options_.silence;
+    for (std::size_t size = small_fleet; size < others_.size() + 1; size *= 2) {
+        allowed += options_.silence_per_doubling;
+    }
+    return allowed;
+}
+
+std::size_t member_table::rank_for(std::string_view key, time_point now) const
+{
+    const std::uint64_t hash = stable_hash(key);
+    const std::uint64_t own = rendezvous_score(hash, self_.address);
+    return static_cast<std::size_t>(
+        std::count_if(others_.begin(), others_.end(), [&](const auto& entry) {
+            return alive(entry.second, now) && rendezvous_score(hash, entry.first) > own;
+        }));
 }
 
 std::vector<member_record> member_table::live(time_point now) const
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -124,8 +124,9 @@
             }
             const time_point now = boot_clock::now();
             if (self->members.take(*message, now)) {
-                const auto answer = self->members.make_heartbeat(now, self->random);
-                self->send_heartbeat(message->sender.record.address, internal::encode(answer));
+                const std::string& sender = message->sender.record.address;
+                const auto answer = self->members.make_reply(sender, now, self->random);
+                self->send_heartbeat(sender, internal::encode(answer));
             }
         }
     }
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -311,7 +311,7 @@
     const time_point patience_ends = std::min(request->target_until, request->deadline);
     while (true) {
         const time_point now = boot_clock::now();
-        auto chosen = pools_.start(view_, service, wish, members_.recent_size(now), now);
+        auto chosen = pools_.start(view_, service, wish, members_, now);
         if (chosen) {
             co_return std::move(*chosen);
         }
