--- a/apps/quetzalctl/check.cpp
+++ b/apps/quetzalctl/check.cpp
@@ -11,6 +11,8 @@
 #include <quetzal/config/instance_list.hpp>
 #include <quetzal/config/published.hpp>
 #include <quetzal/config/settings.hpp>
+#include <quetzal/platform/documents.hpp>
+#include <quetzal/platform/front_settings.hpp>
 
 #include "commands.hpp"
 
@@ -20,10 +22,11 @@
 
 using errors = std::vector<std::string>;
 
-errors check_settings(const std::string& text, const std::string& file)
+template <class Parser>
+errors check_settings(Parser parser, const std::string& text, const std::string& file)
 {
     errors found;
-    if (const auto parsed = config::parse_settings(text, file); !parsed) {
+    if (const auto parsed = parser(text, file); !parsed) {
         for (const auto& error : parsed.error()) {
             found.push_back(error.message());
         }
@@ -44,7 +47,10 @@
 std::string guess_kind(const std::string& file, const std::string& text)
 {
     if (file.ends_with(".toml")) {
-        return "settings";
+        return text.find("[store]") != std::string::npos ? "front-settings" : "settings";
+    }
+    if (text.find("\"api-keys\"") != std::string::npos) {
+        return "platform-config";
     }
     return text.find("\"revision\"") != std::string::npos ? "instances" : "config";
 }
@@ -60,7 +66,14 @@
     const std::string text = std::move(buffer).str();
     const std::string chosen = kind.empty() ? guess_kind(file, text) : kind;
     if (chosen == "settings") {
-        return check_settings(text, file);
+        return check_settings(config::parse_settings, text, file);
+    }
+    if (chosen == "front-settings") {
+        return check_settings(platform::parse_front_settings, text, file);
+    }
+    if (chosen == "platform-config") {
+        const auto decoded = platform::decode_configuration(text);
+        return decoded ? errors{} : errors{file + ": " + decoded.error()};
     }
     if (chosen == "instances") {
         return check_json(config::parse_instance_list, text, file);
@@ -68,7 +81,9 @@
     if (chosen == "config") {
         return check_json(config::parse_published, text, file);
     }
-    return {"unknown kind \"" + chosen + "\": expected settings, config or instances"};
+    return {"unknown kind \"" + chosen +
+            "\": expected settings, config, instances, "
+            "front-settings or platform-config"};
 }
 
 } // namespace
--- a/apps/quetzalctl/inspect.cpp
+++ b/apps/quetzalctl/inspect.cpp
@@ -115,6 +115,9 @@
 
 int run_explain(const options& chosen)
 {
+    if (chosen.arguments.size() > 1 && chosen.instances.empty()) {
+        return run_explain_logs(chosen);
+    }
     if (!require_instances(chosen) || chosen.arguments.size() != 1) {
         std::fprintf(stderr, "quetzalctl: explain needs one request identity\n");
         return exit_invalid;
--- a/apps/quetzalctl/options.cpp
+++ b/apps/quetzalctl/options.cpp
@@ -14,7 +14,8 @@
 Commands:
   check FILE...             check settings (.toml), a published configuration or an instance list (.json)
   status                    state of the instances named by --instance (operator ports)
-  explain REQUEST           why a request was routed, refused or delayed
+  explain REQUEST           why a request was routed, refused or delayed, from --instance
+  explain REQUEST FILE...   the same from the log files of all instances
   send [BODY]               send one request, or those of --orders, through the callers' interface
   drain                     start the planned stop of the instances named by --instance
   report burn               service-level burn gathered from all instances named by --instance
@@ -55,7 +56,8 @@
          "address of an instance; may be given several times", "ADDRESS:PORT"},
         {"json", 'j', POPT_ARG_NONE, &json, 0, "print JSON", nullptr},
         {"html", 0, POPT_ARG_NONE, &html, 0, "print a page with plots (report burn)", nullptr},
-        {"kind", 0, POPT_ARG_STRING, &kind, 0, "what the files are: settings, config or instances",
+        {"kind", 0, POPT_ARG_STRING, &kind, 0,
+         "what the files are: settings, config, instances, front-settings or platform-config",
          "KIND"},
         {"class", 'c', POPT_ARG_STRING, &work_class, 0, "class of the request (send)", "CLASS"},
         {"key-file", 'k', POPT_ARG_STRING, &keys, 0,
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -2,8 +2,8 @@
 #define QUETZAL_GATEWAY_PEER_LINK_HPP
 
 // What instances of the fleet send each other: heartbeats as datagrams, and over TCP the stages
-// of requests for the instance that conducts them, their results, and copies of the published documents
-// for instances that cannot read them from the platform.
+// of requests for the instance that conducts them, their results, and copies of the published
+// documents for instances that cannot read them from the platform.
 
 #include <cstdint>
 #include <functional>
@@ -125,7 +125,7 @@
 
     // Sends a message to an instance; messages of one turn of the event loop leave together. If the
     // connection cannot be opened, the loss handler is called.
-    void send(const std::string& address, peer_message message);
+    void send(const std::string& address, const peer_message& message);
 
     // Tells all peers at once of a change of this instance's own record.
     void announce();
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -20,30 +20,27 @@
 #include <quetzal/gateway/fleet_retry_budget.hpp>
 #include <quetzal/gateway/member_table.hpp>
 #include <quetzal/gateway/stage_conductor.hpp>
+#include <quetzal/telemetry/metrics.hpp>
 
 namespace quetzal::gateway {
 
-// Counts of what became of requests; read by metrics.
-struct flow_counters
-{
-    std::map<std::string, std::uint64_t> by_outcome; // e.g. "answered", "refused_overloaded"
-    std::uint64_t repeats = 0;
-    std::uint64_t resumed_streams = 0;
-    std::uint64_t running = 0;
-};
-
 class request_flow
 {
 public:
     request_flow(boost::asio::io_context& context, const catalog& view, endpoint_pools& pools,
                  channel_pool& channels, stage_conductor& conductor, member_table& members,
-                 const header_names& names, fleet_budget_options budget);
+                 const header_names& names, fleet_budget_options budget,
+                 telemetry::metrics& figures);
 
     // Serves one request and writes its answer, or cuts the connection.
     boost::asio::awaitable<void> serve(std::shared_ptr<running_request> request,
                                        answer_writer& answer);
 
-    const flow_counters& counters() const noexcept { return counters_; }
+    // Requests that are being served.
+    std::size_t running() const noexcept { return running_; }
+
+    // Requests that have ended, whatever became of them.
+    std::uint64_t ended() const noexcept { return ended_; }
 
 private:
     using request_ptr = std::shared_ptr<running_request>;
@@ -111,7 +108,7 @@
                     const attempt_failed& failed, time_point now);
     boost::asio::awaitable<void> refuse(running_request& request, answer_writer& answer,
                                         unsigned status, const failure& why);
-    void count(const std::string& outcome) { ++counters_.by_outcome[outcome]; }
+    void count(const running_request& request, std::string_view outcome);
 
     boost::asio::io_context& context_;
     const catalog& view_;
@@ -121,7 +118,9 @@
     member_table& members_;
     const header_names& names_;
     fleet_retry_budget budget_;
-    flow_counters counters_;
+    telemetry::metrics& figures_;
+    std::size_t running_ = 0;
+    std::uint64_t ended_ = 0;
 };
 
 } // namespace quetzal::gateway
--- a/libs/gateway/include/quetzal/gateway/stage_conductor.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_conductor.hpp
@@ -57,6 +57,9 @@
     // Sends the jobs again that a lost peer conducted, and drops those it had submitted.
     void peer_lost(const std::string& address);
 
+    // Jobs that this instance conducts.
+    std::size_t open_jobs() const noexcept { return scheduler_.open_jobs(); }
+
     // Follows changes of the catalog.
     void refresh() { schedule_dispatch(duration::zero()); }
 
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -99,7 +99,9 @@
         }
         found->second.second = value;
     }
-    for (auto& [name, members] : pools_) {
+    for (auto& named_pool : pools_) {
+        const std::string& name = named_pool.first;
+        pool* members = named_pool.second.get();
         std::erase_if(members->members, [&](const auto& entry) {
             const auto& [index, value] = entry.second;
             const endpoint* current = view.find_endpoint(entry.first);
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -380,7 +380,7 @@
     return {};
 }
 
-void peer_link::send(const std::string& address, peer_message message)
+void peer_link::send(const std::string& address, const peer_message& message)
 {
     self_->send_message(address, message);
 }
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -105,12 +105,23 @@
 request_flow::request_flow(asio::io_context& context, const catalog& view, endpoint_pools& pools,
                            channel_pool& channels, stage_conductor& conductor,
                            member_table& members, const header_names& names,
-                           fleet_budget_options budget)
+                           fleet_budget_options budget, telemetry::metrics& figures)
     : context_(context), view_(view), pools_(pools), channels_(channels), conductor_(conductor),
-      members_(members), names_(names), budget_(budget)
+      members_(members), names_(names), budget_(budget), figures_(figures)
 {
 }
 
+void request_flow::count(const running_request& request, std::string_view outcome)
+{
+    ++ended_;
+    const std::string route = request.matched ? request.matched->name : "none";
+    figures_.count("quetzal_requests_total", {{"route", route},
+                                              {"customer", request.caller.customer},
+                                              {"outcome", std::string(outcome)}});
+    figures_.observe("quetzal_request_seconds", {{"route", route}},
+                     boot_clock::now() - request.message.received);
+}
+
 std::optional<failure> request_flow::check_view(running_request& request, unsigned& status)
 {
     const auto matched = view_.find_route(request.message.host, request.message.path());
@@ -157,7 +168,7 @@
         co_await refuse(*request, answer, status, *refused);
         co_return;
     }
-    ++counters_.running;
+    ++running_;
     lazy_deadline timeout(context_.get_executor(), [request] {
         request->abort({verdict::may_have_run, reason::deadline_passed, "deadline passed", {}});
     });
@@ -187,11 +198,11 @@
         conductor_.release(state.job);
     }
     conductor_.release(state.job);
-    --counters_.running;
+    --running_;
     if (!outcome) {
         co_await refuse(*request, answer, status_of(outcome.error()), outcome.error());
     } else {
-        count("answered");
+        count(*request, "answered");
     }
 }
 
@@ -374,7 +385,12 @@
         if (!may_repeat(*request, state, failed, now)) {
             if (failed.answer && !answer.begun()) {
                 auto& kept = *failed.answer;
-                count("answered_failure");
+                count(*request, "endpoint_failed");
+                log_event("answer_failed", {{"request", request->message.id},
+                                            {"endpoint", chosen->target.id},
+                                            {"status", kept.status},
+                                            {"detail", failed.error.detail},
+                                            {"runs", state.runs}});
                 co_await answer.whole(kept.status, std::move(kept.headers), std::move(kept.body));
                 co_return result<void>{};
             }
@@ -382,7 +398,7 @@
             why.run = state.runs > 0 ? verdict::may_have_run : why.run;
             co_return tl::unexpected(why);
         }
-        ++counters_.repeats;
+        figures_.count("quetzal_attempts_repeated_total", {});
         log_event("attempt_repeated", {{"request", request->message.id},
                                        {"endpoint", chosen->target.id},
                                        {"verdict", to_string(failed.error.run)},
@@ -645,7 +661,7 @@
     } else if (why.why == reason::invalid_request) {
         status = status_bad_request;
     }
-    count((caller_gone ? "left_" : "refused_") + std::string(to_string(why.why)));
+    count(request, to_string(why.why));
     log_event(caller_gone ? "caller_left" : "request_refused",
               {{"request", request.message.id},
                {"route", request.matched ? std::string_view(request.matched->name) : "none"},
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -188,7 +188,7 @@
           channels(context.get_executor()), peers(context, {"127.0.0.1", 0, 0, {}}, members),
           conductor(context, view, channels, members, peers, names, {}, {}),
           flow(context, view, pools, channels, conductor, members, names,
-               {0.2, 52, std::chrono::seconds(10)})
+               {0.2, 52, std::chrono::seconds(10)}, figures)
     {
         configuration.version = 1;
         route matched;
@@ -234,8 +234,8 @@
         kept_answer answer;
         request = std::make_shared<running_request>(make_message(id, key, target));
         asio::co_spawn(context, flow.serve(request, answer), asio::detached);
-        const auto served = flow.counters().by_outcome;
-        for (int step = 0; step < 200 && flow.counters().by_outcome == served; ++step) {
+        const auto ended = flow.ended();
+        for (int step = 0; step < 200 && flow.ended() == ended; ++step) {
             context.restart();
             context.run_for(milliseconds(10));
         }
@@ -272,6 +272,7 @@
     catalog view;
     published_configuration configuration;
     member_table members;
+    telemetry::metrics figures;
     endpoint_pools pools;
     channel_pool channels;
     peer_link peers;
--- a/libs/node/include/quetzal/node/shared_state.hpp
+++ b/libs/node/include/quetzal/node/shared_state.hpp
@@ -11,7 +11,7 @@
 #include <quetzal/config/instance_list.hpp>
 #include <quetzal/config/published.hpp>
 #include <quetzal/config/settings.hpp>
-#include <quetzal/node/metrics.hpp>
+#include <quetzal/telemetry/metrics.hpp>
 
 namespace quetzal::node {
 
@@ -33,7 +33,7 @@
 
     const config::settings settings;
     const incarnation process;
-    metrics figures;
+    telemetry::metrics figures;
     std::atomic<bool> ready{false};
     std::atomic<bool> stopping{false};
 
--- a/libs/node/src/operator_api.cpp
+++ b/libs/node/src/operator_api.cpp
@@ -118,7 +118,7 @@
 {
     auto& figures = state_.figures;
     for (const auto& [name, counters] : servers_) {
-        const std::vector<label> labels{{"server", name}};
+        const std::vector<telemetry::label> labels{{"server", name}};
         figures.set("quetzal_connections_open", labels, static_cast<double>(counters->open));
         figures.set("quetzal_connections_accepted_total", labels,
                     static_cast<double>(counters->accepted));
--- a/libs/node/include/quetzal/node/metrics.hpp
+++ b/libs/telemetry/include/quetzal/telemetry/metrics.hpp
@@ -1,5 +1,5 @@
-#ifndef QUETZAL_NODE_METRICS_HPP
-#define QUETZAL_NODE_METRICS_HPP
+#ifndef QUETZAL_TELEMETRY_METRICS_HPP
+#define QUETZAL_TELEMETRY_METRICS_HPP
 
 // Metrics of an instance in the Prometheus text format.
 
@@ -15,7 +15,7 @@
 #include <boost/histogram/make_histogram.hpp>
 #include <quetzal/base/time.hpp>
 
-namespace quetzal::node {
+namespace quetzal::telemetry {
 
 // One label of a series, e.g. {"class", "proof"}.
 struct label
@@ -60,6 +60,6 @@
     std::map<std::string, latency> latencies_; // by name and labels
 };
 
-} // namespace quetzal::node
+} // namespace quetzal::telemetry
 
 #endif
--- a/libs/node/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -1,10 +1,10 @@
-#include <quetzal/node/metrics.hpp>
+#include <quetzal/telemetry/metrics.hpp>
 
 #include <array>
 
 #include <spdlog/fmt/fmt.h>
 
-namespace quetzal::node {
+namespace quetzal::telemetry {
 
 namespace {
 
@@ -97,4 +97,4 @@
     return text;
 }
 
-} // namespace quetzal::node
+} // namespace quetzal::telemetry
