Make the pieces of slow calls elsewhere and count the memory of makers truly

Change: after 1.8 times its expected time, the pieces of a call are made elsewhere too; an endpoint that was slow is tried with two pieces first; results count until their maker has answered the release; pieces without room are taken for results of a lost conductor, which expire.

--- a/libs/gateway/include/quetzal/gateway/stage_plan.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_plan.hpp
@@ -28,6 +28,12 @@
     // Notes the result of a piece. Returns the results that nothing needs any more.
     std::vector<std::string> done(std::size_t stage, std::size_t piece, std::string handle);
 
+    // Whether the result of a piece is known.
+    bool made(std::size_t stage, std::size_t piece) const
+    {
+        return !stages_[stage].handles[piece].empty();
+    }
+
     bool finished() const noexcept { return open_pieces_ == 0; }
 
     // Handles of all pieces of the stages that no other stage comes after, in order.
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -66,7 +66,7 @@
     job_outcome outcome;
 };
 
-// Nothing needs these results any more.
+// Nothing needs these results any more. Report with `released` when their makers know it.
 struct release_results
 {
     std::vector<std::string> handles;
@@ -92,6 +92,9 @@
     // The request has its inputs: the results of a finished job are needed no more.
     scheduler_actions release(job_number job);
 
+    // The makers have given up these results, so that their memory is free.
+    void released(const std::vector<std::string>& handles);
+
     // Forms calls for all endpoints that have a free slot, and ends jobs that cannot be in time.
     scheduler_actions dispatch(time_point now);
 
@@ -103,8 +106,8 @@
     // it refused because it is full.
     scheduler_actions call_failed(std::uint64_t call, verdict run, bool full, time_point now);
 
-    // Whether pieces wait, so that `dispatch` is to be called again after some time.
-    bool has_waiting() const;
+    // Whether pieces wait or calls run, so that `dispatch` is to be called again after some time.
+    bool has_work() const;
 
     std::size_t open_jobs() const noexcept { return jobs_.size(); }
     std::size_t waiting_pieces(const std::string& service) const;
@@ -159,13 +162,14 @@
         std::string zone;
         unsigned calls = 0;
         unsigned failures = 0;      // in a row
+        unsigned slow_calls = 0;    // in a row; then only small calls try whether it has recovered
         time_point avoided_until{}; // slow or failing: used only when no other endpoint works
         time_point full_until{};    // has refused a call as full: not used at all
         std::uint64_t reserved = 0; // bytes of results being made
-        // Results of this size or more did not fit lately, because of results that another
-        // conductor had made.
-        std::uint64_t blocked_size = 0;
-        time_point blocked_until{};
+        // Bytes of results that this scheduler did not order: those of a conductor that was lost.
+        // They expire at their maker; the estimate falls to zero within a result's lifetime.
+        std::uint64_t foreign = 0;
+        time_point foreign_noted{};
         std::map<std::string, held_result> held; // by handle
     };
 
@@ -177,6 +181,7 @@
         std::uint64_t reserved = 0; // bytes
         time_point started;
         duration expected{};
+        bool copied = false; // its pieces are being made elsewhere too
     };
 
     struct service_state
@@ -200,6 +205,9 @@
     void commit(const running_job& job, std::size_t stage, std::uint32_t pieces, int direction);
     void commit_open(const running_job& job, int direction);
     void note_arrival(const stage_job& content, time_point now);
+    void copy_slow_calls(time_point now);
+    void note_slow(worker& used, time_point now);
+    void queue_piece(const called_piece& piece, time_point now);
     void repeat_piece(const called_piece& piece, bool may_have_run, time_point now,
                       action_list& actions);
     void finish_piece(const called_piece& piece, std::string handle, time_point now,
@@ -211,7 +219,9 @@
                                         worker& target, time_point now);
     const endpoint* idle_worker(const std::string& service, const stage_capacity& capacity,
                                 time_point now, const std::vector<std::string>& skip);
-    std::uint64_t used_room(worker& target, time_point now) const;
+    // Bytes of results at a worker: those of a lost conductor, and all.
+    static std::uint64_t foreign_room(const worker& target, duration lifetime, time_point now);
+    static std::uint64_t used_room(const worker& target, duration lifetime, time_point now);
     // Endpoint time that pieces of a service take in full calls.
     duration work_of(const std::string& service, std::uint32_t pieces) const;
     // Time until the endpoints of a service have worked off what is committed to them with that
--- a/libs/gateway/src/stage_conductor.cpp
+++ b/libs/gateway/src/stage_conductor.cpp
@@ -23,7 +23,9 @@
 // A call that takes this many times its expected time is given up.
 constexpr int give_up_factor = 3;
 constexpr duration give_up_margin = std::chrono::milliseconds(300);
-constexpr duration release_delay = std::chrono::milliseconds(20);
+// A call that takes this many times its expected time is logged.
+constexpr int slow_log_factor = 2;
+constexpr duration release_delay = std::chrono::milliseconds(5);
 constexpr duration watch_interval = std::chrono::milliseconds(100);
 constexpr std::size_t answer_limit = 1u << 20;          // bytes of the answer to a call
 constexpr std::size_t release_answer_limit = 16u << 10; // bytes
@@ -209,7 +211,7 @@
             return;
         }
         perform(scheduler_.dispatch(boot_clock::now()));
-        if (scheduler_.has_waiting()) {
+        if (scheduler_.has_work()) {
             schedule_dispatch(recheck_delay);
         }
     });
@@ -268,9 +270,30 @@
 
 asio::awaitable<void> stage_conductor::run_call(start_call call)
 {
+    const time_point started = boot_clock::now();
     const auto outcomes = co_await exchange(call);
     const time_point now = boot_clock::now();
+    if (outcomes && now - started > call.expected * slow_log_factor) {
+        log_event("stage_call_slow", {{"service", call.target.service},
+                                      {"endpoint", call.target.id},
+                                      {"pieces", call.pieces.size()},
+                                      {"first_request", call.pieces.front().request_id},
+                                      {"took_ms", milliseconds(now - started)},
+                                      {"expected_ms", milliseconds(call.expected)}});
+    }
     if (outcomes) {
+        const auto without_room =
+            std::count_if(outcomes->begin(), outcomes->end(), [](const piece_outcome& outcome) {
+                return outcome.fate == piece_fate::no_room;
+            });
+        if (without_room > 0) {
+            log_event("stage_results_without_room",
+                      {{"service", call.target.service},
+                       {"endpoint", call.target.id},
+                       {"pieces", call.pieces.size()},
+                       {"without_room", without_room},
+                       {"first_request", call.pieces.front().request_id}});
+        }
         perform(scheduler_.call_ended(call.call, *outcomes, now));
     } else {
         const failure& error = outcomes.error();
@@ -283,7 +306,7 @@
         perform(scheduler_.call_failed(call.call, error.run, error.why == reason::overloaded, now));
     }
     perform(scheduler_.dispatch(now));
-    if (scheduler_.has_waiting()) {
+    if (scheduler_.has_work()) {
         schedule_dispatch(recheck_delay);
     }
 }
@@ -361,6 +384,8 @@
     const auto answer = co_await connection->read_whole_body(release_answer_limit, send_timeout);
     if (answer) {
         channels_.give_back(target, connection, boot_clock::now());
+        scheduler_.released(handles);
+        schedule_dispatch(duration::zero());
     }
 }
 
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -10,15 +10,14 @@
 
 namespace {
 
-// A call slower than this many times its expected time marks its endpoint as slow.
-constexpr double slow_factor = 2;
-constexpr duration slow_avoidance = std::chrono::seconds(2);
+// A call slower than this many times its expected time marks its endpoint as slow, and its pieces
+// are made elsewhere too.
+constexpr double slow_factor = 1.8;
+constexpr duration slow_avoidance = std::chrono::seconds(2); // doubles with each slow call
+constexpr std::size_t trial_pieces = 2; // of a call that tries whether an endpoint has recovered
 constexpr duration failure_avoidance = std::chrono::milliseconds(500); // doubles with each failure
 constexpr unsigned avoidance_doublings = 3;
 constexpr duration full_avoidance = std::chrono::milliseconds(30); // until a call may have ended
-// Results that this conductor knows nothing of expire after some seconds; until then, large results
-// are tried again after this long.
-constexpr duration room_retry = std::chrono::milliseconds(60);
 constexpr unsigned repeat_limit = 12; // pieces of one job that are made again
 // Share of a full call that a piece finds around it at usual load.
 constexpr double usual_fill = 0.6;
@@ -356,18 +355,33 @@
     if (handles.empty()) {
         return;
     }
+    actions.push_back(release_results{std::move(handles)});
+}
+
+void stage_scheduler::released(const std::vector<std::string>& handles)
+{
     for (const auto& handle : handles) {
         if (const auto maker = makers_.find(handle); maker != makers_.end()) {
             workers_[maker->second].held.erase(handle);
             makers_.erase(maker);
         }
     }
-    actions.push_back(release_results{std::move(handles)});
 }
 
-std::uint64_t stage_scheduler::used_room(worker& target, time_point now) const
+std::uint64_t stage_scheduler::foreign_room(const worker& target, duration lifetime, time_point now)
 {
-    std::uint64_t used = target.reserved;
+    const duration age = now - target.foreign_noted;
+    if (target.foreign == 0 || age >= lifetime) {
+        return 0;
+    }
+    const double left =
+        1 - static_cast<double>(age.count()) / static_cast<double>(lifetime.count());
+    return static_cast<std::uint64_t>(static_cast<double>(target.foreign) * left);
+}
+
+std::uint64_t stage_scheduler::used_room(const worker& target, duration lifetime, time_point now)
+{
+    std::uint64_t used = target.reserved + foreign_room(target, lifetime, now);
     for (const auto& [handle, result] : target.held) {
         used += result.expires > now ? result.size : 0;
     }
@@ -396,7 +410,7 @@
         const auto order = [&](const endpoint* value) {
             worker& other = workers_[value->id];
             return std::tuple(other.failures, avoid ? other.avoided_until : time_point{},
-                              used_room(other, now));
+                              used_room(other, capacity.result_lifetime, now));
         };
         if (slot == nullptr || order(candidate) < order(slot)) {
             slot = candidate;
@@ -425,18 +439,23 @@
               [&](const waiting_piece& left, const waiting_piece& right) {
                   return rank(left) < rank(right);
               });
-    std::uint64_t used = used_room(target, now);
+    std::uint64_t used = used_room(target, capacity.result_lifetime, now);
+    const std::size_t most = target.slow_calls > 0
+                                 ? std::min<std::size_t>(trial_pieces, capacity.batch)
+                                 : capacity.batch;
     std::vector<called_piece> call;
     std::vector<waiting_piece> rest;
     for (waiting_piece& piece : waiting) {
-        const bool blocked = target.blocked_until > now && piece.result_size >= target.blocked_size;
-        const bool fits = !blocked && (capacity.result_room == 0 ||
-                                       used + piece.result_size <= capacity.result_room);
+        const bool fits =
+            capacity.result_room == 0 || used + piece.result_size <= capacity.result_room;
         const auto job = jobs_.find(piece.job);
         const bool ripe = piece.zone.empty() || piece.zone == target.zone ||
                           now - piece.queued >= other_zone_wait ||
                           piece.useful_until < now + capacity.call_time + pressed_slack;
-        if (call.size() >= capacity.batch || !fits || !ripe || job == jobs_.end()) {
+        if (job == jobs_.end() || job->second.plan.made(piece.stage, piece.piece)) {
+            continue; // made by another call meanwhile
+        }
+        if (call.size() >= most || !fits || !ripe) {
             rest.push_back(std::move(piece));
             continue;
         }
@@ -508,6 +527,7 @@
 scheduler_actions stage_scheduler::dispatch(time_point now)
 {
     action_list actions;
+    copy_slow_calls(now);
     for (auto& [service, state] : services_) {
         dispatch_service(service, state, now, actions);
     }
@@ -543,15 +563,16 @@
     used.calls -= used.calls > 0 ? 1 : 0;
     used.reserved -= std::min(used.reserved, call.reserved);
     used.failures = 0;
-    const auto factor = static_cast<double>((now - call.started).count()) /
-                        static_cast<double>(std::max<duration::rep>(call.expected.count(), 1));
-    if (factor > slow_factor) {
-        used.avoided_until = now + slow_avoidance;
+    if (now - call.started <= scaled(call.expected, slow_factor)) {
+        used.slow_calls = 0;
+    } else if (!call.copied) {
+        note_slow(used, now);
     }
     const auto* definition = view_.find_service(call.service);
     const duration lifetime = definition != nullptr && definition->stage
                                   ? definition->stage->result_lifetime
                                   : duration::zero();
+    std::uint64_t without_room = 0; // bytes
     for (std::size_t index = 0; index < call.pieces.size() && index < outcomes.size(); ++index) {
         const called_piece& piece = call.pieces[index];
         switch (outcomes[index].fate) {
@@ -561,10 +582,7 @@
             finish_piece(piece, outcomes[index].handle, now, actions);
             break;
         case piece_fate::no_room:
-            used.blocked_size = used.blocked_until > now
-                                    ? std::min(used.blocked_size, piece.result_size)
-                                    : piece.result_size;
-            used.blocked_until = now + room_retry;
+            without_room += piece.result_size;
             repeat_piece(piece, false, now, actions);
             break;
         case piece_fate::late:
@@ -574,10 +592,16 @@
             end_job(piece.job, job_fate::failed, now, actions);
             break;
         case piece_fate::failed:
-            repeat_piece(piece, true, now, actions);
+            if (!call.copied) {
+                repeat_piece(piece, true, now, actions);
+            }
             break;
         }
     }
+    if (without_room > 0) {
+        used.foreign = foreign_room(used, lifetime, now) + without_room;
+        used.foreign_noted = now;
+    }
     return actions;
 }
 
@@ -601,11 +625,38 @@
         used.avoided_until = now + failure_avoidance * (1 << doublings);
     }
     for (const called_piece& piece : call.pieces) {
-        repeat_piece(piece, run != verdict::not_run, now, actions);
+        if (!call.copied) {
+            repeat_piece(piece, run != verdict::not_run, now, actions);
+        }
     }
     return actions;
 }
 
+void stage_scheduler::note_slow(worker& used, time_point now)
+{
+    const auto doublings = std::min(used.slow_calls++, avoidance_doublings);
+    used.avoided_until = now + slow_avoidance * (1 << doublings);
+}
+
+void stage_scheduler::copy_slow_calls(time_point now)
+{
+    for (auto& [number, call] : calls_) {
+        if (call.copied || now - call.started <= scaled(call.expected, slow_factor)) {
+            continue;
+        }
+        note_slow(workers_[call.endpoint_id], now);
+        if (active_workers(call.service, now) == 0) {
+            continue;
+        }
+        call.copied = true;
+        for (const called_piece& piece : call.pieces) {
+            if (jobs_.contains(piece.job) && budget_.try_repeat(call.service, 1, now)) {
+                queue_piece(piece, now);
+            }
+        }
+    }
+}
+
 void stage_scheduler::finish_piece(const called_piece& piece, std::string handle, time_point now,
                                    action_list& actions)
 {
@@ -615,7 +666,7 @@
         return;
     }
     running_job& job = found->second;
-    if (job.open[piece.stage] > 0) {
+    if (!job.plan.made(piece.stage, piece.piece)) {
         --job.open[piece.stage];
         commit(job, piece.stage, 1, -1);
     }
@@ -642,15 +693,22 @@
         end_job(piece.job, job_fate::failed, now, actions);
         return;
     }
-    services_[service].waiting.push_back({piece.job, piece.stage, piece.piece, job.priority,
-                                          job.useful_until - job.following[piece.stage],
-                                          job.deadline - job.following[piece.stage],
-                                          piece.result_size, job.zone, now});
+    queue_piece(piece, now);
+}
+
+void stage_scheduler::queue_piece(const called_piece& piece, time_point now)
+{
+    const running_job& job = jobs_.at(piece.job);
+    services_[job.stages[piece.stage].service].waiting.push_back(
+        {piece.job, piece.stage, piece.piece, job.priority,
+         job.useful_until - job.following[piece.stage], job.deadline - job.following[piece.stage],
+         piece.result_size, job.zone, now});
 }
 
-bool stage_scheduler::has_waiting() const
+bool stage_scheduler::has_work() const
 {
-    return std::any_of(services_.begin(), services_.end(),
+    return !calls_.empty() ||
+           std::any_of(services_.begin(), services_.end(),
                        [](const auto& entry) { return !entry.second.waiting.empty(); });
 }
 
--- a/libs/gateway/src/stage_scheduler_test.cpp
+++ b/libs/gateway/src/stage_scheduler_test.cpp
@@ -101,6 +101,8 @@
 
     void perform(const start_call& action)
     {
+        const auto slowness = slow.find(action.target.id);
+        const int factor = slowness == slow.end() ? 1 : slowness->second;
         ++started;
         pieces_called += action.pieces.size();
         std::uint64_t size = 0;
@@ -108,7 +110,9 @@
             size += piece.result_size;
         }
         largest_call = std::max(largest_call, size);
-        calls[action.call] = {action, now + action.expected};
+        auto& largest = largest_batch[action.target.id];
+        largest = now < start + seconds(14) ? 0 : std::max(largest, action.pieces.size());
+        calls[action.call] = {action, now + action.expected * factor};
     }
 
     void perform(const job_ended& action)
@@ -120,7 +124,11 @@
         }
     }
 
-    void perform(const release_results& action) { released += action.handles.size(); }
+    void perform(const release_results& action)
+    {
+        released += action.handles.size();
+        scheduler.released(action.handles);
+    }
 
     // Number of jobs that ended that way, of all or of a set.
     std::size_t count(job_fate fate) const
@@ -140,11 +148,13 @@
     std::map<job_number, time_point> submitted;
     std::map<job_number, duration> took;
     std::set<std::string> failing;
+    std::map<std::string, int> slow; // how many times its time an endpoint takes
     std::size_t started = 0;
     std::size_t pieces_called = 0;
     std::size_t handles = 0;
     std::size_t released = 0;
     std::uint64_t largest_call = 0;
+    std::map<std::string, std::size_t> largest_batch; // by endpoint, after the first 14 s
     bool hold_results = false;
     job_number last = 0;
 };
@@ -248,6 +258,36 @@
     check(model.count(job_fate::refused) == 0, "nobody is refused for it");
 }
 
+// Fault: an endpoint turns slow. Its pieces are made elsewhere too, and it is only tried with small
+// calls until it has recovered.
+Test(stage_scheduler, slow_endpoints)
+{
+    stage_model model(5, dye_schedule());
+    model.slow["e1"] = 5;
+    for (int job = 0; job < 200; ++job) {
+        model.submit(6, 0, milliseconds(900));
+        model.advance(milliseconds(60));
+    }
+    section("requests", [&] {
+        model.advance(milliseconds(2000));
+        std::size_t late = 0;
+        for (const auto& [job, time] : model.took) {
+            late += time > milliseconds(900) ? 1 : 0;
+        }
+        check(model.count(job_fate::done) >= 195, "nearly all are served");
+        check(late <= 10, "19 in 20 in time");
+        check(model.scheduler.open_jobs() == 0, "nothing stays open");
+    });
+    section("when it has recovered", [&] {
+        model.slow.clear();
+        for (int job = 0; job < 300; ++job) {
+            model.submit(6, 0, milliseconds(900));
+            model.advance(milliseconds(30));
+        }
+        check(model.largest_batch["e1"] > 2, "it gets full calls again");
+    });
+}
+
 // Fault: memory for results runs out, so that calls come back without results.
 Test(stage_scheduler, room_for_results)
 {
@@ -335,3 +375,36 @@
     model.advance(milliseconds(40));
     check(model.started == 2, "but soon");
 }
+
+// Fault: the conductor before this one was lost, and its results fill the memory of a maker until
+// they expire. Calls must not carry pieces again and again that find no room.
+Test(stage_scheduler, results_of_a_lost_conductor)
+{
+    stage_capacity capacity = dye_schedule();
+    capacity.result_room = 1'500'000;
+    stage_model model(1, capacity);
+    for (int job = 0; job < 20; ++job) {
+        model.submit(6, 0, milliseconds(20000), 60'000, milliseconds(30000));
+    }
+    model.perform(model.scheduler.dispatch(model.now));
+    const auto call = model.calls.begin()->second;
+    const auto number = model.calls.begin()->first;
+    model.calls.clear();
+    model.now += milliseconds(376);
+    std::vector<piece_outcome> outcomes(call.content.pieces.size(), {piece_fate::no_room, {}});
+    model.pieces_called = 0;
+    model.perform(model.scheduler.call_ended(number, outcomes, model.now));
+    model.perform(model.scheduler.dispatch(model.now));
+    section("the next call carries only what may fit", [&] {
+        check(model.pieces_called <= 9, "16 pieces without room leave place for nine at most");
+    });
+    section("until the results have expired", [&] {
+        model.calls.clear();
+        model.now += seconds(4);
+        model.pieces_called = 0;
+        stage_model fresh(1, capacity);
+        fresh.submit(16, 0, milliseconds(20000), 60'000, milliseconds(30000));
+        fresh.perform(fresh.scheduler.dispatch(fresh.now));
+        check(fresh.pieces_called == 16, "then calls are full");
+    });
+}
