--- a/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
+++ b/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
@@ -64,6 +64,9 @@
     void finish(const chosen_endpoint& chosen, const serving::attempt_outcome& outcome,
                 time_point now);
 
+    // Notes that an endpoint could not be reached: it gets nothing for a second.
+    void unreachable(const chosen_endpoint& chosen, time_point now);
+
     // Notes the load that an endpoint reported with an answer.
     void report(const chosen_endpoint& chosen, std::uint32_t running, std::uint32_t waiting,
                 time_point now);
@@ -81,6 +84,7 @@
 
         serving::endpoint_chooser chooser;
         std::map<std::string, std::pair<serving::endpoint_index, endpoint>> members; // by id
+        std::map<std::string, time_point> unreachable_until;                         // by id
         std::uint32_t concurrency = 0;
     };
 
--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -144,6 +144,11 @@
     // instance if it knows no other.
     std::string owner_of(std::string_view key, time_point now) const;
 
+    // Addresses of up to `count` live instances of this one's availability zone, this one included,
+    // that come first in the rendezvous order of the key.
+    std::vector<std::string> first_in_zone(std::string_view key, std::size_t count,
+                                           time_point now) const;
+
     // The peer that has seen the newest documents, if any has seen newer ones than this instance.
     std::optional<member_record> most_advanced(time_point now) const;
 
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -95,8 +95,38 @@
     }
 };
 
-using peer_message =
-    std::variant<job_submission, job_release, job_answer, snapshot_request, document_snapshot>;
+// An instance that does not read the platform's store asks one that does for all that comes after a
+// revision. It asks again and again, which shows both that the other one is alive.
+struct document_subscription
+{
+    std::uint64_t revision = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(revision);
+    }
+};
+
+// Changes between two revisions, and how well the sender knows the store.
+struct document_changes
+{
+    std::uint64_t after = 0;
+    std::uint64_t revision = 0;
+    std::vector<published_document> written;
+    std::vector<published_document> removed; // without values
+    std::uint32_t store_silence_ms = 0;      // since the store last answered the sender
+    bool uncertain = false;                  // removals may be due to an outage of the store
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(after, revision, written, removed, store_silence_ms, uncertain);
+    }
+};
+
+using peer_message = std::variant<job_submission, job_release, job_answer, snapshot_request,
+                                  document_snapshot, document_subscription, document_changes>;
 
 struct peer_link_options
 {
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -71,9 +71,11 @@
         std::vector<std::string> inputs; // handles of the last stages' results
         std::uint64_t job = 0;           // ticket of the stages; 0: none
         event_splitter events;
-        std::string first_headers; // of a stream, from its first endpoint
-        unsigned runs = 0;         // attempts that may have run
-        unsigned refusals = 0;     // attempts that did not run
+        std::string first_headers;              // of a stream, from its first endpoint
+        unsigned runs = 0;                      // attempts that may have run
+        unsigned refusals = 0;                  // attempts that did not run
+        unsigned unreachable = 0;               // attempts that reached no endpoint
+        std::optional<kept_answer> last_answer; // failure of an endpoint, if no attempt does better
         bool repeatable = false;
     };
 
@@ -85,6 +87,8 @@
                                                       answer_writer& answer, attempt_state& state);
     std::string service_of(const running_request& request) const;
     std::string wanted_zone(const running_request& request, const std::vector<job_stage>& stages);
+    boost::asio::awaitable<result<void>> deliver_kept(const request_ptr& request,
+                                                      answer_writer& answer, attempt_state& state);
     boost::asio::awaitable<result<chosen_endpoint>> choose(const request_ptr& request,
                                                            const attempt_state& state);
     boost::asio::awaitable<attempt_result> attempt(const request_ptr& request,
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -19,6 +19,7 @@
 // Share of failed answers that ejects an endpoint whatever the others do. Services of today answer
 // one in seven repeatable requests with an error, so three errors in a row happen by chance.
 constexpr double certain_failures = 0.75;
+constexpr duration unreachable_pause = std::chrono::seconds(1);
 constexpr duration ejection = std::chrono::seconds(2);
 constexpr duration longest_ejection = std::chrono::seconds(8);
 
@@ -191,6 +192,16 @@
     found->second->chooser.finished(chosen.index, outcome, now);
 }
 
+void endpoint_pools::unreachable(const chosen_endpoint& chosen, time_point now)
+{
+    const auto found = pools_.find(chosen.target.service);
+    if (found == pools_.end() || !found->second->members.contains(chosen.target.id)) {
+        return;
+    }
+    found->second->chooser.exclude(chosen.index, serving::exclusion::refusing, true);
+    found->second->unreachable_until[chosen.target.id] = now + unreachable_pause;
+}
+
 void endpoint_pools::report(const chosen_endpoint& chosen, std::uint32_t running,
                             std::uint32_t waiting, time_point now)
 {
@@ -212,6 +223,18 @@
 void endpoint_pools::return_ejected(time_point now)
 {
     for (auto& [name, members] : pools_) {
+        for (auto entry = members->unreachable_until.begin();
+             entry != members->unreachable_until.end();) {
+            if (entry->second > now) {
+                ++entry;
+                continue;
+            }
+            if (const auto known = members->members.find(entry->first);
+                known != members->members.end()) {
+                members->chooser.exclude(known->second.first, serving::exclusion::refusing, false);
+            }
+            entry = members->unreachable_until.erase(entry);
+        }
         for (const auto& due : members->chooser.due_probes(now)) {
             // The endpoint comes back with one call at a time, which is the probe.
             members->chooser.probed(due.endpoint, true, now);
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -1,6 +1,7 @@
 #include <quetzal/gateway/member_table.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include <quetzal/base/hash.hpp>
@@ -273,6 +274,25 @@
     return owner;
 }
 
+std::vector<std::string> member_table::first_in_zone(std::string_view key, std::size_t count,
+                                                     time_point now) const
+{
+    const std::uint64_t hash = stable_hash(key);
+    std::vector<std::pair<std::uint64_t, std::string>> scored;
+    for (const member_record& member : live(now)) {
+        if (member.zone == self_.zone && !member.leaving) {
+            scored.emplace_back(rendezvous_score(hash, member.address), member.address);
+        }
+    }
+    std::sort(scored.begin(), scored.end(), std::greater<>());
+    scored.resize(std::min(scored.size(), count));
+    std::vector<std::string> addresses;
+    for (auto& [score, address] : scored) {
+        addresses.push_back(std::move(address));
+    }
+    return addresses;
+}
+
 std::optional<member_record> member_table::most_advanced(time_point now) const
 {
     std::optional<member_record> best;
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -22,6 +22,7 @@
 constexpr duration poll_interval = 15ms;       // while all endpoints are full
 constexpr std::size_t answer_limit = 8u << 20; // bytes of an answer that is not a stream
 constexpr unsigned refusal_limit = 3;          // endpoints that may refuse one request
+constexpr unsigned unreachable_limit = 6;      // endpoints that may be down at once for one request
 constexpr unsigned stray_answer_limit = 2;     // answers to other requests skipped on a connection
 // A repeatable request is tried elsewhere when its answer takes this many times the latency target.
 constexpr int slow_attempt_factor = 2;
@@ -201,7 +202,7 @@
     --running_;
     if (!outcome) {
         co_await refuse(*request, answer, status_of(outcome.error()), outcome.error());
-    } else {
+    } else if (!state.last_answer) {
         count(*request, "answered");
     }
 }
@@ -335,7 +336,7 @@
             co_return not_run(reason::no_endpoint, "no endpoint accepts work",
                               std::chrono::milliseconds(500));
         }
-        if (now >= patience_ends) {
+        if (now >= patience_ends || state.last_answer) {
             co_return not_run(reason::overloaded, "all endpoints are full");
         }
         asio::steady_timer timer(context_, poll_interval);
@@ -354,6 +355,9 @@
             co_return tl::unexpected(why);
         }
         auto chosen = co_await choose(request, state);
+        if (!chosen && state.last_answer && !answer.begun()) {
+            co_return co_await deliver_kept(request, answer, state);
+        }
         if (!chosen) {
             failure why = chosen.error();
             why.run = state.runs > 0 ? verdict::may_have_run : why.run;
@@ -369,12 +373,17 @@
         }
         auto ended = co_await attempt(request, answer, state, *chosen);
         if (std::holds_alternative<delivered>(ended)) {
+            state.last_answer.reset();
             co_return result<void>{};
         }
         auto& failed = std::get<attempt_failed>(ended);
         state.tried.push_back(chosen->target.id);
         const bool ran = failed.error.run != verdict::not_run;
-        (ran ? state.runs : state.refusals) += 1;
+        const bool unreachable = !ran && failed.error.why == reason::no_endpoint;
+        (ran ? state.runs : unreachable ? state.unreachable : state.refusals) += 1;
+        if (failed.answer) {
+            state.last_answer = std::move(failed.answer);
+        }
         const time_point now = boot_clock::now();
         if (failed.inputs_gone) {
             co_return not_run(reason::answer_mismatch, "the result of a stage has expired");
@@ -383,16 +392,8 @@
             continue;
         }
         if (!may_repeat(*request, state, failed, now)) {
-            if (failed.answer && !answer.begun()) {
-                auto& kept = *failed.answer;
-                count(*request, "endpoint_failed");
-                log_event("answer_failed", {{"request", request->message.id},
-                                            {"endpoint", chosen->target.id},
-                                            {"status", kept.status},
-                                            {"detail", failed.error.detail},
-                                            {"runs", state.runs}});
-                co_await answer.whole(kept.status, std::move(kept.headers), std::move(kept.body));
-                co_return result<void>{};
+            if (state.last_answer && !answer.begun()) {
+                co_return co_await deliver_kept(request, answer, state);
             }
             failure why = failed.error;
             why.run = state.runs > 0 ? verdict::may_have_run : why.run;
@@ -408,10 +409,25 @@
     }
 }
 
+asio::awaitable<result<void>>
+request_flow::deliver_kept(const request_ptr& request, answer_writer& answer, attempt_state& state)
+{
+    kept_answer& kept = *state.last_answer;
+    count(*request, "endpoint_failed");
+    log_event("answer_failed", {{"request", request->message.id},
+                                {"endpoint", state.tried.back()},
+                                {"status", kept.status},
+                                {"runs", state.runs}});
+    co_await answer.whole(kept.status, std::move(kept.headers), std::move(kept.body));
+    co_return result<void>{};
+}
+
 bool request_flow::may_repeat(const running_request& request, const attempt_state& state,
                               const attempt_failed& failed, time_point now)
 {
-    if (now + least_time_for_attempt >= request.deadline || state.refusals >= refusal_limit) {
+    if (now + least_time_for_attempt >= request.deadline || state.refusals >= refusal_limit ||
+        state.unreachable >= unreachable_limit)
+    {
         return false;
     }
     const bool ran = failed.error.run != verdict::not_run;
@@ -483,6 +499,7 @@
     auto taken = co_await channels_.take(chosen.target, connect_timeout);
     attempt_result ended = attempt_failed{};
     if (!taken) {
+        pools_.unreachable(chosen, boot_clock::now());
         ended = attempt_failed{
             {verdict::not_run, reason::no_endpoint, taken.error().detail, {}}, {}, false};
     } else if (!view_.accepts_work(chosen.target) || request->aborted()) {
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -368,6 +368,34 @@
     });
 }
 
+// Guards against a repeat that finds no endpoint and hides the answer of the first one, and against
+// crashed endpoints that use up the attempts of a request.
+Test(request_flow, endpoints_that_are_gone)
+{
+    section("given a failure of the only endpoint", [] {
+        gateway_fixture gateway(route_kind::idempotent, false,
+                                {{{answer_of("1", "no", "500 Error")}}});
+        const time_point sent = boot_clock::now();
+        const auto answer = gateway.serve("1");
+        check(answer.status_ == 500 && answer.body_ == "no", "its answer is passed on");
+        check(boot_clock::now() - sent < milliseconds(80), "at once");
+    });
+    section("given four endpoints that are down and one that works", [] {
+        gateway_fixture gateway(route_kind::non_idempotent, false, {{{answer_of("1", "x")}}});
+        for (int down = 0; down < 4; ++down) {
+            asio::ip::tcp::acceptor port(gateway.context, {asio::ip::make_address("127.0.0.1"), 0});
+            gateway::endpoint value;
+            value.id = "down" + std::to_string(down);
+            value.service = "s";
+            value.zone = "z";
+            value.address = port.local_endpoint(); // closed at the end of this step
+            gateway.view.put_endpoint(value);
+        }
+        gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+        check(gateway.serve("1").body_ == "x", "the request reaches it");
+    });
+}
+
 // Guards against streams that lose, double or join events.
 Test(request_flow, streams)
 {
