--- a/apps/quetzalctl/explain.cpp
+++ b/apps/quetzalctl/explain.cpp
@@ -77,7 +77,12 @@
     for (const auto& [name, value] : line.fields) {
         const std::string_view key(name.data(), name.size());
         if (key != "time_ms" && key != "instance" && key != "event" && key != "request") {
-            std::printf("  %s=%s", std::string(key).c_str(), text_field(line.fields, key).c_str());
+            // Texts with spaces keep their quotation marks.
+            std::string text = text_field(line.fields, key);
+            if (text.find(' ') != std::string::npos) {
+                text = "\"" + text + "\"";
+            }
+            std::printf("  %s=%s", std::string(key).c_str(), text.c_str());
         }
     }
     std::printf("\n");
--- a/apps/quetzalctl/options.hpp
+++ b/apps/quetzalctl/options.hpp
@@ -8,7 +8,7 @@
 
 namespace quetzal::ctl {
 
-// Exit codes, docs/operations.md.
+// Exit codes, docs/OPERATIONS.md.
 inline constexpr int exit_ok = 0;
 inline constexpr int exit_failed = 1;  // an instance did not answer, or an answer was a refusal
 inline constexpr int exit_invalid = 2; // wrong command line or an invalid file
--- a/libs/node/include/quetzal/node/operator_api.hpp
+++ b/libs/node/include/quetzal/node/operator_api.hpp
@@ -1,7 +1,7 @@
 #ifndef QUETZAL_NODE_OPERATOR_API_HPP
 #define QUETZAL_NODE_OPERATOR_API_HPP
 
-// The HTTP interface to operators, docs/operations.md: health, metrics, status, explanations, burn,
+// The HTTP interface to operators, docs/OPERATIONS.md: health, metrics, status, explanations, burn,
 // drain.
 
 #include <functional>
