--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-
 constexpr std::uint64_t kibibyte = 1u << 10;
 constexpr std::uint64_t mebibyte = kibibyte << 10;
 constexpr std::uint64_t gibibyte = mebibyte << 10;
--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -39,10 +39,7 @@
     time_point received;
     std::optional<duration> patience; // how long the caller waits, from `received`
 
-    std::string_view path() const
-    {
-        return std::string_view(target).substr(0, target.find('?'));
-    }
+    std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
 };
 
 // A request while it is being worked on. `abort` ends the work early.
@@ -63,7 +60,7 @@
     caller_request message;
     std::shared_ptr<const route> matched;
     caller_identity caller;
-    int priority = 0; // effective: of the customer, else of the route
+    int priority = 0;        // effective: of the customer, else of the route
     time_point deadline;     // the caller's or the route's, whichever is earlier
     time_point target_until; // the answer earns its full worth until then
 
--- a/libs/gateway/include/quetzal/gateway/caller_server.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_server.hpp
@@ -20,8 +20,8 @@
 struct caller_server_options
 {
     boost::asio::ip::tcp::endpoint address;
-    std::size_t connections = 2000;         // open at once; further ones are closed at once
-    std::size_t body_memory = 96u << 20;    // bytes of all bodies that are being read or served
+    std::size_t connections = 2000;      // open at once; further ones are closed at once
+    std::size_t body_memory = 96u << 20; // bytes of all bodies that are being read or served
 };
 
 class caller_server
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -20,9 +20,15 @@
 constexpr std::size_t prompt_parts_limit = 64; // parts of one prompt
 
 // Headers that concern only one connection.
-constexpr std::array<std::string_view, 9> connection_headers{
-    "connection",    "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
-    "te",            "trailer",    "transfer-encoding",  "upgrade"};
+constexpr std::array<std::string_view, 9> connection_headers{"connection",
+                                                             "keep-alive",
+                                                             "proxy-authenticate",
+                                                             "proxy-authorization",
+                                                             "proxy-connection",
+                                                             "te",
+                                                             "trailer",
+                                                             "transfer-encoding",
+                                                             "upgrade"};
 
 std::string lower(std::string_view text)
 {
@@ -33,7 +39,10 @@
     return result;
 }
 
-std::string_view view_of(boost::beast::string_view text) { return {text.data(), text.size()}; }
+std::string_view view_of(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
 
 bool equal_name(std::string_view left, std::string_view right)
 {
@@ -167,8 +176,7 @@
         const auto comma = text.find(',');
         request.prompt_tokens = parse_number<std::uint32_t>(text.substr(0, comma)).value_or(0);
         if (comma != std::string_view::npos) {
-            request.output_tokens =
-                parse_number<std::uint32_t>(text.substr(comma + 1)).value_or(0);
+            request.output_tokens = parse_number<std::uint32_t>(text.substr(comma + 1)).value_or(0);
         }
     }
     const auto listed = listed_names(headers);
@@ -196,7 +204,8 @@
     for (const auto& header : headers) {
         const auto name = view_of(header.name_string());
         if (!is_connection_header(name) && !equal_name(name, "content-length") &&
-            !listed.contains(lower(name))) {
+            !listed.contains(lower(name)))
+        {
             append_line(lines, name, view_of(header.value()));
         }
     }
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -174,7 +174,8 @@
     const char* begin = text.data() + found + parameter.size();
     unsigned seconds = 0;
     if (const auto [end, error] = std::from_chars(begin, text.data() + text.size(), seconds);
-        error != std::errc{}) {
+        error != std::errc{})
+    {
         return std::nullopt;
     }
     return std::chrono::seconds(seconds);
@@ -190,8 +191,10 @@
 failure channel::broken(std::string detail)
 {
     failed_ = true;
-    return {verdict::may_have_run, reason::endpoint_failed,
-            timed_out_ ? "endpoint timed out" : std::move(detail), {}};
+    return {verdict::may_have_run,
+            reason::endpoint_failed,
+            timed_out_ ? "endpoint timed out" : std::move(detail),
+            {}};
 }
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t queued_lines = 4096; // further lines replace the oldest
+constexpr std::size_t queued_lines = 4096;     // further lines replace the oldest
 constexpr std::uint32_t lines_per_second = 40; // of one kind of event
 
 // Allows `lines_per_second` lines of one kind of event and counts the rest.
@@ -62,9 +62,9 @@
     spdlog::init_thread_pool(queued_lines, 1);
     auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     state().instance = instance;
-    state().logger = std::make_shared<spdlog::async_logger>(
-        "decisions", std::move(sink), spdlog::thread_pool(),
-        spdlog::async_overflow_policy::overrun_oldest);
+    state().logger =
+        std::make_shared<spdlog::async_logger>("decisions", std::move(sink), spdlog::thread_pool(),
+                                               spdlog::async_overflow_policy::overrun_oldest);
     state().logger->set_pattern("%v");
     state().logger->flush_on(spdlog::level::info);
 }
@@ -120,7 +120,8 @@
 
 std::uint64_t log_lines_left_out()
 {
-    return state().left_out + (spdlog::thread_pool() ? spdlog::thread_pool()->overrun_counter() : 0);
+    return state().left_out +
+           (spdlog::thread_pool() ? spdlog::thread_pool()->overrun_counter() : 0);
 }
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/lazy_deadline.cpp
+++ b/libs/gateway/src/lazy_deadline.cpp
@@ -39,7 +39,10 @@
     }
 }
 
-void lazy_deadline::clear() noexcept { state_->due.reset(); }
+void lazy_deadline::clear() noexcept
+{
+    state_->due.reset();
+}
 
 void lazy_deadline::wait(const std::shared_ptr<state>& self)
 {
--- a/libs/gateway/src/stage_plan.cpp
+++ b/libs/gateway/src/stage_plan.cpp
@@ -113,7 +113,8 @@
         std::uint32_t count = 0;
         const auto [after, error] = std::from_chars(position, end, count);
         if (error != std::errc{} || count > most_pieces || total + count > most_pieces ||
-            (after != end && *after != ',')) {
+            (after != end && *after != ','))
+        {
             return std::nullopt;
         }
         total += count;
