Give duties for the fleet to the strongest machines

Cause: machines of the grown deployments have 0.12 to 0.5 cores and 10 to 200 Mbit/s.

Change: instances tell the strength of their machine (the scarcer of processor and link); conductors and readers of the store are the strongest, by rendezvous order among equals.

--- a/apps/quetzalctl/explain.cpp
+++ b/apps/quetzalctl/explain.cpp
@@ -80,7 +80,7 @@
             // Texts with spaces keep their quotation marks.
             std::string text = text_field(line.fields, key);
             if (text.find(' ') != std::string::npos) {
-                text = "\"" + text + "\"";
+                text.insert(0, 1, '"').push_back('"');
             }
             std::printf("  %s=%s", std::string(key).c_str(), text.c_str());
         }
--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -25,8 +25,10 @@
     std::uint64_t serial = 0;
     std::string zone;
     std::uint16_t caller_port = 0;
-    bool ready = false;              // takes callers
-    bool leaving = false;            // is stopping
+    bool ready = false;   // takes callers
+    bool leaving = false; // is stopping
+    // How much its machine can carry: the scarcer of processor and link, see `machine_strength`.
+    std::uint32_t strength = 1;
     bool settled = false;            // has run for long enough to take over duties
     std::uint64_t revision = 0;      // of the published documents that it has seen
     std::uint64_t configuration = 0; // version of the configuration in force there
@@ -34,8 +36,8 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(address, incarnation, serial, zone, caller_port, ready, leaving, settled, revision,
-                configuration);
+        archive(address, incarnation, serial, zone, caller_port, ready, leaving, settled, strength,
+                revision, configuration);
     }
 };
 
@@ -64,6 +66,10 @@
     }
 };
 
+// Returns how much a machine can carry in duties for the fleet, from its cores (a share of one, or
+// several) and its link in megabits a second. A quarter of a core and 50 Mbit/s count as 4.
+std::uint32_t machine_strength(double cores, double link_mbps);
+
 struct member_table_options
 {
     // An instance is taken for dead when nothing proves it alive for this long. In fleets of more
@@ -139,8 +145,9 @@
     // Number of live instances that go before this one for the key, by rendezvous score.
     std::size_t rank_for(std::string_view key, time_point now) const;
 
-    // The instance that has the duty named by the key: the one with the greatest rendezvous score
-    // among the live instances that are settled, or among all if none is settled; this
+    // The instance that has the duty named by the key: the one on the strongest machine, by
+    // rendezvous score among equals,
+    // of the live instances that are settled, or among all if none is settled; this
     // instance if it knows no other.
     std::string owner_of(std::string_view key, time_point now) const;
 
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 #include <quetzal/base/hash.hpp>
@@ -17,6 +18,14 @@
 
 } // namespace
 
+std::uint32_t machine_strength(double cores, double link_mbps)
+{
+    constexpr double strength_per_core = 16;
+    constexpr double megabits_per_strength = 12.5;
+    const double strength = std::min(cores * strength_per_core, link_mbps / megabits_per_strength);
+    return static_cast<std::uint32_t>(std::clamp(strength, 1.0, 1000.0));
+}
+
 member_table::member_table(member_table_options options, member_record self, time_point now)
     : options_(options), self_(std::move(self)), started_(now)
 {
@@ -254,12 +263,13 @@
     const std::uint64_t hash = stable_hash(key);
     std::string owner = self_.address;
     // Settled instances go before others; an instance without a configuration serves only itself.
-    std::pair<int, std::uint64_t> best(0, 0);
+    std::tuple<int, std::uint32_t, std::uint64_t> best(0, 0, 0);
     const auto consider = [&](const member_record& candidate) {
         if (candidate.configuration == 0 || candidate.leaving) {
             return;
         }
-        const std::pair rank(candidate.settled ? 2 : 1, rendezvous_score(hash, candidate.address));
+        const std::tuple rank(candidate.settled ? 2 : 1, candidate.strength,
+                              rendezvous_score(hash, candidate.address));
         if (rank > best) {
             best = rank;
             owner = candidate.address;
@@ -278,15 +288,17 @@
                                                      time_point now) const
 {
     const std::uint64_t hash = stable_hash(key);
-    std::vector<std::pair<std::uint64_t, std::string>> scored;
+    std::vector<std::pair<std::pair<std::uint32_t, std::uint64_t>, std::string>> scored;
     for (const member_record& member : live(now)) {
         if (member.zone == self_.zone && !member.leaving) {
-            scored.emplace_back(rendezvous_score(hash, member.address), member.address);
+            scored.emplace_back(std::pair(member.strength, rendezvous_score(hash, member.address)),
+                                member.address);
         }
     }
     std::sort(scored.begin(), scored.end(), std::greater<>());
     scored.resize(std::min(scored.size(), count));
     std::vector<std::string> addresses;
+    addresses.reserve(scored.size());
     for (auto& [score, address] : scored) {
         addresses.push_back(std::move(address));
     }
--- a/libs/gateway/src/member_table_test.cpp
+++ b/libs/gateway/src/member_table_test.cpp
@@ -174,6 +174,27 @@
     });
 }
 
+// Guards against duties on the smallest machine of a fleet, which cannot carry them.
+Test(member_table, strong_machines_have_the_duties)
+{
+    check(machine_strength(0.25, 1000) == 4 && machine_strength(0.5, 10) == 1,
+          "the scarcer counts");
+    member_record self;
+    self.address = "10.0.0.1";
+    self.configuration = 1;
+    member_table table({}, self, start);
+    for (int index = 2; index < 30; ++index) {
+        heartbeat message;
+        message.sender.record.address = "10.0.0." + std::to_string(index);
+        message.sender.record.configuration = 1;
+        message.sender.record.strength = index == 17 ? 8 : 2;
+        table.take(message, start);
+    }
+    for (const char* key : {"stages", "a", "b", "c"}) {
+        check(table.owner_of(key, start) == "10.0.0.17", "the strongest has it");
+    }
+}
+
 Test(member_table, joining)
 {
     section("given a start", [] {
