Look for the caller's close right before each send

Change: the connection is looked at right before a request is sent to an endpoint; a test counts what arrives.

--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -86,6 +86,10 @@
     // Whether a stream has begun.
     virtual bool begun() const = 0;
 
+    // Whether the caller has closed its connection, although the event may not have been handled
+    // yet because the process is busy.
+    virtual bool caller_gone() = 0;
+
     // Gives up the connection, so that the answer does not look complete.
     virtual void cut() = 0;
 };
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -170,6 +170,13 @@
 
     bool begun() const override { return stream_begun; }
 
+    bool caller_gone() override
+    {
+        char byte = 0;
+        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     void cut() override { close(); }
 
     // Aborts the request when the caller closes the connection while it is being served. Bytes of a
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -502,6 +502,14 @@
         pools_.unreachable(chosen, boot_clock::now());
         ended = attempt_failed{
             {verdict::not_run, reason::no_endpoint, taken.error().detail, {}}, {}, false};
+    } else if (!request->aborted() && answer.caller_gone()) {
+        request->abort({verdict::may_have_run, reason::cancelled, "the caller closed", {}});
+        outcome.counts = false;
+        channels_.give_back(chosen.target, *taken, boot_clock::now());
+        ended = attempt_failed{
+            {verdict::not_run, reason::cancelled, "the caller closed before the send", {}},
+            {},
+            false};
     } else if (!view_.accepts_work(chosen.target) || request->aborted()) {
         // The view has changed while the connection was opened.
         outcome.counts = false;
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -148,6 +148,7 @@
     }
 
     bool begun() const override { return begun_; }
+    bool caller_gone() override { return gone_; }
     void cut() override { cut_ = true; }
 
     unsigned status_ = 0;
@@ -155,6 +156,7 @@
     bool begun_ = false;
     bool complete_ = false;
     bool cut_ = false;
+    bool gone_ = false;
 };
 
 header_names test_names()
@@ -323,6 +325,20 @@
     });
 }
 
+// Guards against requests that a busy process sends on although their caller has left.
+Test(request_flow, a_caller_that_left_before_the_send)
+{
+    gateway_fixture gateway(route_kind::idempotent, false, {{{answer_of("1", "x")}}});
+    kept_answer answer;
+    answer.gone_ = true;
+    auto request =
+        std::make_shared<running_request>(gateway_fixture::make_message("1", "key", "/a/"));
+    asio::co_spawn(gateway.context, gateway.flow.serve(request, answer), asio::detached);
+    gateway.context.run_for(milliseconds(100));
+    check(gateway.arrivals() == 0, "nothing reaches an endpoint");
+    check(answer.cut_, "the connection is given up");
+}
+
 // Guards against answers that are not the endpoint's, or not to this request.
 Test(request_flow, answers)
 {
