Share what the call endings and the gateway's tests had twice

One function takes an ended call out of the scheduler's list, one header names the headers of the tests; parameters that nothing used are gone. Behaviour is unchanged.

--- a/libs/gateway/include/quetzal/gateway/catalog.hpp
+++ b/libs/gateway/include/quetzal/gateway/catalog.hpp
@@ -142,7 +142,7 @@
 {
 public:
     // Takes a configuration unless an equal or newer one is known. Returns whether it was taken.
-    bool take(published_configuration configuration, time_point now);
+    bool take(published_configuration configuration);
 
     // Adds or replaces an endpoint.
     void put_endpoint(endpoint value);
--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -145,9 +145,8 @@
     // Number of live instances that go before this one for the key, by rendezvous score.
     std::size_t rank_for(std::string_view key, time_point now) const;
 
-    // The instance that has the duty named by the key: the one on the strongest machine, by
-    // rendezvous score among equals,
-    // of the live instances that are settled, or among all if none is settled; this
+    // The instance that has the duty named by the key: of the live instances that are settled, or
+    // of all if none is, the one on the strongest machine, by rendezvous score among equals. This
     // instance if it knows no other.
     std::string owner_of(std::string_view key, time_point now) const;
 
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -205,6 +206,8 @@
     void commit(const running_job& job, std::size_t stage, std::uint32_t pieces, int direction);
     void commit_open(const running_job& job, int direction);
     void note_arrival(const stage_job& content, time_point now);
+    // Takes a call out of the list and gives its slot and reserved memory back to its worker.
+    std::optional<running_call> take_ended(std::uint64_t number);
     void copy_slow_calls(time_point now);
     void note_slow(worker& used, time_point now);
     void queue_piece(const called_piece& piece, time_point now);
--- a/libs/gateway/src/caller_request_test.cpp
+++ b/libs/gateway/src/caller_request_test.cpp
@@ -4,33 +4,17 @@
 #include <quetzal/gateway/caller_request.hpp>
 #include <quetzal/testing/section.hpp>
 
+#include "test_names.hpp"
+
 using namespace quetzal;
 using namespace quetzal::gateway;
+using quetzal::gateway::testing::test_names;
 using quetzal::testing::check;
 using quetzal::testing::section;
 namespace http = boost::beast::http;
 
 namespace {
 
-header_names test_names()
-{
-    header_names names;
-    names.request_id = "Id";
-    names.deadline = "Deadline";
-    names.key = "Key";
-    names.last_event_id = "Last-Event-Id";
-    names.prompt_parts = "Prompt";
-    names.token_usage = "Usage";
-    names.piece_counts = "Pieces";
-    names.piece_key = "Piece-Key";
-    names.customer = "Customer";
-    names.expected_endpoint = "Expect-Endpoint";
-    names.priority = "Priority";
-    names.inputs = "Inputs";
-    names.reserved = {"Hold", "Kv-From"};
-    return names;
-}
-
 result<caller_request> read(const http::fields& headers, std::string target = "/a/?q=1")
 {
     return read_caller_request("POST", std::move(target), headers, "body", test_names(), {});
--- a/libs/gateway/src/caller_server_test.cpp
+++ b/libs/gateway/src/caller_server_test.cpp
@@ -10,32 +10,17 @@
 #include <quetzal/gateway/caller_server.hpp>
 #include <quetzal/testing/section.hpp>
 
+#include "test_names.hpp"
+
 using namespace quetzal;
 using namespace quetzal::gateway;
+using quetzal::gateway::testing::test_names;
 using quetzal::testing::check;
 using quetzal::testing::section;
 namespace asio = boost::asio;
 
 namespace {
 
-header_names test_names()
-{
-    header_names names;
-    names.request_id = "Id";
-    names.deadline = "Deadline";
-    names.key = "Key";
-    names.last_event_id = "Last-Event-Id";
-    names.prompt_parts = "Prompt";
-    names.token_usage = "Usage";
-    names.piece_counts = "Pieces";
-    names.piece_key = "Piece-Key";
-    names.customer = "Customer";
-    names.expected_endpoint = "Expect";
-    names.priority = "Priority";
-    names.inputs = "Inputs";
-    return names;
-}
-
 published_configuration configuration(std::uint64_t version, duration idle)
 {
     published_configuration value;
@@ -58,7 +43,7 @@
                      co_await answer.whole(200, std::move(headers), std::move(body));
                  })
     {
-        view.take(configuration(1, std::chrono::seconds(5)), boot_clock::now());
+        view.take(configuration(1, std::chrono::seconds(5)));
         check(server.start().has_value(), "the server listens");
         caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
     }
@@ -111,8 +96,7 @@
             zero.limits.header_timeout = zero.limits.idle_timeout = duration::zero();
             std::vector<std::shared_ptr<const published_configuration>> reused;
             for (std::uint64_t version = 2; version < 6; ++version) {
-                connection.view.take(configuration(version, std::chrono::seconds(5)),
-                                     boot_clock::now());
+                connection.view.take(configuration(version, std::chrono::seconds(5)));
                 for (int copies = 0; copies < 16; ++copies) {
                     reused.push_back(std::make_shared<const published_configuration>(zero));
                 }
--- a/libs/gateway/src/catalog.cpp
+++ b/libs/gateway/src/catalog.cpp
@@ -5,7 +5,7 @@
 
 namespace quetzal::gateway {
 
-bool catalog::take(published_configuration configuration, time_point)
+bool catalog::take(published_configuration configuration)
 {
     if (configured() && configuration.version <= configuration_->version) {
         return false;
--- a/libs/gateway/src/catalog_test.cpp
+++ b/libs/gateway/src/catalog_test.cpp
@@ -54,7 +54,7 @@
         check(view.find_route("h", "/a/") == nullptr, "no route matches");
     });
     section("with a configuration", [&] {
-        check(view.take(make_configuration(7), now), "it is taken");
+        check(view.take(make_configuration(7)), "it is taken");
         check(view.find_route("h", "/a/b/c")->name == "long", "the longest prefix wins");
         check(view.find_route("h", "/a/x")->name == "short", "a shorter one otherwise");
         check(view.find_route("h", "/b/") == nullptr, "nothing matches another path");
@@ -62,15 +62,15 @@
         check(!view.find_customer("key-3"), "others find none");
     });
     section("an older or equal version never replaces a newer one", [&] {
-        check(!view.take(make_configuration(6), now), "older");
-        check(!view.take(make_configuration(7), now), "equal");
+        check(!view.take(make_configuration(6)), "older");
+        check(!view.take(make_configuration(7)), "equal");
         check(view.version() == 7, "the newest stays in force");
     });
     section("a route outlives the configuration that it came from", [&] {
         const auto held = view.find_route("h", "/a/x");
         auto next = make_configuration(8);
         next.routes.clear();
-        view.take(std::move(next), now);
+        view.take(std::move(next));
         check(held->name == "short" && view.find_route("h", "/a/x") == nullptr,
               "a request in progress keeps it, a new one does not find it");
     });
@@ -80,7 +80,7 @@
 Test(catalog, endpoints)
 {
     catalog view;
-    view.take(make_configuration(1), now);
+    view.take(make_configuration(1));
     view.put_endpoint(make_endpoint("e", 1));
     const endpoint seen = *view.find_endpoint("e");
     check(view.accepts_work(seen), "a listed endpoint accepts work");
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -19,8 +19,11 @@
 #include <quetzal/gateway/request_flow.hpp>
 #include <quetzal/testing/section.hpp>
 
+#include "test_names.hpp"
+
 using namespace quetzal;
 using namespace quetzal::gateway;
+using quetzal::gateway::testing::test_names;
 using quetzal::testing::check;
 using quetzal::testing::section;
 namespace asio = boost::asio;
@@ -159,27 +162,6 @@
     bool gone_ = false;
 };
 
-header_names test_names()
-{
-    header_names names;
-    names.request_id = "Id";
-    names.deadline = "Deadline";
-    names.key = "Key";
-    names.last_event_id = "Last-Event-Id";
-    names.customer = "Customer";
-    names.expected_endpoint = "Expect-Endpoint";
-    names.priority = "Priority";
-    names.inputs = "Inputs";
-    names.signature = "Sign";
-    names.not_run = "Not-Run";
-    names.load = "Load";
-    names.prompt_parts = "Prompt";
-    names.token_usage = "Usage";
-    names.piece_counts = "Pieces";
-    names.piece_key = "Piece-Key";
-    return names;
-}
-
 // A gateway with one route and some endpoints.
 class gateway_fixture
 {
@@ -209,7 +191,7 @@
         service.max_connections = 50;
         configuration.services.push_back(service);
         configuration.customers.push_back({"c", {"key"}, {}});
-        view.take(configuration, boot_clock::now());
+        view.take(configuration);
         for (auto& reactions : endpoint_reactions) {
             endpoints.push_back(std::make_unique<fake_endpoint>(context, std::move(reactions)));
             gateway::endpoint value;
@@ -454,7 +436,7 @@
     section("when the key is withdrawn", [&] {
         gateway.configuration.version = 2;
         gateway.configuration.customers.front().keys = {"other"};
-        gateway.view.take(gateway.configuration, boot_clock::now());
+        gateway.view.take(gateway.configuration);
         check(gateway.serve("1").status_ == 401, "it stops working");
         check(gateway.arrivals() == 0, "nothing reaches an endpoint");
     });
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -548,20 +548,31 @@
     return actions;
 }
 
-scheduler_actions stage_scheduler::call_ended(std::uint64_t number,
-                                              const std::vector<piece_outcome>& outcomes,
-                                              time_point now)
+std::optional<stage_scheduler::running_call> stage_scheduler::take_ended(std::uint64_t number)
 {
-    action_list actions;
     const auto found = calls_.find(number);
     if (found == calls_.end()) {
-        return actions;
+        return std::nullopt;
     }
-    const running_call call = std::move(found->second);
+    running_call call = std::move(found->second);
     calls_.erase(found);
     worker& used = workers_[call.endpoint_id];
     used.calls -= used.calls > 0 ? 1 : 0;
     used.reserved -= std::min(used.reserved, call.reserved);
+    return call;
+}
+
+scheduler_actions stage_scheduler::call_ended(std::uint64_t number,
+                                              const std::vector<piece_outcome>& outcomes,
+                                              time_point now)
+{
+    action_list actions;
+    const auto ended = take_ended(number);
+    if (!ended) {
+        return actions;
+    }
+    const running_call& call = *ended;
+    worker& used = workers_[call.endpoint_id];
     used.failures = 0;
     if (now - call.started <= scaled(call.expected, slow_factor)) {
         used.slow_calls = 0;
@@ -609,15 +620,12 @@
                                                time_point now)
 {
     action_list actions;
-    const auto found = calls_.find(number);
-    if (found == calls_.end()) {
+    const auto ended = take_ended(number);
+    if (!ended) {
         return actions;
     }
-    const running_call call = std::move(found->second);
-    calls_.erase(found);
+    const running_call& call = *ended;
     worker& used = workers_[call.endpoint_id];
-    used.calls -= used.calls > 0 ? 1 : 0;
-    used.reserved -= std::min(used.reserved, call.reserved);
     if (full) {
         used.full_until = now + full_avoidance;
     } else {
--- a/libs/gateway/src/stage_scheduler_test.cpp
+++ b/libs/gateway/src/stage_scheduler_test.cpp
@@ -29,7 +29,7 @@
         published_configuration configuration;
         configuration.version = 1;
         configuration.services.push_back(service);
-        view.take(std::move(configuration), start);
+        view.take(std::move(configuration));
         for (std::size_t index = 0; index < endpoints; ++index) {
             endpoint value;
             value.id = "e" + std::to_string(index);
