Drop a branch that cannot be reached and correct a comment

A match at the start of the events is handled by the branch before it, so the second check for it was dead. The limit on pauses of a stream is a fixed length, not a multiple of its latency target. Behaviour is unchanged; event_splitter_test, request_flow_test and the format check pass, the linter is clean on the first file.

--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -65,9 +65,6 @@
             last_id_ = std::string(value);
             return;
         }
-        if (found == 0) {
-            return;
-        }
         from = found - 1;
     }
 }
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -27,7 +27,7 @@
 // A repeatable request is tried elsewhere when its answer takes this many times the latency target.
 constexpr int slow_attempt_factor = 2;
 constexpr duration least_attempt_timeout = 400ms;
-// A resumable stream is resumed elsewhere after a pause this many times its latency target.
+// A resumable stream is resumed elsewhere after a pause of this length.
 constexpr duration stream_pause_limit = 1500ms;
 constexpr duration least_time_for_attempt = 20ms;
 constexpr unsigned status_bad_request = 400;
