Require the whole committee while its voters started recently

Cause: a voter that starts with a new instance list doesn't know the former one.

Ruled out: a longer silence after each start.

Change: for list_spread + lease + margin after its start a voter marks its grants; a holder counts marked grants only when the whole committee grants. The datagram format is now 2.

--- a/libs/peer/include/quetzal/peer/codec.hpp
+++ b/libs/peer/include/quetzal/peer/codec.hpp
@@ -16,7 +16,7 @@
 namespace quetzal::peer {
 
 inline constexpr std::size_t max_datagram_size = 1400; // bytes; fits one Ethernet frame
-inline constexpr std::uint8_t format_version = 1;
+inline constexpr std::uint8_t format_version = 2;
 
 // One secret shared by all instances.
 struct peer_key
--- a/libs/peer/include/quetzal/peer/messages.hpp
+++ b/libs/peer/include/quetzal/peer/messages.hpp
@@ -117,6 +117,7 @@
     versions known;
     std::chrono::milliseconds lease{};
     std::uint64_t members = 0; // digest of the members from which the voter computes committees
+    bool recent_start = false; // the voter may not know every committee that is in use elsewhere
     std::vector<acquired_partition> acquired;
     std::vector<refused_partition> refused;
 };
--- a/libs/peer/src/codec.cpp
+++ b/libs/peer/src/codec.cpp
@@ -62,7 +62,8 @@
 template <class Archive>
 void serialize(Archive& archive, renew_grant& value)
 {
-    archive(value.sequence, value.known, value.lease, value.members, value.acquired, value.refused);
+    archive(value.sequence, value.known, value.lease, value.members, value.recent_start,
+            value.acquired, value.refused);
 }
 
 template <class Archive>
--- a/libs/rights/include/quetzal/rights/holder.hpp
+++ b/libs/rights/include/quetzal/rights/holder.hpp
@@ -3,7 +3,8 @@
 
 // The partitions that this instance holds or tries to get. Every grant counts from the moment its
 // request was sent, less the drift margin, by this instance's boot clock. A partition is held while
-// a quorum of grants is valid whose voters know its fencing number.
+// a quorum of grants is valid whose voters know its fencing number. Grants of voters that started
+// recently don't know of former committees, so with them the whole committee is needed.
 
 #include <algorithm>
 #include <array>
@@ -97,11 +98,13 @@
         std::uint64_t fence = 0;        // fencing number that the voter has been told
         std::uint64_t former_fence = 0; // that it had seen before
         time_point former_until{};
+        bool recent_start = false; // of the voter
     };
     struct ballot // grants asked for under one committee
     {
         std::uint64_t members = 0;
         std::size_t quorum = 0;
+        std::size_t committee_size = 0;
         std::vector<grant_record> grants;
     };
     struct partition_state
--- a/libs/rights/include/quetzal/rights/options.hpp
+++ b/libs/rights/include/quetzal/rights/options.hpp
@@ -12,8 +12,9 @@
 // The safety mechanisms. A test switches one off to show that the harness then finds a violation.
 struct safeguards
 {
-    bool quorum = true;             // two thirds of the committee, not a third
-    bool voter_silence = true;      // a started voter waits for its predecessor's grants to end
+    bool quorum = true;        // two thirds of the committee, not a third
+    bool voter_silence = true; // a started voter waits for its predecessor's grants to end
+    bool recent_starts = true; // grants of voters that started recently count only if all grant
     bool count_from_sending = true; // a holder counts a lease from sending, not from receiving
     bool drift_margin = true;       // a holder uses a tenth less than the lease
     bool list_check = true;         // voters compare committees and are silent after large changes
--- a/libs/rights/include/quetzal/rights/voter.hpp
+++ b/libs/rights/include/quetzal/rights/voter.hpp
@@ -3,6 +3,8 @@
 
 // The votes of one instance. A voter grants each partition to one process at a time and keeps its
 // votes in memory only; after a start it is silent until every grant of its predecessor has ended.
+// Former committees may be in use elsewhere for `list_spread` + a lease; until then its grants say
+// that it has started recently.
 // Memory: one vote for each partition and at most `max_history` former committee tables.
 
 #include <array>
@@ -78,6 +80,7 @@
 
     instance_id self_;
     options settings_;
+    time_point recent_until_; // former committees unknown to this voter may be in use until then
     std::shared_ptr<const committee_table> committees_;
     std::deque<former_table> history_;
     std::array<vote, peer::partition_count> votes_;
--- a/libs/rights/src/holder.cpp
+++ b/libs/rights/src/holder.cpp
@@ -32,6 +32,7 @@
             current = {};
         }
         current.members = committees->digest();
+        current.committee_size = committees->size();
         current.quorum = settings_.safe.quorum ? committees->quorum()
                                                : std::max<std::size_t>(1, committees->size() / 3);
     }
@@ -73,16 +74,25 @@
     }
     std::array<time_point, max_committee> ends{};
     std::size_t count = 0;
+    std::size_t granted = 0;
+    time_point all_until = time_point::max();
     for (const auto& grant : votes.grants) {
-        if (grant.fence >= fence && count < ends.size()) {
+        if (grant.fence < fence || count >= ends.size()) {
+            continue;
+        }
+        ++granted;
+        all_until = std::min(all_until, grant.valid_until);
+        if (!grant.recent_start) {
             ends[count++] = grant.valid_until;
         }
     }
+    const bool whole_committee = granted > 0 && granted >= votes.committee_size;
+    const time_point by_whole_committee = whole_committee ? all_until : time_point{};
     if (count < votes.quorum) {
-        return {};
+        return by_whole_committee;
     }
     std::sort(ends.begin(), ends.begin() + static_cast<std::ptrdiff_t>(count), std::greater<>());
-    return ends[votes.quorum - 1];
+    return std::max(ends[votes.quorum - 1], by_whole_committee);
 }
 
 time_point holder::until(const partition_state& state) const
@@ -206,6 +216,7 @@
     grant_record& entry = record_of(votes->grants, sent.to);
     extend(entry, grant.known.config, valid_until);
     entry.fence = std::max(entry.fence, sent.fence);
+    entry.recent_start = grant.recent_start;
     const auto acquired =
         std::ranges::find(grant.acquired, partition, &peer::acquired_partition::partition);
     if (acquired != grant.acquired.end()) {
@@ -360,6 +371,7 @@
 {
     ballot contacts;
     contacts.quorum = committees_ ? committees_->quorum() : 0;
+    contacts.committee_size = own_committee_.size();
     for (const auto& contact : contacts_) {
         if (std::ranges::find(own_committee_, contact.voter) != own_committee_.end()) {
             contacts.grants.push_back(contact);
--- a/libs/rights/src/voter.cpp
+++ b/libs/rights/src/voter.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 voter::voter(instance_id self, const options& settings, time_point start)
-    : self_(std::move(self)), settings_(settings)
+    : self_(std::move(self)), settings_(settings),
+      recent_until_(start + settings.list_spread + lengthened(settings.lease))
 {
     stay_silent(start + lengthened(settings_.lease));
 }
@@ -144,6 +145,7 @@
     answer.known = known;
     answer.lease = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.lease);
     answer.members = committees_ ? committees_->digest() : 0;
+    answer.recent_start = settings_.safe.recent_starts && now < recent_until_;
     const std::size_t asked = request.partitions.size() + request.acquiring.size();
     const bool same_lists = request.members == answer.members;
     const std::size_t size = asked == 0 ? 0 : request.committees.size() / asked;
