Keep the stages with the instance that conducts them

Cause: after node_kill the killed instance, first in rendezvous order, took the stages back two seconds after its restart, while its predecessor still finished its jobs.

Ruled out: overload alone.

Change: an instance that has taken a duty says so in its heartbeats and keeps it before others on machines of the same strength. One that is only distrusted after a broken connection is passed over, not replaced.

Test: member_table duties failed before (the duty returned to the restarted instance). Most of the loss of the notice of slow calls was this overlap.

--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -30,14 +30,15 @@
     // How much its machine can carry: the scarcer of processor and link, see `machine_strength`.
     std::uint32_t strength = 1;
     bool settled = false;            // has run for long enough to take over duties
+    std::string duty;                // key of the duty that it has taken, if any
     std::uint64_t revision = 0;      // of the published documents that it has seen
     std::uint64_t configuration = 0; // version of the configuration in force there
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(address, incarnation, serial, zone, caller_port, ready, leaving, settled, strength,
-                revision, configuration);
+        archive(address, incarnation, serial, zone, caller_port, ready, leaving, settled, duty,
+                strength, revision, configuration);
     }
 };
 
@@ -146,10 +147,14 @@
     std::size_t rank_for(std::string_view key, time_point now) const;
 
     // The instance that has the duty named by the key: of the live instances that are settled, or
-    // of all if none is, the one on the strongest machine, by rendezvous score among equals. This
-    // instance if it knows no other.
+    // of all if none is, one on the strongest machine. Among equals the one that has taken the duty
+    // keeps it, so that a restart elsewhere does not move it; otherwise the rendezvous score
+    // decides. This instance if it knows no other.
     std::string owner_of(std::string_view key, time_point now) const;
 
+    // Takes the duty if this settled instance is its owner, and gives it up if another one is.
+    void take_duty(std::string_view key, time_point now);
+
     // Addresses of up to `count` live instances of this one's availability zone, this one included,
     // that come first in the rendezvous order of the key.
     std::vector<std::string> first_in_zone(std::string_view key, std::size_t count,
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -74,6 +74,7 @@
     self_.ready = false;
     self_.leaving = true;
     self_.settled = false;
+    self_.duty.clear();
     ++self_.serial;
 }
 
@@ -263,12 +264,12 @@
     const std::uint64_t hash = stable_hash(key);
     std::string owner = self_.address;
     // Settled instances go before others; an instance without a configuration serves only itself.
-    std::tuple<int, std::uint32_t, std::uint64_t> best(0, 0, 0);
+    std::tuple<int, std::uint32_t, bool, std::uint64_t> best(0, 0, false, 0);
     const auto consider = [&](const member_record& candidate) {
         if (candidate.configuration == 0 || candidate.leaving) {
             return;
         }
-        const std::tuple rank(candidate.settled ? 2 : 1, candidate.strength,
+        const std::tuple rank(candidate.settled ? 2 : 1, candidate.strength, candidate.duty == key,
                               rendezvous_score(hash, candidate.address));
         if (rank > best) {
             best = rank;
@@ -284,6 +285,21 @@
     return owner;
 }
 
+void member_table::take_duty(std::string_view key, time_point now)
+{
+    const bool taken = self_.duty == key;
+    // A live holder to which a connection broke is passed over for a moment, but not replaced.
+    const bool held = std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
+        return alive(entry.second, now) && entry.second.record.duty == key &&
+               !trusted(entry.first, now);
+    });
+    const bool owner = self_.settled && owner_of(key, now) == self_.address && (taken || !held);
+    if (owner != taken) {
+        self_.duty = owner ? key : std::string_view{};
+        ++self_.serial;
+    }
+}
+
 std::vector<std::string> member_table::first_in_zone(std::string_view key, std::size_t count,
                                                      time_point now) const
 {
--- a/libs/gateway/src/stage_conductor.cpp
+++ b/libs/gateway/src/stage_conductor.cpp
@@ -192,6 +192,7 @@
         for (const auto& address : silent) {
             peer_lost(address);
         }
+        members_.take_duty(conductor_key, now);
         if (members_.owner_of(conductor_key, now) != members_.self().address) {
             perform(scheduler_.hand_back(now));
         }
