Expect another conductor's calls after a change of conductor

Cause: when the conductor is stopped, it finishes the jobs that calls have touched while its successor starts.

Ruled out: a higher factor for all calls. It would miss endpoints that are two to three times slower, which cost more with small calls.

Change: for 3 s after another instance conducts, and after the first job of a process, a call is slow only after a full call more.

Test: stage_scheduler endpoints_shared_with_another_conductor failed before.

--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -87,7 +87,8 @@
     // Gives up a job and its results.
     scheduler_actions cancel(job_number job);
 
-    // Hands back the jobs of which no piece has been called yet, for another instance to conduct.
+    // Another instance conducts now. Hands back the jobs of which no piece has been called yet, and
+    // expects its calls at the endpoints for some time.
     scheduler_actions hand_back(time_point now);
 
     // The request has its inputs: the results of a finished job are needed no more.
@@ -210,6 +211,8 @@
     std::optional<running_call> take_ended(std::uint64_t number);
     void copy_slow_calls(time_point now);
     void note_slow(worker& used, time_point now);
+    // Time after which a running call counts as slow.
+    duration slow_after(const running_call& call) const;
     void queue_piece(const called_piece& piece, time_point now);
     void repeat_piece(const called_piece& piece, bool may_have_run, time_point now,
                       action_list& actions);
@@ -240,6 +243,7 @@
     std::map<std::uint64_t, running_call> calls_;
     std::map<std::string, std::string> makers_; // endpoint id by handle
     std::uint64_t next_call_ = 1;
+    time_point shared_until_{}; // calls of another conductor may be at the endpoints until then
 };
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -13,6 +13,9 @@
 // A call slower than this many times its expected time marks its endpoint as slow, and its pieces
 // are made elsewhere too.
 constexpr double slow_factor = 1.8;
+// After a change of conductor the former one finishes its jobs, and calls of both wait for each
+// other at the endpoints. The jobs of most classes have ended after this time.
+constexpr duration shared_time = std::chrono::seconds(3);
 constexpr duration slow_avoidance = std::chrono::seconds(2); // doubles with each slow call
 constexpr std::size_t trial_pieces = 2; // of a call that tries whether an endpoint has recovered
 constexpr duration failure_avoidance = std::chrono::milliseconds(500); // doubles with each failure
@@ -138,6 +141,10 @@
 {
     action_list actions;
     const duration expected = expected_time(content, now);
+    if (shared_until_ == time_point{}) {
+        // Calls of conductors that died with all jobs may still be at the endpoints.
+        shared_until_ = now + shared_time;
+    }
     const duration useful = std::chrono::milliseconds(content.useful_ms);
     const duration remaining = std::chrono::milliseconds(content.remaining_ms);
     note_arrival(content, now);
@@ -332,6 +339,7 @@
 
 scheduler_actions stage_scheduler::hand_back(time_point now)
 {
+    shared_until_ = now + shared_time;
     std::vector<job_number> untouched;
     for (const auto& [number, job] : jobs_) {
         if (!job.called && !job.finished) {
@@ -574,7 +582,7 @@
     const running_call& call = *ended;
     worker& used = workers_[call.endpoint_id];
     used.failures = 0;
-    if (now - call.started <= scaled(call.expected, slow_factor)) {
+    if (now - call.started <= slow_after(call)) {
         used.slow_calls = 0;
     } else if (!call.copied) {
         note_slow(used, now);
@@ -640,6 +648,18 @@
     return actions;
 }
 
+duration stage_scheduler::slow_after(const running_call& call) const
+{
+    const duration allowed = scaled(call.expected, slow_factor);
+    const auto* definition = view_.find_service(call.service);
+    if (call.started >= shared_until_ || definition == nullptr || !definition->stage) {
+        return allowed;
+    }
+    // One call of the other conductor may go first.
+    const stage_capacity& capacity = *definition->stage;
+    return allowed + call_duration(capacity, static_cast<double>(capacity.batch));
+}
+
 void stage_scheduler::note_slow(worker& used, time_point now)
 {
     const auto doublings = std::min(used.slow_calls++, avoidance_doublings);
@@ -649,7 +669,7 @@
 void stage_scheduler::copy_slow_calls(time_point now)
 {
     for (auto& [number, call] : calls_) {
-        if (call.copied || now - call.started <= scaled(call.expected, slow_factor)) {
+        if (call.copied || now - call.started <= slow_after(call)) {
             continue;
         }
         note_slow(workers_[call.endpoint_id], now);
--- a/libs/gateway/src/stage_scheduler_test.cpp
+++ b/libs/gateway/src/stage_scheduler_test.cpp
@@ -288,6 +288,36 @@
     });
 }
 
+// Fault: the conductor changes while jobs run, so that the calls of two conductors wait for each
+// other at the endpoints. Taken for slow, healthy endpoints would be avoided and their pieces made
+// twice.
+Test(stage_scheduler, endpoints_shared_with_another_conductor)
+{
+    stage_model model(5, dye_schedule());
+    for (const char* id : {"e0", "e1", "e2", "e3", "e4"}) {
+        model.slow[id] = 2;
+    }
+    for (int job = 0; job < 20; ++job) {
+        model.submit(6, 0, milliseconds(1500));
+        model.advance(milliseconds(60));
+        model.perform(model.scheduler.hand_back(model.now)); // jobs that no call has touched
+    }
+    model.advance(milliseconds(2000));
+    check(model.count(job_fate::done) > 10, "jobs are finished here");
+    check(model.pieces_called == 6 * model.count(job_fate::done), "no piece is made twice");
+    section("when the other one has finished", [&] {
+        model.slow = {{"e1", 3}};
+        model.advance(milliseconds(3000));
+        for (int job = 0; job < 40; ++job) {
+            model.submit(6, 0, milliseconds(1500));
+            model.advance(milliseconds(60));
+        }
+        model.advance(milliseconds(2000));
+        check(model.pieces_called > 6 * model.count(job_fate::done),
+              "slow endpoints are noticed again");
+    });
+}
+
 // Fault: memory for results runs out, so that calls come back without results.
 Test(stage_scheduler, room_for_results)
 {
