Charge a repeat to the service that gets it

Cause: on a route whose traffic is split between services, a repeat was charged to the first service of the route, whichever one the request goes to. The budget of one service could be exceeded and that of another one wasted.

Change: the service that the request is counted for pays.

Test: request_flow repeats_of_a_route_with_two_services failed before.

--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -437,8 +437,7 @@
     if (failed.error.why == reason::no_endpoint) {
         return true; // nothing arrived at an endpoint
     }
-    const auto& service = request.matched->services.front().service;
-    return budget_.try_repeat(service, members_.recent_size(now), now);
+    return budget_.try_repeat(service_of(request), members_.recent_size(now), now);
 }
 
 duration request_flow::head_timeout(const running_request& request, const attempt_state& state,
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -167,12 +167,12 @@
 {
 public:
     gateway_fixture(route_kind kind, bool resumable,
-                    std::vector<std::vector<reaction>> endpoint_reactions)
+                    std::vector<std::vector<reaction>> endpoint_reactions,
+                    fleet_budget_options budget = {0.2, 52, std::chrono::seconds(10)})
         : members({}, self(), boot_clock::now() - std::chrono::seconds(10)), pools({"z", {}, 1}),
           channels(context.get_executor()), peers(context, {"127.0.0.1", 0, 0, {}}, members),
           conductor(context, view, channels, members, peers, names, {}, {}),
-          flow(context, view, pools, channels, conductor, members, names,
-               {0.2, 52, std::chrono::seconds(10)}, figures)
+          flow(context, view, pools, channels, conductor, members, names, budget, figures)
     {
         configuration.version = 1;
         route matched;
@@ -321,6 +321,21 @@
     check(answer.cut_, "the connection is given up");
 }
 
+// Guards against repeats that are charged to another service of the route than the one that gets
+// them, which exceeds the budget of one service and wastes that of the other.
+Test(request_flow, repeats_of_a_route_with_two_services)
+{
+    const std::vector<reaction> lost_once{{"", true}, {answer_of("1", "x")}};
+    gateway_fixture gateway(route_kind::idempotent, false, {lost_once, lost_once},
+                            {2, 0, std::chrono::seconds(10)});
+    auto& services = gateway.configuration.routes.front().services;
+    services.insert(services.begin(), {"rare", 1e-9});
+    gateway.configuration.version = 2;
+    gateway.view.take(gateway.configuration);
+    gateway.serve("1");
+    check(gateway.arrivals() == 2, "the request for the second service pays for its repeat");
+}
+
 // Guards against answers that are not the endpoint's, or not to this request.
 Test(request_flow, answers)
 {
