Send waiting jobs outside the loop over the open jobs

Cause: an instance that has just started holds its jobs until it knows its peers.

Change: the tickets are collected first.

Test: stage_conductor jobs_that_wait_for_the_peers crashed before.

--- a/libs/gateway/src/stage_conductor.cpp
+++ b/libs/gateway/src/stage_conductor.cpp
@@ -179,16 +179,22 @@
             co_return;
         }
         const time_point now = boot_clock::now();
+        std::vector<std::uint64_t> unsent;
         std::vector<std::string> silent;
-        for (auto& [ticket, job] : open_) {
+        for (const auto& [ticket, job] : open_) {
             if (job.conductor.empty()) {
-                send_job(ticket, job);
+                unsent.push_back(ticket);
             } else if (!job.answered && !members_.is_live(job.conductor, now) &&
                        std::find(silent.begin(), silent.end(), job.conductor) == silent.end())
             {
                 silent.push_back(job.conductor);
             }
         }
+        // A job that is refused at once leaves `open_`, so it is not sent from within the loop
+        // above.
+        for (const std::uint64_t ticket : unsent) {
+            send_job(ticket, open_.at(ticket));
+        }
         for (const auto& address : silent) {
             peer_lost(address);
         }
