Count only admitted work as arriving

Cause: the estimate of a less urgent job assumed that all more urgent work keeps arriving, also what is refused.

Change: work counts when its job is admitted.

--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -147,7 +147,6 @@
     }
     const duration useful = std::chrono::milliseconds(content.useful_ms);
     const duration remaining = std::chrono::milliseconds(content.remaining_ms);
-    note_arrival(content, now);
     // A request whose latency target has passed already is worth serving late.
     const duration allowed = useful > duration::zero() ? useful : remaining / 2;
     if (expected > allowed) {
@@ -161,6 +160,7 @@
         actions.push_back(job_ended{number, std::move(refused)});
         return actions;
     }
+    note_arrival(content, now);
     auto [position, added] = jobs_.insert_or_assign(number, running_job(content.stages));
     running_job& job = position->second;
     job.request_id = content.request_id;
