Split the stage scheduler by topic

stage_backlog estimates waiting times from the committed work, stage_workers keeps what is known of the endpoints; the scheduler forms calls and follows jobs. Removes what was there twice or unused: the two lower-case functions, stage_scheduler::release, and three header names that nothing read.

--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -34,8 +34,6 @@
     std::string piece_counts;
     std::string last_event_id;
     std::vector<serving::prompt_prefix> prefixes; // of the prompt, ascending length
-    std::uint32_t prompt_tokens = 0;
-    std::uint32_t output_tokens = 0;
     time_point received;
     std::optional<duration> patience; // how long the caller waits, from `received`
 
--- a/libs/gateway/include/quetzal/gateway/header_names.hpp
+++ b/libs/gateway/include/quetzal/gateway/header_names.hpp
@@ -17,7 +17,6 @@
     std::string key;           // the caller's key; never passed on
     std::string last_event_id; // where a stream goes on
     std::string prompt_parts;  // "ID:TOKENS,..." of a prompt
-    std::string token_usage;   // "PROMPT,OUTPUT" tokens
     std::string piece_counts;  // "N,N,..." pieces of each stage
     std::string piece_key;     // input of the first stages
 
@@ -28,11 +27,9 @@
     std::string inputs;            // handles of the results of the last stages
 
     // Sent by endpoints.
-    std::string signature;   // proves that an answer is the endpoint's
-    std::string not_run;     // present when the endpoint did not run the request
-    std::string endpoint_id; // of the endpoint that answered
-    std::string load;        // "RUNNING,WAITING,SLOTS"
-    std::string cold;        // milliseconds for which the endpoint stays cold
+    std::string signature; // proves that an answer is the endpoint's
+    std::string not_run;   // present when the endpoint did not run the request
+    std::string load;      // "RUNNING,WAITING,SLOTS"
 
     // Further headers that only this system may set; they are dropped from callers' requests.
     std::vector<std::string> reserved;
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -16,7 +16,9 @@
 #include <quetzal/base/verdict.hpp>
 #include <quetzal/gateway/catalog.hpp>
 #include <quetzal/gateway/fleet_retry_budget.hpp>
+#include <quetzal/gateway/stage_backlog.hpp>
 #include <quetzal/gateway/stage_plan.hpp>
+#include <quetzal/gateway/stage_workers.hpp>
 
 namespace quetzal::gateway {
 
@@ -84,16 +86,13 @@
     // Takes a job, or refuses it with a `job_ended` action when it cannot be in time.
     scheduler_actions add(job_number job, const stage_job& content, time_point now);
 
-    // Gives up a job and its results.
+    // Gives up a job, or its results when it is finished and the request has them.
     scheduler_actions cancel(job_number job);
 
     // Another instance conducts now. Hands back the jobs of which no piece has been called yet, and
     // expects its calls at the endpoints for some time.
     scheduler_actions hand_back(time_point now);
 
-    // The request has its inputs: the results of a finished job are needed no more.
-    scheduler_actions release(job_number job);
-
     // The makers have given up these results, so that their memory is free.
     void released(const std::vector<std::string>& handles);
 
@@ -151,30 +150,6 @@
         time_point queued;
     };
 
-    struct held_result
-    {
-        std::uint64_t size = 0;
-        time_point expires;
-    };
-
-    // What is known of an endpoint.
-    struct worker
-    {
-        std::string service;
-        std::string zone;
-        unsigned calls = 0;
-        unsigned failures = 0;      // in a row
-        unsigned slow_calls = 0;    // in a row; then only small calls try whether it has recovered
-        time_point avoided_until{}; // slow or failing: used only when no other endpoint works
-        time_point full_until{};    // has refused a call as full: not used at all
-        std::uint64_t reserved = 0; // bytes of results being made
-        // Bytes of results that this scheduler did not order: those of a conductor that was lost.
-        // They expire at their maker; the estimate falls to zero within a result's lifetime.
-        std::uint64_t foreign = 0;
-        time_point foreign_noted{};
-        std::map<std::string, held_result> held; // by handle
-    };
-
     struct running_call
     {
         std::string endpoint_id;
@@ -186,31 +161,16 @@
         bool copied = false; // its pieces are being made elsewhere too
     };
 
-    struct service_state
-    {
-        std::vector<waiting_piece> waiting;
-        // Work that admitted jobs still need here, by priority, in endpoint time with full calls.
-        std::map<std::int32_t, duration> committed;
-        // The same by availability zone, for jobs that prefer one.
-        std::map<std::string, duration> committed_in_zone;
-        // Work that arrives in one second by priority, smoothed.
-        std::map<std::int32_t, double> arriving;
-        time_point arriving_updated{};
-    };
-
     using action_list = scheduler_actions;
 
     void queue_ready(job_number number, running_job& job, time_point now);
-    std::string choose_zone(const stage_job& content) const;
     void end_job(job_number number, job_fate fate, time_point now, action_list& actions);
     void drop_waiting(job_number number);
-    void commit(const running_job& job, std::size_t stage, std::uint32_t pieces, int direction);
-    void commit_open(const running_job& job, int direction);
-    void note_arrival(const stage_job& content, time_point now);
+    // Takes the pieces that are not made out of the backlog.
+    void remove_open(const running_job& job);
     // Takes a call out of the list and gives its slot and reserved memory back to its worker.
     std::optional<running_call> take_ended(std::uint64_t number);
     void copy_slow_calls(time_point now);
-    void note_slow(worker& used, time_point now);
     // Time after which a running call counts as slow.
     duration slow_after(const running_call& call) const;
     void queue_piece(const called_piece& piece, time_point now);
@@ -219,29 +179,19 @@
     void finish_piece(const called_piece& piece, std::string handle, time_point now,
                       action_list& actions);
     void release_handles(std::vector<std::string> handles, action_list& actions);
-    void dispatch_service(const std::string& service, service_state& state, time_point now,
-                          action_list& actions);
-    std::vector<called_piece> take_call(service_state& state, const stage_capacity& capacity,
-                                        worker& target, time_point now);
-    const endpoint* idle_worker(const std::string& service, const stage_capacity& capacity,
-                                time_point now, const std::vector<std::string>& skip);
-    // Bytes of results at a worker: those of a lost conductor, and all.
-    static std::uint64_t foreign_room(const worker& target, duration lifetime, time_point now);
-    static std::uint64_t used_room(const worker& target, duration lifetime, time_point now);
-    // Endpoint time that pieces of a service take in full calls.
-    duration work_of(const std::string& service, std::uint32_t pieces) const;
-    // Time until the endpoints of a service have worked off what is committed to them with that
-    // priority or a more urgent one.
-    duration backlog(const std::string& service, std::int32_t priority, time_point now) const;
-    std::size_t active_workers(const std::string& service, time_point now) const;
+    void dispatch_service(const std::string& service, std::vector<waiting_piece>& waiting,
+                          time_point now, action_list& actions);
+    std::vector<called_piece> take_call(std::vector<waiting_piece>& waiting,
+                                        const stage_capacity& capacity, const endpoint& target,
+                                        time_point now);
 
     const catalog& view_;
     fleet_retry_budget budget_;
     std::map<job_number, running_job> jobs_;
-    std::map<std::string, service_state> services_;
-    std::map<std::string, worker> workers_; // by endpoint id
+    std::map<std::string, std::vector<waiting_piece>> waiting_; // by service
+    stage_backlog backlog_;
+    stage_workers workers_;
     std::map<std::uint64_t, running_call> calls_;
-    std::map<std::string, std::string> makers_; // endpoint id by handle
     std::uint64_t next_call_ = 1;
     time_point shared_until_{}; // calls of another conductor may be at the endpoints until then
 };
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <quetzal/base/hash.hpp>
+#include <quetzal/gateway/lower_case.hpp>
 
 namespace quetzal::gateway {
 
@@ -30,15 +31,6 @@
                                                              "transfer-encoding",
                                                              "upgrade"};
 
-std::string lower(std::string_view text)
-{
-    std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char symbol) {
-        return static_cast<char>(symbol >= 'A' && symbol <= 'Z' ? symbol - 'A' + 'a' : symbol);
-    });
-    return result;
-}
-
 std::string_view view_of(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -62,7 +54,7 @@
     const auto [begin, end] = headers.equal_range(http::field::connection);
     for (auto header = begin; header != end; ++header) {
         for (const auto& token : http::token_list(header->value())) {
-            names.insert(lower(view_of(token)));
+            names.insert(lower_case(view_of(token)));
         }
     }
     return names;
@@ -81,7 +73,7 @@
 
 std::string host_without_port(std::string_view host)
 {
-    return lower(host.substr(0, host.rfind(':')));
+    return lower_case(host.substr(0, host.rfind(':')));
 }
 
 // Reads "ID:TOKENS,ID:TOKENS,...". The shortest prefix returned is the one that the requests of a
@@ -172,20 +164,13 @@
         }
         request.prefixes = std::move(*prefixes);
     }
-    if (const auto text = value_of(names.token_usage); !text.empty()) {
-        const auto comma = text.find(',');
-        request.prompt_tokens = parse_number<std::uint32_t>(text.substr(0, comma)).value_or(0);
-        if (comma != std::string_view::npos) {
-            request.output_tokens = parse_number<std::uint32_t>(text.substr(comma + 1)).value_or(0);
-        }
-    }
     const auto listed = listed_names(headers);
     const auto dropped = [&](std::string_view name) {
         const auto is = [&](const std::string& other) { return equal_name(name, other); };
         return is_connection_header(name) || is("content-length") || is("expect") ||
                is(names.deadline) || is(names.key) || is(names.customer) ||
                is(names.expected_endpoint) || is(names.priority) || is(names.inputs) ||
-               is(names.last_event_id) || listed.contains(lower(name)) ||
+               is(names.last_event_id) || listed.contains(lower_case(name)) ||
                std::any_of(names.reserved.begin(), names.reserved.end(), is);
     };
     for (const auto& header : headers) {
@@ -204,7 +189,7 @@
     for (const auto& header : headers) {
         const auto name = view_of(header.name_string());
         if (!is_connection_header(name) && !equal_name(name, "content-length") &&
-            !listed.contains(lower(name)))
+            !listed.contains(lower_case(name)))
         {
             append_line(lines, name, view_of(header.value()));
         }
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -16,11 +16,6 @@
 // After a change of conductor the former one finishes its jobs, and calls of both wait for each
 // other at the endpoints. The jobs of most classes have ended after this time.
 constexpr duration shared_time = std::chrono::seconds(3);
-constexpr duration slow_avoidance = std::chrono::seconds(2); // doubles with each slow call
-constexpr std::size_t trial_pieces = 2; // of a call that tries whether an endpoint has recovered
-constexpr duration failure_avoidance = std::chrono::milliseconds(500); // doubles with each failure
-constexpr unsigned avoidance_doublings = 3;
-constexpr duration full_avoidance = std::chrono::milliseconds(30); // until a call may have ended
 constexpr unsigned repeat_limit = 12; // pieces of one job that are made again
 // Share of a full call that a piece finds around it at usual load.
 constexpr double usual_fill = 0.6;
@@ -30,9 +25,7 @@
 constexpr duration same_zone_bonus = std::chrono::milliseconds(400);
 constexpr duration other_zone_wait = std::chrono::milliseconds(40);
 constexpr duration pressed_slack = std::chrono::milliseconds(250);
-constexpr duration arrival_smoothing = std::chrono::seconds(2); // of the rate of arriving work
-constexpr double most_arriving = 0.9;                           // share of the endpoints' time
-constexpr duration longest_held = std::chrono::seconds(30);     // of results by a request
+constexpr duration longest_held = std::chrono::seconds(30); // of results by a request
 constexpr duration least_retry_after = std::chrono::milliseconds(200);
 constexpr duration longest_retry_after = std::chrono::seconds(5);
 
@@ -49,32 +42,10 @@
 } // namespace
 
 stage_scheduler::stage_scheduler(const catalog& view, fleet_budget_options budget)
-    : view_(view), budget_(budget)
+    : view_(view), budget_(budget), backlog_(view), workers_(view)
 {
 }
 
-duration stage_scheduler::work_of(const std::string& service, std::uint32_t pieces) const
-{
-    const auto* definition = view_.find_service(service);
-    if (definition == nullptr || !definition->stage) {
-        return duration::zero();
-    }
-    const stage_capacity& capacity = *definition->stage;
-    const duration piece = capacity.piece_time + capacity.call_time / capacity.batch;
-    return piece * pieces / std::max(capacity.slots, 1u);
-}
-
-std::size_t stage_scheduler::active_workers(const std::string& service, time_point now) const
-{
-    const auto usable = view_.usable_endpoints(service);
-    const auto active = std::count_if(usable.begin(), usable.end(), [&](const endpoint* value) {
-        const auto known = workers_.find(value->id);
-        return known == workers_.end() || known->second.avoided_until <= now ||
-               known->second.failures == 0;
-    });
-    return static_cast<std::size_t>(active);
-}
-
 duration stage_scheduler::expected_time(const stage_job& content, time_point now) const
 {
     std::vector<duration> finished(content.stages.size());
@@ -92,7 +63,8 @@
         }
         // Endpoints work off what is committed to them while earlier stages run.
         const duration begin =
-            std::max(finished[index], backlog(stage.service, content.priority, now));
+            std::max(finished[index], backlog_.wait(stage.service, content.priority,
+                                                    workers_.active(stage.service, now)));
         const stage_capacity& capacity = *definition->stage;
         finished[index] = begin + call_duration(capacity, capacity.batch * usual_fill);
         last = std::max(last, finished[index]);
@@ -100,43 +72,6 @@
     return last;
 }
 
-duration stage_scheduler::backlog(const std::string& service, std::int32_t priority,
-                                  time_point now) const
-{
-    const auto state = services_.find(service);
-    if (state == services_.end()) {
-        return duration::zero();
-    }
-    duration ahead{};
-    for (const auto& [other, work] : state->second.committed) {
-        ahead += other <= priority ? work : duration::zero();
-    }
-    double arriving = 0; // more urgent work, in endpoint time for each second
-    for (const auto& [other, work] : state->second.arriving) {
-        arriving += other < priority ? work : 0;
-    }
-    const auto workers =
-        static_cast<double>(std::max<std::size_t>(active_workers(service, now), 1));
-    const double share = 1 - std::min(arriving / workers, most_arriving);
-    return scaled(ahead, 1 / (workers * share));
-}
-
-void stage_scheduler::note_arrival(const stage_job& content, time_point now)
-{
-    for (const job_stage& stage : content.stages) {
-        service_state& state = services_[stage.service];
-        const double elapsed = std::chrono::duration<double>(now - state.arriving_updated).count();
-        const double smoothing = std::chrono::duration<double>(arrival_smoothing).count();
-        const double kept = 1 / (1 + elapsed / smoothing);
-        for (auto& [priority, rate] : state.arriving) {
-            rate *= kept;
-        }
-        state.arriving_updated = now;
-        state.arriving[content.priority] +=
-            std::chrono::duration<double>(work_of(stage.service, stage.pieces)).count() / smoothing;
-    }
-}
-
 scheduler_actions stage_scheduler::add(job_number number, const stage_job& content, time_point now)
 {
     action_list actions;
@@ -160,12 +95,12 @@
         actions.push_back(job_ended{number, std::move(refused)});
         return actions;
     }
-    note_arrival(content, now);
+    backlog_.note_arrival(content, now);
     auto [position, added] = jobs_.insert_or_assign(number, running_job(content.stages));
     running_job& job = position->second;
     job.request_id = content.request_id;
     job.piece_key = content.piece_key;
-    job.zone = content.zone.empty() ? choose_zone(content) : content.zone;
+    job.zone = content.zone.empty() ? backlog_.least_loaded_zone(content) : content.zone;
     job.stages = content.stages;
     job.priority = content.priority;
     job.useful_until = now + useful;
@@ -188,7 +123,9 @@
     for (const job_stage& stage : content.stages) {
         job.open.push_back(stage.pieces);
     }
-    commit_open(job, 1);
+    for (const job_stage& stage : job.stages) {
+        backlog_.add(stage.service, job.zone, job.priority, stage.pieces);
+    }
     if (job.plan.finished()) {
         end_job(number, job_fate::done, now, actions);
         return actions;
@@ -197,64 +134,10 @@
     return actions;
 }
 
-void stage_scheduler::commit(const running_job& job, std::size_t stage, std::uint32_t pieces,
-                             int direction)
-{
-    const std::string& service = job.stages[stage].service;
-    duration& committed = services_[service].committed[job.priority];
-    const duration work = work_of(service, pieces) * direction;
-    committed = std::max(committed + work, duration::zero());
-    if (!job.zone.empty()) {
-        duration& there = services_[service].committed_in_zone[job.zone];
-        there = std::max(there + work, duration::zero());
-    }
-}
-
-std::string stage_scheduler::choose_zone(const stage_job& content) const
-{
-    // The zone in which the busiest of the job's services has the least work for each endpoint.
-    std::map<std::string, std::pair<std::size_t, double>> zones; // services there, greatest load
-    std::size_t services = 0;
-    for (const job_stage& stage : content.stages) {
-        if (stage.pieces == 0) {
-            continue;
-        }
-        ++services;
-        std::map<std::string, std::size_t> workers;
-        for (const endpoint* value : view_.usable_endpoints(stage.service)) {
-            ++workers[value->zone];
-        }
-        const auto state = services_.find(stage.service);
-        for (const auto& [zone, count] : workers) {
-            double load = 0;
-            if (state != services_.end()) {
-                const auto there = state->second.committed_in_zone.find(zone);
-                load =
-                    there == state->second.committed_in_zone.end()
-                        ? 0
-                        : static_cast<double>(there->second.count()) / static_cast<double>(count);
-            }
-            auto& [present, greatest] = zones[zone];
-            ++present;
-            greatest = std::max(greatest, load);
-        }
-    }
-    std::string best;
-    double least = 0;
-    for (const auto& [zone, state] : zones) {
-        const auto& [present, load] = state;
-        if (present == services && (best.empty() || load < least)) {
-            best = zone;
-            least = load;
-        }
-    }
-    return best;
-}
-
-void stage_scheduler::commit_open(const running_job& job, int direction)
+void stage_scheduler::remove_open(const running_job& job)
 {
     for (std::size_t stage = 0; stage < job.stages.size(); ++stage) {
-        commit(job, stage, job.open[stage], direction);
+        backlog_.remove(job.stages[stage].service, job.zone, job.priority, job.open[stage]);
     }
 }
 
@@ -262,25 +145,10 @@
 {
     for (const std::size_t stage : job.plan.take_ready()) {
         const job_stage& definition = job.stages[stage];
-        std::string zone = job.zone;
-        const auto inputs = job.plan.inputs_of(stage);
-        if (!inputs.empty()) {
-            std::map<std::string, std::size_t> count;
-            for (const auto& handle : inputs) {
-                if (const auto maker = makers_.find(handle); maker != makers_.end()) {
-                    ++count[workers_[maker->second].zone];
-                }
-            }
-            std::size_t most = 0;
-            for (const auto& [name, number_there] : count) {
-                if (number_there > most) {
-                    most = number_there;
-                    zone = name;
-                }
-            }
-        }
+        const std::string inputs_lie = workers_.zone_of_most(job.plan.inputs_of(stage));
+        const std::string& zone = inputs_lie.empty() ? job.zone : inputs_lie;
         for (std::size_t piece = 0; piece < definition.pieces; ++piece) {
-            services_[definition.service].waiting.push_back(
+            waiting_[definition.service].push_back(
                 {number, stage, piece, job.priority, job.useful_until - job.following[stage],
                  job.deadline - job.following[stage], definition.result_size, zone, now});
         }
@@ -289,9 +157,8 @@
 
 void stage_scheduler::drop_waiting(job_number number)
 {
-    for (auto& [service, state] : services_) {
-        std::erase_if(state.waiting,
-                      [&](const waiting_piece& piece) { return piece.job == number; });
+    for (auto& [service, waiting] : waiting_) {
+        std::erase_if(waiting, [&](const waiting_piece& piece) { return piece.job == number; });
     }
 }
 
@@ -303,7 +170,7 @@
         return;
     }
     running_job& job = found->second;
-    commit_open(job, -1);
+    remove_open(job);
     job_outcome outcome;
     outcome.fate = fate;
     if (fate == job_fate::done) {
@@ -329,7 +196,7 @@
         return actions;
     }
     if (!found->second.finished) {
-        commit_open(found->second, -1);
+        remove_open(found->second);
         drop_waiting(number);
     }
     release_handles(found->second.plan.held_results(), actions);
@@ -353,11 +220,6 @@
     return actions;
 }
 
-scheduler_actions stage_scheduler::release(job_number number)
-{
-    return cancel(number);
-}
-
 void stage_scheduler::release_handles(std::vector<std::string> handles, action_list& actions)
 {
     if (handles.empty()) {
@@ -368,72 +230,12 @@
 
 void stage_scheduler::released(const std::vector<std::string>& handles)
 {
-    for (const auto& handle : handles) {
-        if (const auto maker = makers_.find(handle); maker != makers_.end()) {
-            workers_[maker->second].held.erase(handle);
-            makers_.erase(maker);
-        }
-    }
-}
-
-std::uint64_t stage_scheduler::foreign_room(const worker& target, duration lifetime, time_point now)
-{
-    const duration age = now - target.foreign_noted;
-    if (target.foreign == 0 || age >= lifetime) {
-        return 0;
-    }
-    const double left =
-        1 - static_cast<double>(age.count()) / static_cast<double>(lifetime.count());
-    return static_cast<std::uint64_t>(static_cast<double>(target.foreign) * left);
+    workers_.release(handles);
 }
 
-std::uint64_t stage_scheduler::used_room(const worker& target, duration lifetime, time_point now)
-{
-    std::uint64_t used = target.reserved + foreign_room(target, lifetime, now);
-    for (const auto& [handle, result] : target.held) {
-        used += result.expires > now ? result.size : 0;
-    }
-    return used;
-}
-
-const endpoint* stage_scheduler::idle_worker(const std::string& service,
-                                             const stage_capacity& capacity, time_point now,
-                                             const std::vector<std::string>& skip)
-{
-    const endpoint* best = nullptr;
-    const endpoint* avoided = nullptr;
-    bool others_work = false;
-    for (const endpoint* candidate : view_.usable_endpoints(service)) {
-        worker& known = workers_[candidate->id];
-        known.service = service;
-        known.zone = candidate->zone;
-        const bool avoid = known.avoided_until > now;
-        others_work = others_work || (known.calls > 0 && !avoid);
-        if (known.calls >= capacity.slots || known.full_until > now ||
-            std::find(skip.begin(), skip.end(), candidate->id) != skip.end())
-        {
-            continue;
-        }
-        const endpoint*& slot = avoid ? avoided : best;
-        const auto order = [&](const endpoint* value) {
-            worker& other = workers_[value->id];
-            return std::tuple(other.failures, avoid ? other.avoided_until : time_point{},
-                              used_room(other, capacity.result_lifetime, now));
-        };
-        if (slot == nullptr || order(candidate) < order(slot)) {
-            slot = candidate;
-        }
-    }
-    if (best != nullptr) {
-        return best;
-    }
-    // Avoided endpoints are used only when no other endpoint works on the queue.
-    return others_work ? nullptr : avoided;
-}
-
-std::vector<called_piece> stage_scheduler::take_call(service_state& state,
-                                                     const stage_capacity& capacity, worker& target,
-                                                     time_point now)
+std::vector<called_piece> stage_scheduler::take_call(std::vector<waiting_piece>& waiting,
+                                                     const stage_capacity& capacity,
+                                                     const endpoint& target, time_point now)
 {
     const auto rank = [&](const waiting_piece& piece) {
         const bool late = piece.useful_until < now + capacity.call_time;
@@ -442,15 +244,12 @@
                           piece.useful_until + (near ? duration::zero() : same_zone_bonus),
                           piece.job, piece.stage, piece.piece);
     };
-    auto& waiting = state.waiting;
     std::sort(waiting.begin(), waiting.end(),
               [&](const waiting_piece& left, const waiting_piece& right) {
                   return rank(left) < rank(right);
               });
-    std::uint64_t used = used_room(target, capacity.result_lifetime, now);
-    const std::size_t most = target.slow_calls > 0
-                                 ? std::min<std::size_t>(trial_pieces, capacity.batch)
-                                 : capacity.batch;
+    std::uint64_t used = workers_.used_room(target.id, capacity.result_lifetime, now);
+    const std::size_t most = workers_.call_limit(target.id, capacity);
     std::vector<called_piece> call;
     std::vector<waiting_piece> rest;
     for (waiting_piece& piece : waiting) {
@@ -486,8 +285,9 @@
     return call;
 }
 
-void stage_scheduler::dispatch_service(const std::string& service, service_state& state,
-                                       time_point now, action_list& actions)
+void stage_scheduler::dispatch_service(const std::string& service,
+                                       std::vector<waiting_piece>& waiting, time_point now,
+                                       action_list& actions)
 {
     const auto* definition = view_.find_service(service);
     if (definition == nullptr || !definition->stage) {
@@ -495,7 +295,7 @@
     }
     const stage_capacity& capacity = *definition->stage;
     std::set<job_number> hopeless;
-    for (const waiting_piece& piece : state.waiting) {
+    for (const waiting_piece& piece : waiting) {
         if (piece.hopeless < now + capacity.call_time) {
             hopeless.insert(piece.job);
         }
@@ -504,13 +304,12 @@
         end_job(number, job_fate::late, now, actions);
     }
     std::vector<std::string> without_room;
-    while (!state.waiting.empty()) {
-        const endpoint* target = idle_worker(service, capacity, now, without_room);
+    while (!waiting.empty()) {
+        const endpoint* target = workers_.idle(service, capacity, now, without_room);
         if (target == nullptr) {
             return;
         }
-        worker& used = workers_[target->id];
-        auto pieces = take_call(state, capacity, used, now);
+        auto pieces = take_call(waiting, capacity, *target, now);
         if (pieces.empty()) {
             without_room.push_back(target->id);
             continue;
@@ -524,8 +323,7 @@
         for (const called_piece& piece : pieces) {
             call.reserved += piece.result_size;
         }
-        used.reserved += call.reserved;
-        ++used.calls;
+        workers_.call_started(target->id, call.reserved);
         const std::uint64_t number = next_call_++;
         actions.push_back(start_call{number, *target, std::move(pieces), call.expected});
         calls_.emplace(number, std::move(call));
@@ -536,23 +334,14 @@
 {
     action_list actions;
     copy_slow_calls(now);
-    for (auto& [service, state] : services_) {
-        dispatch_service(service, state, now, actions);
+    for (auto& [service, waiting] : waiting_) {
+        dispatch_service(service, waiting, now, actions);
     }
     // Results of jobs that were never released have expired at their makers.
     std::erase_if(jobs_, [&](const auto& entry) {
         return entry.second.finished && now - entry.second.finished_at > longest_held;
     });
-    // Results expire at their makers when nobody has asked to release them.
-    for (auto& [id, known] : workers_) {
-        std::erase_if(known.held, [&](const auto& entry) {
-            const bool expired = entry.second.expires <= now;
-            if (expired) {
-                makers_.erase(entry.first);
-            }
-            return expired;
-        });
-    }
+    workers_.expire(now);
     return actions;
 }
 
@@ -564,9 +353,7 @@
     }
     running_call call = std::move(found->second);
     calls_.erase(found);
-    worker& used = workers_[call.endpoint_id];
-    used.calls -= used.calls > 0 ? 1 : 0;
-    used.reserved -= std::min(used.reserved, call.reserved);
+    workers_.call_ended(call.endpoint_id, call.reserved);
     return call;
 }
 
@@ -580,12 +367,11 @@
         return actions;
     }
     const running_call& call = *ended;
-    worker& used = workers_[call.endpoint_id];
-    used.failures = 0;
+    workers_.note_answer(call.endpoint_id);
     if (now - call.started <= slow_after(call)) {
-        used.slow_calls = 0;
+        workers_.note_in_time(call.endpoint_id);
     } else if (!call.copied) {
-        note_slow(used, now);
+        workers_.note_slow(call.endpoint_id, now);
     }
     const auto* definition = view_.find_service(call.service);
     const duration lifetime = definition != nullptr && definition->stage
@@ -596,8 +382,8 @@
         const called_piece& piece = call.pieces[index];
         switch (outcomes[index].fate) {
         case piece_fate::done:
-            used.held[outcomes[index].handle] = {piece.result_size, now + lifetime};
-            makers_[outcomes[index].handle] = call.endpoint_id;
+            workers_.hold(call.endpoint_id, outcomes[index].handle, piece.result_size,
+                          now + lifetime);
             finish_piece(piece, outcomes[index].handle, now, actions);
             break;
         case piece_fate::no_room:
@@ -618,8 +404,7 @@
         }
     }
     if (without_room > 0) {
-        used.foreign = foreign_room(used, lifetime, now) + without_room;
-        used.foreign_noted = now;
+        workers_.note_without_room(call.endpoint_id, without_room, lifetime, now);
     }
     return actions;
 }
@@ -633,12 +418,10 @@
         return actions;
     }
     const running_call& call = *ended;
-    worker& used = workers_[call.endpoint_id];
     if (full) {
-        used.full_until = now + full_avoidance;
+        workers_.note_full(call.endpoint_id, now);
     } else {
-        const auto doublings = std::min(used.failures++, avoidance_doublings);
-        used.avoided_until = now + failure_avoidance * (1 << doublings);
+        workers_.note_failure(call.endpoint_id, now);
     }
     for (const called_piece& piece : call.pieces) {
         if (!call.copied) {
@@ -660,20 +443,14 @@
     return allowed + call_duration(capacity, static_cast<double>(capacity.batch));
 }
 
-void stage_scheduler::note_slow(worker& used, time_point now)
-{
-    const auto doublings = std::min(used.slow_calls++, avoidance_doublings);
-    used.avoided_until = now + slow_avoidance * (1 << doublings);
-}
-
 void stage_scheduler::copy_slow_calls(time_point now)
 {
     for (auto& [number, call] : calls_) {
         if (call.copied || now - call.started <= slow_after(call)) {
             continue;
         }
-        note_slow(workers_[call.endpoint_id], now);
-        if (active_workers(call.service, now) == 0) {
+        workers_.note_slow(call.endpoint_id, now);
+        if (workers_.active(call.service, now) == 0) {
             continue;
         }
         call.copied = true;
@@ -696,7 +473,7 @@
     running_job& job = found->second;
     if (!job.plan.made(piece.stage, piece.piece)) {
         --job.open[piece.stage];
-        commit(job, piece.stage, 1, -1);
+        backlog_.remove(job.stages[piece.stage].service, job.zone, job.priority, 1);
     }
     release_handles(job.plan.done(piece.stage, piece.piece, std::move(handle)), actions);
     if (job.plan.finished()) {
@@ -727,7 +504,7 @@
 void stage_scheduler::queue_piece(const called_piece& piece, time_point now)
 {
     const running_job& job = jobs_.at(piece.job);
-    services_[job.stages[piece.stage].service].waiting.push_back(
+    waiting_[job.stages[piece.stage].service].push_back(
         {piece.job, piece.stage, piece.piece, job.priority,
          job.useful_until - job.following[piece.stage], job.deadline - job.following[piece.stage],
          piece.result_size, job.zone, now});
@@ -735,15 +512,14 @@
 
 bool stage_scheduler::has_work() const
 {
-    return !calls_.empty() ||
-           std::any_of(services_.begin(), services_.end(),
-                       [](const auto& entry) { return !entry.second.waiting.empty(); });
+    return !calls_.empty() || std::any_of(waiting_.begin(), waiting_.end(),
+                                          [](const auto& entry) { return !entry.second.empty(); });
 }
 
 std::size_t stage_scheduler::waiting_pieces(const std::string& service) const
 {
-    const auto found = services_.find(service);
-    return found == services_.end() ? 0 : found->second.waiting.size();
+    const auto found = waiting_.find(service);
+    return found == waiting_.end() ? 0 : found->second.size();
 }
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/stage_scheduler_test.cpp
+++ b/libs/gateway/src/stage_scheduler_test.cpp
@@ -120,7 +120,7 @@
         ended[action.job] = action.outcome;
         took[action.job] = now - submitted[action.job];
         if (action.outcome.fate == job_fate::done && !hold_results) {
-            perform(scheduler.release(action.job));
+            perform(scheduler.cancel(action.job));
         }
     }
 
@@ -349,7 +349,7 @@
             }
         }
         for (const job_number job : done) {
-            model.perform(model.scheduler.release(job));
+            model.perform(model.scheduler.cancel(job));
         }
         model.advance(milliseconds(600));
         check(model.pieces_called > before, "the next pieces are called");
--- a/libs/gateway/src/test_names.hpp
+++ b/libs/gateway/src/test_names.hpp
@@ -15,7 +15,6 @@
     names.key = "Key";
     names.last_event_id = "Last-Event-Id";
     names.prompt_parts = "Prompt";
-    names.token_usage = "Usage";
     names.piece_counts = "Pieces";
     names.piece_key = "Piece-Key";
     names.customer = "Customer";
