--- a/libs/base/include/quetzal/base/time.hpp
+++ b/libs/base/include/quetzal/base/time.hpp
@@ -6,6 +6,7 @@
 // to people.
 
 #include <chrono>
+#include <cstdint>
 
 namespace quetzal {
 
@@ -26,6 +27,12 @@
 using duration = boot_clock::duration;
 using time_point = boot_clock::time_point;
 
+// The whole milliseconds of a duration, for messages and logs.
+constexpr std::int64_t whole_milliseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 // Milliseconds since the Unix epoch. Two instances may disagree by any amount.
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
--- /dev/null
+++ b/libs/gateway/include/quetzal/gateway/http_status.hpp
@@ -0,0 +1,21 @@
+#ifndef QUETZAL_GATEWAY_HTTP_STATUS_HPP
+#define QUETZAL_GATEWAY_HTTP_STATUS_HPP
+
+// The status codes of HTTP that decisions depend on.
+namespace quetzal::gateway::http_status {
+
+inline constexpr unsigned ok = 200;
+inline constexpr unsigned bad_request = 400;
+inline constexpr unsigned unauthorized = 401;
+inline constexpr unsigned not_found = 404;
+inline constexpr unsigned conflict = 409;
+inline constexpr unsigned gone = 410;
+inline constexpr unsigned misdirected = 421;
+inline constexpr unsigned too_many = 429;
+inline constexpr unsigned bad_gateway = 502;
+inline constexpr unsigned unavailable = 503;
+inline constexpr unsigned gateway_timeout = 504;
+
+} // namespace quetzal::gateway::http_status
+
+#endif
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -158,8 +158,7 @@
                       });
     chosen.resize(std::min(chosen.size(), options_.records_limit));
     for (const known_member* member : chosen) {
-        const auto age =
-            std::chrono::duration_cast<std::chrono::milliseconds>(now - member->alive).count();
+        const auto age = whole_milliseconds(now - member->alive);
         message.others.push_back(
             {member->record, static_cast<std::uint32_t>(std::max<std::int64_t>(age, 0))});
     }
--- /dev/null
+++ b/libs/gateway/src/request_attempt.cpp
@@ -0,0 +1,288 @@
+// One attempt of a request at one endpoint; the rest of the request's way is in request_flow.cpp.
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/http_status.hpp>
+#include <quetzal/gateway/request_flow.hpp>
+
+#include "request_priority.hpp"
+
+namespace quetzal::gateway {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration connect_timeout = 300ms;
+constexpr duration send_timeout = 2s;
+constexpr std::size_t answer_limit = 8u << 20; // bytes of an answer that is not a stream
+constexpr unsigned stray_answer_limit = 2;     // answers to other requests skipped on a connection
+// A repeatable request is tried elsewhere when its answer takes this many times the latency target.
+constexpr int slow_attempt_factor = 2;
+constexpr duration least_attempt_timeout = 400ms;
+// A resumable stream is resumed elsewhere after a pause of this length.
+constexpr duration stream_pause_limit = 1500ms;
+
+// Reads "RUNNING,WAITING,SLOTS".
+std::optional<std::pair<std::uint32_t, std::uint32_t>> read_load(std::string_view text)
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    const char* const end = text.data() + text.size();
+    const auto first = std::from_chars(text.data(), end, running);
+    if (first.ec != std::errc{} || first.ptr == end || *first.ptr != ',') {
+        return std::nullopt;
+    }
+    if (std::from_chars(first.ptr + 1, end, waiting).ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return std::pair(running, waiting);
+}
+
+std::string_view header_value(const channel::fields& headers, const std::string& name)
+{
+    const auto value = headers[name];
+    return {value.data(), value.size()};
+}
+
+} // namespace
+
+duration request_flow::head_timeout(const running_request& request, const attempt_state& state,
+                                    time_point now) const
+{
+    const duration left = request.deadline - now + 100ms; // the deadline itself ends the attempt
+    const bool last = state.runs + 1 >= request.matched->max_attempts;
+    if (!state.repeatable || last) {
+        return left;
+    }
+    return std::min(left, std::max<duration>(request.matched->latency_target * slow_attempt_factor,
+                                             least_attempt_timeout));
+}
+
+std::string request_flow::request_head(const running_request& request, const attempt_state& state,
+                                       const chosen_endpoint& chosen, time_point now) const
+{
+    const auto& message = request.message;
+    std::string head = message.method + " " + message.target + " HTTP/1.1\r\n";
+    head += message.forwarded_headers;
+    const auto add = [&](const std::string& name, const std::string& value) {
+        head += name + ": " + value + "\r\n";
+    };
+    add(names_.deadline,
+        std::to_string(std::max<std::int64_t>(whole_milliseconds(request.deadline - now), 1)));
+    add(names_.expected_endpoint, chosen.target.id);
+    if (!request.caller.customer.empty()) {
+        add(names_.customer, request.caller.customer);
+    }
+    const auto& last_id = state.events.last_id();
+    if (last_id || !message.last_event_id.empty()) {
+        add(names_.last_event_id, last_id.value_or(message.last_event_id));
+    }
+    if (!request.matched->stages.empty()) {
+        std::string inputs;
+        for (const auto& handle : state.inputs) {
+            inputs += inputs.empty() ? handle : "," + handle;
+        }
+        add(names_.inputs, inputs);
+    }
+    if (request.matched->kind == route_kind::stream) {
+        add(names_.priority, std::to_string(internal::endpoint_priority(request.priority)));
+    }
+    if (!message.body.empty() || (message.method != "GET" && message.method != "HEAD")) {
+        add("Content-Length", std::to_string(message.body.size()));
+    }
+    return head + "\r\n";
+}
+
+asio::awaitable<request_flow::attempt_result> request_flow::attempt(const request_ptr& request,
+                                                                    answer_writer& answer,
+                                                                    attempt_state& state,
+                                                                    const chosen_endpoint& chosen)
+{
+    serving::attempt_outcome outcome;
+    outcome.prompt = chosen.prompt;
+    outcome.expected_prefix = chosen.expected_prefix;
+    auto taken = co_await channels_.take(chosen.target, connect_timeout);
+    attempt_result ended = attempt_failed{};
+    if (!taken) {
+        pools_.unreachable(chosen, boot_clock::now());
+        ended = attempt_failed{
+            {verdict::not_run, reason::no_endpoint, taken.error().detail, {}}, {}, false};
+    } else if (!request->aborted() && answer.caller_gone()) {
+        request->abort({verdict::may_have_run, reason::cancelled, "the caller closed", {}});
+        outcome.counts = false;
+        channels_.give_back(chosen.target, *taken, boot_clock::now());
+        ended = attempt_failed{
+            {verdict::not_run, reason::cancelled, "the caller closed before the send", {}},
+            {},
+            false};
+    } else if (!view_.accepts_work(chosen.target) || request->aborted()) {
+        // The view has changed while the connection was opened.
+        outcome.counts = false;
+        channels_.give_back(chosen.target, *taken, boot_clock::now());
+        ended = attempt_failed{
+            {verdict::not_run, reason::no_endpoint, "the endpoint no longer accepts work", {}},
+            {},
+            false};
+    } else {
+        const std::shared_ptr<channel> connection = *taken;
+        request->on_abort([connection] { connection->close(); });
+        ended = co_await exchange(request, answer, state, chosen, connection, outcome);
+        request->on_abort({});
+        channels_.give_back(chosen.target, connection, boot_clock::now());
+    }
+    outcome.success = std::holds_alternative<delivered>(ended);
+    if (request->aborted()) {
+        outcome.counts = outcome.success;
+    }
+    pools_.finish(chosen, outcome, boot_clock::now());
+    co_return ended;
+}
+
+asio::awaitable<request_flow::attempt_result>
+request_flow::exchange(const request_ptr& request, answer_writer& answer, attempt_state& state,
+                       const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
+                       serving::attempt_outcome& outcome)
+{
+    const time_point started = boot_clock::now();
+    if (state.runs == 0 && state.refusals == 0) {
+        budget_.count_request(chosen.target.service, started);
+    }
+    const std::string head = request_head(*request, state, chosen, started);
+    const auto sent = co_await connection->send(head, request->message.body, send_timeout);
+    if (!sent) {
+        co_return attempt_failed{sent.error(), {}, false};
+    }
+    const bool head_request = request->message.method == "HEAD";
+    const duration timeout = head_timeout(*request, state, started);
+    unsigned status = 0;
+    for (unsigned stray = 0;; ++stray) {
+        const auto got = co_await connection->read_head(timeout, head_request);
+        if (!got) {
+            co_return attempt_failed{got.error(), {}, false};
+        }
+        status = *got;
+        const auto echoed = header_value(connection->headers(), names_.request_id);
+        if (echoed.empty() || echoed == request->message.id) {
+            break;
+        }
+        // An answer to an earlier request came late; the answer to this one may follow.
+        log_event("stray_answer", {{"request", request->message.id},
+                                   {"endpoint", chosen.target.id},
+                                   {"answers", echoed}});
+        const auto skipped = co_await connection->read_whole_body(answer_limit, timeout);
+        if (!skipped || stray >= stray_answer_limit) {
+            connection->close();
+            co_return attempt_failed{
+                {verdict::may_have_run, reason::answer_mismatch, "answer of another request", {}},
+                {},
+                false};
+        }
+    }
+    const time_point answered = boot_clock::now();
+    outcome.latency = answered - started;
+    const auto& headers = connection->headers();
+    if (const auto load = read_load(header_value(headers, names_.load))) {
+        pools_.report(chosen, load->first, load->second, answered);
+    }
+    const bool signed_answer = !header_value(headers, names_.signature).empty();
+    const bool encoded = headers.find("Content-Encoding") != headers.end();
+    const bool success = status >= 200 && status < 300;
+    const bool refused =
+        headers.find(names_.not_run) != headers.end() || status == http_status::misdirected;
+    if (success && (!signed_answer || encoded)) {
+        connection->close();
+        co_return attempt_failed{
+            {verdict::may_have_run, reason::answer_mismatch, "answer without signature", {}},
+            {},
+            false};
+    }
+    if (success && request->matched->kind == route_kind::stream) {
+        co_return co_await relay_stream(request, answer, state, chosen, connection, outcome);
+    }
+    std::string answer_headers = forwarded_answer_headers(headers);
+    auto body =
+        co_await connection->read_whole_body(answer_limit, request->deadline - answered + 100ms);
+    outcome.whole = boot_clock::now() - started;
+    if (refused) {
+        outcome.counts = false;
+        const bool expected = status == http_status::unavailable || status == http_status::too_many;
+        co_return attempt_failed{{verdict::not_run,
+                                  expected ? reason::overloaded : reason::no_endpoint,
+                                  "endpoint refused with status " + std::to_string(status),
+                                  {}},
+                                 {},
+                                 status == http_status::conflict};
+    }
+    if (!body) {
+        co_return attempt_failed{body.error(), {}, false};
+    }
+    const bool server_failure = status >= 500;
+    if (server_failure) {
+        attempt_failed failed{{verdict::ran,
+                               reason::endpoint_failed,
+                               "endpoint answered " + std::to_string(status),
+                               {}},
+                              kept_answer{status, std::move(answer_headers), std::move(*body)},
+                              false};
+        if (!signed_answer) {
+            failed.answer.reset();
+        }
+        co_return failed;
+    }
+    co_await answer.whole(status, std::move(answer_headers), std::move(*body));
+    co_return delivered{};
+}
+
+asio::awaitable<request_flow::attempt_result>
+request_flow::relay_stream(const request_ptr& request, answer_writer& answer, attempt_state& state,
+                           const chosen_endpoint&, std::shared_ptr<channel> connection,
+                           serving::attempt_outcome& outcome)
+{
+    if (!answer.begun()) {
+        state.first_headers = forwarded_answer_headers(connection->headers());
+    }
+    state.events.drop_partial_event();
+    const time_point started = boot_clock::now() - outcome.latency;
+    bool first = true;
+    while (true) {
+        std::string bytes;
+        const time_point now = boot_clock::now();
+        const duration left = request->deadline - now + 100ms;
+        const duration timeout =
+            state.repeatable ? std::min<duration>(left, stream_pause_limit) : left;
+        const auto more = co_await connection->read_body(bytes, timeout);
+        if (!more) {
+            co_return attempt_failed{more.error(), {}, false};
+        }
+        state.events.add(bytes);
+        const bool last = !*more;
+        std::string events = last ? state.events.take_whole_events() + state.events.take_rest()
+                                  : state.events.take_whole_events();
+        if (events.empty() && !last) {
+            continue;
+        }
+        if (first) {
+            first = false;
+            outcome.latency = boot_clock::now() - started;
+            conductor_.release(state.job); // the endpoint has fetched them
+        }
+        const bool written =
+            co_await answer.part(200, state.first_headers, std::move(events), last);
+        if (!written) {
+            request->abort({verdict::may_have_run, reason::cancelled, "the caller is gone", {}});
+            connection->close();
+            co_return attempt_failed{*request->aborted(), {}, false};
+        }
+        if (last) {
+            outcome.whole = boot_clock::now() - started;
+            co_return delivered{};
+        }
+    }
+}
+
+} // namespace quetzal::gateway
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -1,7 +1,6 @@
 #include <quetzal/gateway/request_flow.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -9,6 +8,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <quetzal/base/hash.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/http_status.hpp>
+
+#include "request_priority.hpp"
 
 namespace quetzal::gateway {
 
@@ -17,88 +19,23 @@
 
 namespace {
 
-constexpr duration connect_timeout = 300ms;
-constexpr duration send_timeout = 2s;
-constexpr duration poll_interval = 15ms;       // while all endpoints are full
-constexpr std::size_t answer_limit = 8u << 20; // bytes of an answer that is not a stream
-constexpr unsigned refusal_limit = 3;          // endpoints that may refuse one request
-constexpr unsigned unreachable_limit = 6;      // endpoints that may be down at once for one request
-constexpr unsigned stray_answer_limit = 2;     // answers to other requests skipped on a connection
-// A repeatable request is tried elsewhere when its answer takes this many times the latency target.
-constexpr int slow_attempt_factor = 2;
-constexpr duration least_attempt_timeout = 400ms;
-// A resumable stream is resumed elsewhere after a pause of this length.
-constexpr duration stream_pause_limit = 1500ms;
+constexpr duration poll_interval = 15ms;  // while all endpoints are full
+constexpr unsigned refusal_limit = 3;     // endpoints that may refuse one request
+constexpr unsigned unreachable_limit = 6; // endpoints that may be down at once for one request
 constexpr duration least_time_for_attempt = 20ms;
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_conflict = 409;
-constexpr unsigned status_misdirected = 421;
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_bad_gateway = 502;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_gateway_timeout = 504;
 constexpr duration default_retry_after = 300ms;
 // Results of this many bytes are made where the endpoint is that will fetch them.
 constexpr std::uint64_t large_results = 256u << 10;
-constexpr int route_priorities = 16; // more urgent ones are told apart
-constexpr int least_urgent_priority = 9;
 // Expected time of the request itself after its stages.
 constexpr duration after_stages = 250ms;
 
-std::int64_t milliseconds(duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 unsigned status_of(const failure& why)
 {
     if (why.run == verdict::not_run) {
-        return status_unavailable;
-    }
-    return why.why == reason::deadline_passed ? status_gateway_timeout : status_bad_gateway;
-}
-
-// Reads "RUNNING,WAITING,SLOTS".
-std::optional<std::pair<std::uint32_t, std::uint32_t>> read_load(std::string_view text)
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    const char* const end = text.data() + text.size();
-    const auto first = std::from_chars(text.data(), end, running);
-    if (first.ec != std::errc{} || first.ptr == end || *first.ptr != ',') {
-        return std::nullopt;
-    }
-    if (std::from_chars(first.ptr + 1, end, waiting).ec != std::errc{}) {
-        return std::nullopt;
+        return http_status::unavailable;
     }
-    return std::pair(running, waiting);
-}
-
-// The customer's priority goes before the route's, which orders the requests of customers that have
-// the same one.
-int effective_priority(const caller_identity& caller, const route& matched)
-{
-    const int route_priority = std::clamp(matched.priority, 0, route_priorities - 1);
-    const int customer_priority = caller.priority.value_or(route_priority);
-    return customer_priority * route_priorities + route_priority;
-}
-
-// The same order in the few levels that endpoints know.
-int endpoint_priority(int effective)
-{
-    constexpr int levels_of_routes = 3;
-    const int customer_priority = effective / route_priorities;
-    const int route_priority = std::min(effective % route_priorities, levels_of_routes - 1);
-    return std::clamp(customer_priority * levels_of_routes + route_priority, 0,
-                      least_urgent_priority);
-}
-
-std::string_view header_value(const channel::fields& headers, const std::string& name)
-{
-    const auto value = headers[name];
-    return {value.data(), value.size()};
+    return why.why == reason::deadline_passed ? http_status::gateway_timeout
+                                              : http_status::bad_gateway;
 }
 
 } // namespace
@@ -127,7 +64,7 @@
 {
     const auto matched = view_.find_route(request.message.host, request.message.path());
     if (matched == nullptr) {
-        status = status_not_found;
+        status = http_status::not_found;
         return failure{verdict::not_run, reason::not_found, "no route matches", {}};
     }
     request.matched = matched;
@@ -135,19 +72,19 @@
     if (!matched->open) {
         auto caller = view_.find_customer(request.message.key);
         if (!caller) {
-            status = status_unauthorized;
+            status = http_status::unauthorized;
             return failure{verdict::not_run, reason::unauthorized, "no customer holds the key", {}};
         }
         request.caller = std::move(*caller);
     }
-    request.priority = effective_priority(request.caller, *matched);
+    request.priority = internal::effective_priority(request.caller, *matched);
     return std::nullopt;
 }
 
 std::optional<failure> request_flow::admit(running_request& request, unsigned& status)
 {
     if (!view_.configured()) {
-        status = status_unavailable;
+        status = http_status::unavailable;
         return failure{verdict::not_run, reason::stale_view, "no configuration is known yet",
                        std::chrono::milliseconds(500)};
     }
@@ -440,271 +377,38 @@
     return budget_.try_repeat(service_of(request), members_.recent_size(now), now);
 }
 
-duration request_flow::head_timeout(const running_request& request, const attempt_state& state,
-                                    time_point now) const
-{
-    const duration left = request.deadline - now + 100ms; // the deadline itself ends the attempt
-    const bool last = state.runs + 1 >= request.matched->max_attempts;
-    if (!state.repeatable || last) {
-        return left;
-    }
-    return std::min(left, std::max<duration>(request.matched->latency_target * slow_attempt_factor,
-                                             least_attempt_timeout));
-}
-
-std::string request_flow::request_head(const running_request& request, const attempt_state& state,
-                                       const chosen_endpoint& chosen, time_point now) const
-{
-    const auto& message = request.message;
-    std::string head = message.method + " " + message.target + " HTTP/1.1\r\n";
-    head += message.forwarded_headers;
-    const auto add = [&](const std::string& name, const std::string& value) {
-        head += name + ": " + value + "\r\n";
-    };
-    add(names_.deadline,
-        std::to_string(std::max<std::int64_t>(milliseconds(request.deadline - now), 1)));
-    add(names_.expected_endpoint, chosen.target.id);
-    if (!request.caller.customer.empty()) {
-        add(names_.customer, request.caller.customer);
-    }
-    const auto& last_id = state.events.last_id();
-    if (last_id || !message.last_event_id.empty()) {
-        add(names_.last_event_id, last_id.value_or(message.last_event_id));
-    }
-    if (!request.matched->stages.empty()) {
-        std::string inputs;
-        for (const auto& handle : state.inputs) {
-            inputs += inputs.empty() ? handle : "," + handle;
-        }
-        add(names_.inputs, inputs);
-    }
-    if (request.matched->kind == route_kind::stream) {
-        add(names_.priority, std::to_string(endpoint_priority(request.priority)));
-    }
-    if (!message.body.empty() || (message.method != "GET" && message.method != "HEAD")) {
-        add("Content-Length", std::to_string(message.body.size()));
-    }
-    return head + "\r\n";
-}
-
-asio::awaitable<request_flow::attempt_result> request_flow::attempt(const request_ptr& request,
-                                                                    answer_writer& answer,
-                                                                    attempt_state& state,
-                                                                    const chosen_endpoint& chosen)
-{
-    serving::attempt_outcome outcome;
-    outcome.prompt = chosen.prompt;
-    outcome.expected_prefix = chosen.expected_prefix;
-    auto taken = co_await channels_.take(chosen.target, connect_timeout);
-    attempt_result ended = attempt_failed{};
-    if (!taken) {
-        pools_.unreachable(chosen, boot_clock::now());
-        ended = attempt_failed{
-            {verdict::not_run, reason::no_endpoint, taken.error().detail, {}}, {}, false};
-    } else if (!request->aborted() && answer.caller_gone()) {
-        request->abort({verdict::may_have_run, reason::cancelled, "the caller closed", {}});
-        outcome.counts = false;
-        channels_.give_back(chosen.target, *taken, boot_clock::now());
-        ended = attempt_failed{
-            {verdict::not_run, reason::cancelled, "the caller closed before the send", {}},
-            {},
-            false};
-    } else if (!view_.accepts_work(chosen.target) || request->aborted()) {
-        // The view has changed while the connection was opened.
-        outcome.counts = false;
-        channels_.give_back(chosen.target, *taken, boot_clock::now());
-        ended = attempt_failed{
-            {verdict::not_run, reason::no_endpoint, "the endpoint no longer accepts work", {}},
-            {},
-            false};
-    } else {
-        const std::shared_ptr<channel> connection = *taken;
-        request->on_abort([connection] { connection->close(); });
-        ended = co_await exchange(request, answer, state, chosen, connection, outcome);
-        request->on_abort({});
-        channels_.give_back(chosen.target, connection, boot_clock::now());
-    }
-    outcome.success = std::holds_alternative<delivered>(ended);
-    if (request->aborted()) {
-        outcome.counts = outcome.success;
-    }
-    pools_.finish(chosen, outcome, boot_clock::now());
-    co_return ended;
-}
-
-asio::awaitable<request_flow::attempt_result>
-request_flow::exchange(const request_ptr& request, answer_writer& answer, attempt_state& state,
-                       const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
-                       serving::attempt_outcome& outcome)
-{
-    const time_point started = boot_clock::now();
-    if (state.runs == 0 && state.refusals == 0) {
-        budget_.count_request(chosen.target.service, started);
-    }
-    const std::string head = request_head(*request, state, chosen, started);
-    const auto sent = co_await connection->send(head, request->message.body, send_timeout);
-    if (!sent) {
-        co_return attempt_failed{sent.error(), {}, false};
-    }
-    const bool head_request = request->message.method == "HEAD";
-    const duration timeout = head_timeout(*request, state, started);
-    unsigned status = 0;
-    for (unsigned stray = 0;; ++stray) {
-        const auto got = co_await connection->read_head(timeout, head_request);
-        if (!got) {
-            co_return attempt_failed{got.error(), {}, false};
-        }
-        status = *got;
-        const auto echoed = header_value(connection->headers(), names_.request_id);
-        if (echoed.empty() || echoed == request->message.id) {
-            break;
-        }
-        // An answer to an earlier request came late; the answer to this one may follow.
-        log_event("stray_answer", {{"request", request->message.id},
-                                   {"endpoint", chosen.target.id},
-                                   {"answers", echoed}});
-        const auto skipped = co_await connection->read_whole_body(answer_limit, timeout);
-        if (!skipped || stray >= stray_answer_limit) {
-            connection->close();
-            co_return attempt_failed{
-                {verdict::may_have_run, reason::answer_mismatch, "answer of another request", {}},
-                {},
-                false};
-        }
-    }
-    const time_point answered = boot_clock::now();
-    outcome.latency = answered - started;
-    const auto& headers = connection->headers();
-    if (const auto load = read_load(header_value(headers, names_.load))) {
-        pools_.report(chosen, load->first, load->second, answered);
-    }
-    const bool signed_answer = !header_value(headers, names_.signature).empty();
-    const bool encoded = headers.find("Content-Encoding") != headers.end();
-    const bool success = status >= 200 && status < 300;
-    const bool refused =
-        headers.find(names_.not_run) != headers.end() || status == status_misdirected;
-    if (success && (!signed_answer || encoded)) {
-        connection->close();
-        co_return attempt_failed{
-            {verdict::may_have_run, reason::answer_mismatch, "answer without signature", {}},
-            {},
-            false};
-    }
-    if (success && request->matched->kind == route_kind::stream) {
-        co_return co_await relay_stream(request, answer, state, chosen, connection, outcome);
-    }
-    std::string answer_headers = forwarded_answer_headers(headers);
-    auto body =
-        co_await connection->read_whole_body(answer_limit, request->deadline - answered + 100ms);
-    outcome.whole = boot_clock::now() - started;
-    if (refused) {
-        outcome.counts = false;
-        const bool expected = status == status_unavailable || status == status_too_many;
-        co_return attempt_failed{{verdict::not_run,
-                                  expected ? reason::overloaded : reason::no_endpoint,
-                                  "endpoint refused with status " + std::to_string(status),
-                                  {}},
-                                 {},
-                                 status == status_conflict};
-    }
-    if (!body) {
-        co_return attempt_failed{body.error(), {}, false};
-    }
-    const bool server_failure = status >= 500;
-    if (server_failure) {
-        attempt_failed failed{{verdict::ran,
-                               reason::endpoint_failed,
-                               "endpoint answered " + std::to_string(status),
-                               {}},
-                              kept_answer{status, std::move(answer_headers), std::move(*body)},
-                              false};
-        if (!signed_answer) {
-            failed.answer.reset();
-        }
-        co_return failed;
-    }
-    co_await answer.whole(status, std::move(answer_headers), std::move(*body));
-    co_return delivered{};
-}
-
-asio::awaitable<request_flow::attempt_result>
-request_flow::relay_stream(const request_ptr& request, answer_writer& answer, attempt_state& state,
-                           const chosen_endpoint&, std::shared_ptr<channel> connection,
-                           serving::attempt_outcome& outcome)
-{
-    if (!answer.begun()) {
-        state.first_headers = forwarded_answer_headers(connection->headers());
-    }
-    state.events.drop_partial_event();
-    const time_point started = boot_clock::now() - outcome.latency;
-    bool first = true;
-    while (true) {
-        std::string bytes;
-        const time_point now = boot_clock::now();
-        const duration left = request->deadline - now + 100ms;
-        const duration timeout =
-            state.repeatable ? std::min<duration>(left, stream_pause_limit) : left;
-        const auto more = co_await connection->read_body(bytes, timeout);
-        if (!more) {
-            co_return attempt_failed{more.error(), {}, false};
-        }
-        state.events.add(bytes);
-        const bool last = !*more;
-        std::string events = last ? state.events.take_whole_events() + state.events.take_rest()
-                                  : state.events.take_whole_events();
-        if (events.empty() && !last) {
-            continue;
-        }
-        if (first) {
-            first = false;
-            outcome.latency = boot_clock::now() - started;
-            conductor_.release(state.job); // the endpoint has fetched them
-        }
-        const bool written =
-            co_await answer.part(200, state.first_headers, std::move(events), last);
-        if (!written) {
-            request->abort({verdict::may_have_run, reason::cancelled, "the caller is gone", {}});
-            connection->close();
-            co_return attempt_failed{*request->aborted(), {}, false};
-        }
-        if (last) {
-            outcome.whole = boot_clock::now() - started;
-            co_return delivered{};
-        }
-    }
-}
-
 asio::awaitable<void> request_flow::refuse(running_request& request, answer_writer& answer,
                                            unsigned status, const failure& why)
 {
     const bool caller_gone = why.why == reason::cancelled;
     if (why.why == reason::unauthorized && why.run == verdict::not_run) {
-        status = status_unauthorized;
+        status = http_status::unauthorized;
     } else if (why.why == reason::not_found && why.run == verdict::not_run) {
-        status = status_not_found;
+        status = http_status::not_found;
     } else if (why.why == reason::invalid_request) {
-        status = status_bad_request;
+        status = http_status::bad_request;
     }
     count(request, to_string(why.why));
-    log_event(caller_gone ? "caller_left" : "request_refused",
-              {{"request", request.message.id},
-               {"route", request.matched ? std::string_view(request.matched->name) : "none"},
-               {"status", status},
-               {"verdict", to_string(why.run)},
-               {"reason", to_string(why.why)},
-               {"detail", why.detail},
-               {"configuration", view_.version()},
-               {"priority", request.priority},
-               {"patience_ms", milliseconds(request.message.patience.value_or(duration::zero()))},
-               {"timeout_ms", request.matched ? milliseconds(request.matched->timeout) : 0},
-               {"customer", request.caller.customer},
-               {"after_ms", milliseconds(boot_clock::now() - request.message.received)}});
+    log_event(
+        caller_gone ? "caller_left" : "request_refused",
+        {{"request", request.message.id},
+         {"route", request.matched ? std::string_view(request.matched->name) : "none"},
+         {"status", status},
+         {"verdict", to_string(why.run)},
+         {"reason", to_string(why.why)},
+         {"detail", why.detail},
+         {"configuration", view_.version()},
+         {"priority", request.priority},
+         {"patience_ms", whole_milliseconds(request.message.patience.value_or(duration::zero()))},
+         {"timeout_ms", request.matched ? whole_milliseconds(request.matched->timeout) : 0},
+         {"customer", request.caller.customer},
+         {"after_ms", whole_milliseconds(boot_clock::now() - request.message.received)}});
     if (caller_gone || answer.begun()) {
         answer.cut();
         co_return;
     }
     std::string headers = "Content-Type: application/json\r\n";
-    if (status == status_unavailable) {
+    if (status == http_status::unavailable) {
         const double seconds =
             std::chrono::duration<double>(why.retry_after ? duration(*why.retry_after)
                                                           : default_retry_after)
--- a/libs/gateway/src/stage_conductor.cpp
+++ b/libs/gateway/src/stage_conductor.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/spawn.hpp>
 
 namespace quetzal::gateway {
@@ -29,16 +30,8 @@
 constexpr duration watch_interval = std::chrono::milliseconds(100);
 constexpr std::size_t answer_limit = 1u << 20;          // bytes of the answer to a call
 constexpr std::size_t release_answer_limit = 16u << 10; // bytes
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_misdirected = 421;
-constexpr unsigned status_unavailable = 503;
 constexpr std::string_view conductor_key = "stages";
 
-std::int64_t milliseconds(duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 std::string address_text(const asio::ip::tcp::endpoint& address)
 {
     return address.address().to_string() + ":" + std::to_string(address.port());
@@ -74,9 +67,10 @@
         return;
     }
     stage_job& content = opened.job.content;
-    content.useful_ms = static_cast<std::int32_t>(milliseconds(opened.job.useful_until - now));
+    content.useful_ms =
+        static_cast<std::int32_t>(whole_milliseconds(opened.job.useful_until - now));
     content.remaining_ms = static_cast<std::uint32_t>(
-        std::max<std::int64_t>(milliseconds(opened.job.deadline - now), 0));
+        std::max<std::int64_t>(whole_milliseconds(opened.job.deadline - now), 0));
     opened.conductor = members_.owner_of(conductor_key, now);
     if (opened.conductor == members_.self().address) {
         take({}, job_submission{ticket, content});
@@ -285,8 +279,8 @@
                                       {"endpoint", call.target.id},
                                       {"pieces", call.pieces.size()},
                                       {"first_request", call.pieces.front().request_id},
-                                      {"took_ms", milliseconds(now - started)},
-                                      {"expected_ms", milliseconds(call.expected)}});
+                                      {"took_ms", whole_milliseconds(now - started)},
+                                      {"expected_ms", whole_milliseconds(call.expected)}});
     }
     if (outcomes) {
         const auto without_room =
@@ -344,7 +338,7 @@
     }
     const bool refused =
         connection->headers().find(names_.not_run) != connection->headers().end() ||
-        *status == status_misdirected;
+        *status == http_status::misdirected;
     auto answer = co_await connection->read_whole_body(answer_limit, timeout);
     if (!answer) {
         co_return tl::unexpected(answer.error());
@@ -352,11 +346,11 @@
     channels_.give_back(target, connection, boot_clock::now());
     const std::string detail = "stage call answered with status " + std::to_string(*status);
     if (refused) {
-        co_return not_run(*status == status_unavailable ? reason::overloaded : reason::no_endpoint,
-                          detail);
+        co_return not_run(
+            *status == http_status::unavailable ? reason::overloaded : reason::no_endpoint, detail);
     }
-    auto outcomes =
-        *status == status_ok ? protocol_.decode_call(*answer, call.pieces.size()) : std::nullopt;
+    auto outcomes = *status == http_status::ok ? protocol_.decode_call(*answer, call.pieces.size())
+                                               : std::nullopt;
     if (!outcomes) {
         co_return may_have_run(reason::endpoint_failed, detail);
     }
