--- a/libs/gateway/include/quetzal/gateway/catalog.hpp
+++ b/libs/gateway/include/quetzal/gateway/catalog.hpp
@@ -159,9 +159,6 @@
     // pointer shares ownership of its configuration.
     std::shared_ptr<const route> find_route(std::string_view host, std::string_view path) const;
 
-    // Returns the route of that name in the newest configuration, or null.
-    std::shared_ptr<const route> find_route_by_name(const std::string& name) const;
-
     // Returns the customer that holds the key, or nothing when no customer does.
     std::optional<caller_identity> find_customer(std::string_view key) const;
 
@@ -177,12 +174,10 @@
     std::vector<const endpoint*> usable_endpoints(const std::string& service) const;
 
     const std::map<std::string, endpoint>& endpoints() const noexcept { return endpoints_; }
-    const std::set<std::string>& evacuated_zones() const noexcept { return evacuated_; }
 
 private:
     std::shared_ptr<const published_configuration> configuration_;
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
-    std::unordered_map<std::string, std::size_t> routes_by_name_;
     std::unordered_map<std::string, std::size_t> customers_by_key_;
     std::unordered_map<std::string, std::size_t> services_;
     std::map<std::string, endpoint> endpoints_;
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -163,7 +163,11 @@
 
     using action_list = scheduler_actions;
 
+    // Time of a call of the stage at usual load; zero for a stage that is left out.
+    duration usual_call_time(const job_stage& stage) const;
     void queue_ready(job_number number, running_job& job, time_point now);
+    void queue_piece(job_number number, const running_job& job, std::size_t stage,
+                     std::size_t piece, const std::string& zone, time_point now);
     void end_job(job_number number, job_fate fate, time_point now, action_list& actions);
     void drop_waiting(job_number number);
     // Takes the pieces that are not made out of the backlog.
@@ -173,7 +177,6 @@
     void copy_slow_calls(time_point now);
     // Time after which a running call counts as slow.
     duration slow_after(const running_call& call) const;
-    void queue_piece(const called_piece& piece, time_point now);
     void repeat_piece(const called_piece& piece, bool may_have_run, time_point now,
                       action_list& actions);
     void finish_piece(const called_piece& piece, std::string handle, time_point now,
--- a/libs/gateway/src/catalog.cpp
+++ b/libs/gateway/src/catalog.cpp
@@ -11,12 +11,10 @@
         return false;
     }
     routes_by_host_.clear();
-    routes_by_name_.clear();
     customers_by_key_.clear();
     services_.clear();
     for (std::size_t index = 0; index < configuration.routes.size(); ++index) {
         routes_by_host_[configuration.routes[index].host].push_back(index);
-        routes_by_name_.emplace(configuration.routes[index].name, index);
     }
     for (std::size_t index = 0; index < configuration.customers.size(); ++index) {
         for (const auto& key : configuration.customers[index].keys) {
@@ -84,15 +82,6 @@
     return best == nullptr ? nullptr : std::shared_ptr<const route>(configuration_, best);
 }
 
-std::shared_ptr<const route> catalog::find_route_by_name(const std::string& name) const
-{
-    const auto found = routes_by_name_.find(name);
-    if (found == routes_by_name_.end()) {
-        return nullptr;
-    }
-    return {configuration_, &configuration_->routes[found->second]};
-}
-
 std::optional<caller_identity> catalog::find_customer(std::string_view key) const
 {
     const auto found = customers_by_key_.find(std::string(key));
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -1,7 +1,6 @@
 #include <quetzal/gateway/stage_scheduler.hpp>
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -46,6 +45,15 @@
 {
 }
 
+duration stage_scheduler::usual_call_time(const job_stage& stage) const
+{
+    const auto* definition = view_.find_service(stage.service);
+    if (stage.pieces == 0 || definition == nullptr || !definition->stage) {
+        return duration::zero();
+    }
+    return call_duration(*definition->stage, definition->stage->batch * usual_fill);
+}
+
 duration stage_scheduler::expected_time(const stage_job& content, time_point now) const
 {
     std::vector<duration> finished(content.stages.size());
@@ -57,16 +65,15 @@
                 finished[index] = std::max(finished[index], finished[earlier]);
             }
         }
-        const auto* definition = view_.find_service(stage.service);
-        if (stage.pieces == 0 || definition == nullptr || !definition->stage) {
+        const duration own = usual_call_time(stage);
+        if (own == duration::zero()) {
             continue;
         }
         // Endpoints work off what is committed to them while earlier stages run.
         const duration begin =
             std::max(finished[index], backlog_.wait(stage.service, content.priority,
                                                     workers_.active(stage.service, now)));
-        const stage_capacity& capacity = *definition->stage;
-        finished[index] = begin + call_duration(capacity, capacity.batch * usual_fill);
+        finished[index] = begin + own;
         last = std::max(last, finished[index]);
     }
     return last;
@@ -107,12 +114,7 @@
     job.deadline = now + remaining;
     job.following.assign(content.stages.size(), duration::zero());
     for (std::size_t index = content.stages.size(); index-- > 0;) {
-        const auto* definition = view_.find_service(content.stages[index].service);
-        const bool made =
-            definition != nullptr && definition->stage && content.stages[index].pieces > 0;
-        const duration own =
-            made ? call_duration(*definition->stage, definition->stage->batch * usual_fill)
-                 : duration::zero();
+        const duration own = usual_call_time(content.stages[index]);
         for (const std::uint32_t earlier : content.stages[index].after) {
             if (earlier < index) {
                 job.following[earlier] =
@@ -120,10 +122,8 @@
             }
         }
     }
-    for (const job_stage& stage : content.stages) {
-        job.open.push_back(stage.pieces);
-    }
     for (const job_stage& stage : job.stages) {
+        job.open.push_back(stage.pieces);
         backlog_.add(stage.service, job.zone, job.priority, stage.pieces);
     }
     if (job.plan.finished()) {
@@ -144,17 +144,23 @@
 void stage_scheduler::queue_ready(job_number number, running_job& job, time_point now)
 {
     for (const std::size_t stage : job.plan.take_ready()) {
-        const job_stage& definition = job.stages[stage];
         const std::string inputs_lie = workers_.zone_of_most(job.plan.inputs_of(stage));
         const std::string& zone = inputs_lie.empty() ? job.zone : inputs_lie;
-        for (std::size_t piece = 0; piece < definition.pieces; ++piece) {
-            waiting_[definition.service].push_back(
-                {number, stage, piece, job.priority, job.useful_until - job.following[stage],
-                 job.deadline - job.following[stage], definition.result_size, zone, now});
+        for (std::size_t piece = 0; piece < job.stages[stage].pieces; ++piece) {
+            queue_piece(number, job, stage, piece, zone, now);
         }
     }
 }
 
+void stage_scheduler::queue_piece(job_number number, const running_job& job, std::size_t stage,
+                                  std::size_t piece, const std::string& zone, time_point now)
+{
+    const job_stage& definition = job.stages[stage];
+    waiting_[definition.service].push_back(
+        {number, stage, piece, job.priority, job.useful_until - job.following[stage],
+         job.deadline - job.following[stage], definition.result_size, zone, now});
+}
+
 void stage_scheduler::drop_waiting(job_number number)
 {
     for (auto& [service, waiting] : waiting_) {
@@ -423,10 +429,11 @@
     } else {
         workers_.note_failure(call.endpoint_id, now);
     }
+    if (call.copied) {
+        return actions;
+    }
     for (const called_piece& piece : call.pieces) {
-        if (!call.copied) {
-            repeat_piece(piece, run != verdict::not_run, now, actions);
-        }
+        repeat_piece(piece, run != verdict::not_run, now, actions);
     }
     return actions;
 }
@@ -455,8 +462,10 @@
         }
         call.copied = true;
         for (const called_piece& piece : call.pieces) {
-            if (jobs_.contains(piece.job) && budget_.try_repeat(call.service, 1, now)) {
-                queue_piece(piece, now);
+            const auto job = jobs_.find(piece.job);
+            if (job != jobs_.end() && budget_.try_repeat(call.service, 1, now)) {
+                queue_piece(piece.job, job->second, piece.stage, piece.piece, job->second.zone,
+                            now);
             }
         }
     }
@@ -498,16 +507,7 @@
         end_job(piece.job, job_fate::failed, now, actions);
         return;
     }
-    queue_piece(piece, now);
-}
-
-void stage_scheduler::queue_piece(const called_piece& piece, time_point now)
-{
-    const running_job& job = jobs_.at(piece.job);
-    waiting_[job.stages[piece.stage].service].push_back(
-        {piece.job, piece.stage, piece.piece, job.priority,
-         job.useful_until - job.following[piece.stage], job.deadline - job.following[piece.stage],
-         piece.result_size, job.zone, now});
+    queue_piece(piece.job, job, piece.stage, piece.piece, job.zone, now);
 }
 
 bool stage_scheduler::has_work() const
