Share the opening of ports and the look at a peer's closing

caller_server and peer_link opened their acceptors line by line, and three places peeked at a socket to learn whether the other side has closed; both exist once in channel.hpp. The head of an answer is written in one place, the status codes of caller_server are the named ones, and a parameter that relay_stream ignored is gone.

--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -17,6 +17,7 @@
 #include <quetzal/base/time.hpp>
 #include <quetzal/base/verdict.hpp>
 #include <quetzal/gateway/lazy_deadline.hpp>
+#include <tl/expected.hpp>
 
 namespace quetzal::gateway {
 
@@ -80,6 +81,21 @@
 // connections whose other side has gone silent.
 void configure_socket(boost::asio::ip::tcp::socket& socket);
 
+// Opens an acceptor on the address; `backlog` connections may wait for it. Returns an error text.
+tl::expected<void, std::string>
+open_acceptor(boost::asio::ip::tcp::acceptor& acceptor,
+              const boost::asio::ip::tcp::endpoint& address,
+              int backlog = boost::asio::socket_base::max_listen_connections);
+
+// What the other side of a connection has done; takes nothing from the socket.
+enum class peer_activity
+{
+    none,
+    sent_bytes,
+    closed // or reset
+};
+peer_activity activity_on(boost::asio::ip::tcp::socket& socket);
+
 // Head of a request with a JSON body that only the endpoint of that id may answer.
 std::string post_head(const std::string& target, const std::string& host, std::size_t body_size,
                       const std::string& expected_header, const std::string& expected_id);
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -5,9 +5,8 @@
 // request may have run: 503 only where no endpoint began to work on it.
 
 #include <cstdint>
-#include <functional>
-#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -59,7 +58,7 @@
     struct attempt_failed
     {
         failure error;
-        std::optional<kept_answer> answer;
+        std::optional<kept_answer> answer{};
         bool inputs_gone = false; // results of stages have to be made again
     };
     using attempt_result = std::variant<delivered, attempt_failed>;
@@ -101,7 +100,6 @@
                                                     serving::attempt_outcome& outcome);
     boost::asio::awaitable<attempt_result> relay_stream(const request_ptr& request,
                                                         answer_writer& answer, attempt_state& state,
-                                                        const chosen_endpoint& chosen,
                                                         std::shared_ptr<channel> connection,
                                                         serving::attempt_outcome& outcome);
     std::string request_head(const running_request& request, const attempt_state& state,
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <cstdio>
-#include <sys/socket.h>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -17,6 +16,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <quetzal/gateway/channel.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/lazy_deadline.hpp>
 #include <quetzal/gateway/spawn.hpp>
 
@@ -126,13 +126,20 @@
         co_return !error;
     }
 
-    asio::awaitable<bool> whole(unsigned status, std::string headers, std::string body) override
+    // The status line and headers of an answer, without those of its body.
+    std::string answer_head(unsigned status, const std::string& headers)
     {
         std::string bytes = status_line(status) + headers;
         if (server.draining || !keep) {
             keep = false;
             bytes += "Connection: close\r\n";
         }
+        return bytes;
+    }
+
+    asio::awaitable<bool> whole(unsigned status, std::string headers, std::string body) override
+    {
+        std::string bytes = answer_head(status, headers);
         bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
         if (!head_request) {
             bytes += body;
@@ -147,11 +154,7 @@
         std::string bytes;
         if (!stream_begun) {
             stream_begun = true;
-            bytes = status_line(status) + headers;
-            if (server.draining || !keep) {
-                keep = false;
-                bytes += "Connection: close\r\n";
-            }
+            bytes = answer_head(status, headers);
             bytes += "Transfer-Encoding: chunked\r\n\r\n";
         }
         if (!events.empty()) {
@@ -170,12 +173,7 @@
 
     bool begun() const override { return stream_begun; }
 
-    bool caller_gone() override
-    {
-        char byte = 0;
-        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
+    bool caller_gone() override { return activity_on(socket) == peer_activity::closed; }
 
     void cut() override { close(); }
 
@@ -193,13 +191,10 @@
             if (!self->current || (error && self->socket.is_open())) {
                 return;
             }
-            char byte = 0;
-            const auto got =
-                error ? 0 : ::recv(self->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            const bool waiting = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-            if (waiting) {
+            const auto activity = error ? peer_activity::closed : activity_on(self->socket);
+            if (activity == peer_activity::none) {
                 self->watch();
-            } else if (got <= 0) {
+            } else if (activity == peer_activity::closed) {
                 self->current->abort(
                     {verdict::may_have_run, reason::cancelled, "the caller closed", {}});
             }
@@ -234,10 +229,10 @@
         return {0, "slow sender", true};
     }
     if (error == http::error::header_limit) {
-        return {431, "header too large", false};
+        return {http_status::header_too_large, "header too large", false};
     }
     if (error == http::error::body_limit) {
-        return {413, "body too large", false};
+        return {http_status::body_too_large, "body too large", false};
     }
     const bool gone =
         error == http::error::end_of_stream || error == http::error::partial_message ||
@@ -245,7 +240,7 @@
     if (gone || !began) {
         return {0, "closed", true};
     }
-    return {400, "malformed request", false};
+    return {http_status::bad_request, "malformed request", false};
 }
 
 } // namespace
@@ -277,7 +272,7 @@
         if (error) {
             outcome = read_failure(error, caller->timed_out, true);
         } else if (const char* fault = framing_fault(parser)) {
-            outcome = {400, fault, false};
+            outcome = {http_status::bad_request, fault, false};
         }
         if (!error && outcome.refused == 0) {
             ++self->busy;
@@ -307,18 +302,19 @@
         if (!request) {
             log_event("request_malformed", {{"detail", request.error().detail}});
             caller->keep = false;
-            const unsigned status = outcome.refused == 0 ? 400 : outcome.refused;
+            const unsigned status =
+                outcome.refused == 0 ? http_status::bad_request : outcome.refused;
             co_await caller->whole(status, {}, {});
             break;
         }
         const std::size_t body_size = request->body.size();
         if (self->body_bytes + body_size > self->options.body_memory) {
             log_event("request_refused", {{"request", request->id},
-                                          {"status", 503},
+                                          {"status", http_status::unavailable},
                                           {"verdict", "not_run"},
                                           {"reason", "overloaded"},
                                           {"detail", "memory for bodies is used up"}});
-            co_await caller->whole(503, "Retry-After: 0.5\r\n", {});
+            co_await caller->whole(http_status::unavailable, "Retry-After: 0.5\r\n", {});
             continue;
         }
         self->body_bytes += body_size;
@@ -375,20 +371,10 @@
 
 tl::expected<void, std::string> caller_server::start()
 {
-    boost::system::error_code error;
-    auto& acceptor = self_->acceptor;
-    acceptor.open(tcp::v4(), error);
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(self_->options.address, error);
-    }
-    if (!error) {
-        acceptor.listen(listen_backlog, error);
-    }
-    if (error) {
-        return tl::unexpected("port of callers: " + error.message());
+    if (const auto opened = open_acceptor(self_->acceptor, self_->options.address, listen_backlog);
+        !opened)
+    {
+        return tl::unexpected("port of callers: " + opened.error());
     }
     spawn(self_->context, "accept_loop", implementation::accept_loop(self_));
     return {};
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -1,6 +1,7 @@
 #include <quetzal/gateway/channel.hpp>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -44,6 +45,30 @@
     set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
+tl::expected<void, std::string> open_acceptor(asio::ip::tcp::acceptor& acceptor,
+                                              const asio::ip::tcp::endpoint& address, int backlog)
+{
+    boost::system::error_code error;
+    if (acceptor.open(address.protocol(), error) ||
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error) ||
+        acceptor.bind(address, error) || acceptor.listen(backlog, error))
+    {
+        return tl::unexpected(error.message());
+    }
+    return {};
+}
+
+peer_activity activity_on(asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        return peer_activity::sent_bytes;
+    }
+    const bool open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return open ? peer_activity::none : peer_activity::closed;
+}
+
 std::string post_head(const std::string& target, const std::string& host, std::size_t body_size,
                       const std::string& expected_header, const std::string& expected_id)
 {
@@ -154,9 +179,7 @@
 
 bool channel::spoiled()
 {
-    char byte = 0;
-    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return activity_on(socket_) != peer_activity::none;
 }
 
 std::optional<std::chrono::seconds> channel::keep_alive() const
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -79,18 +79,8 @@
         if (error) {
             return tl::unexpected("peer datagram port: " + error.message());
         }
-        acceptor.open(tcp::v4(), error);
-        if (!error) {
-            acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        }
-        if (!error) {
-            acceptor.bind({own, options.stream_port}, error);
-        }
-        if (!error) {
-            acceptor.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error) {
-            return tl::unexpected("peer stream port: " + error.message());
+        if (const auto opened = open_acceptor(acceptor, {own, options.stream_port}); !opened) {
+            return tl::unexpected("peer stream port: " + opened.error());
         }
         return {};
     }
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -110,24 +110,19 @@
     attempt_result ended = attempt_failed{};
     if (!taken) {
         pools_.unreachable(chosen, boot_clock::now());
-        ended = attempt_failed{
-            {verdict::not_run, reason::no_endpoint, taken.error().detail, {}}, {}, false};
+        ended = attempt_failed{{verdict::not_run, reason::no_endpoint, taken.error().detail, {}}};
     } else if (!request->aborted() && answer.caller_gone()) {
         request->abort({verdict::may_have_run, reason::cancelled, "the caller closed", {}});
         outcome.counts = false;
         channels_.give_back(chosen.target, *taken, boot_clock::now());
         ended = attempt_failed{
-            {verdict::not_run, reason::cancelled, "the caller closed before the send", {}},
-            {},
-            false};
+            {verdict::not_run, reason::cancelled, "the caller closed before the send", {}}};
     } else if (!view_.accepts_work(chosen.target) || request->aborted()) {
         // The view has changed while the connection was opened.
         outcome.counts = false;
         channels_.give_back(chosen.target, *taken, boot_clock::now());
         ended = attempt_failed{
-            {verdict::not_run, reason::no_endpoint, "the endpoint no longer accepts work", {}},
-            {},
-            false};
+            {verdict::not_run, reason::no_endpoint, "the endpoint no longer accepts work", {}}};
     } else {
         const std::shared_ptr<channel> connection = *taken;
         request->on_abort([connection] { connection->close(); });
@@ -155,7 +150,7 @@
     const std::string head = request_head(*request, state, chosen, started);
     const auto sent = co_await connection->send(head, request->message.body, send_timeout);
     if (!sent) {
-        co_return attempt_failed{sent.error(), {}, false};
+        co_return attempt_failed{sent.error()};
     }
     const bool head_request = request->message.method == "HEAD";
     const duration timeout = head_timeout(*request, state, started);
@@ -163,7 +158,7 @@
     for (unsigned stray = 0;; ++stray) {
         const auto got = co_await connection->read_head(timeout, head_request);
         if (!got) {
-            co_return attempt_failed{got.error(), {}, false};
+            co_return attempt_failed{got.error()};
         }
         status = *got;
         const auto echoed = header_value(connection->headers(), names_.request_id);
@@ -178,9 +173,7 @@
         if (!skipped || stray >= stray_answer_limit) {
             connection->close();
             co_return attempt_failed{
-                {verdict::may_have_run, reason::answer_mismatch, "answer of another request", {}},
-                {},
-                false};
+                {verdict::may_have_run, reason::answer_mismatch, "answer of another request", {}}};
         }
     }
     const time_point answered = boot_clock::now();
@@ -197,12 +190,10 @@
     if (success && (!signed_answer || encoded)) {
         connection->close();
         co_return attempt_failed{
-            {verdict::may_have_run, reason::answer_mismatch, "answer without signature", {}},
-            {},
-            false};
+            {verdict::may_have_run, reason::answer_mismatch, "answer without signature", {}}};
     }
     if (success && request->matched->kind == route_kind::stream) {
-        co_return co_await relay_stream(request, answer, state, chosen, connection, outcome);
+        co_return co_await relay_stream(request, answer, state, connection, outcome);
     }
     std::string answer_headers = forwarded_answer_headers(headers);
     auto body =
@@ -219,7 +210,7 @@
                                  status == http_status::conflict};
     }
     if (!body) {
-        co_return attempt_failed{body.error(), {}, false};
+        co_return attempt_failed{body.error()};
     }
     const bool server_failure = status >= 500;
     if (server_failure) {
@@ -240,8 +231,7 @@
 
 asio::awaitable<request_flow::attempt_result>
 request_flow::relay_stream(const request_ptr& request, answer_writer& answer, attempt_state& state,
-                           const chosen_endpoint&, std::shared_ptr<channel> connection,
-                           serving::attempt_outcome& outcome)
+                           std::shared_ptr<channel> connection, serving::attempt_outcome& outcome)
 {
     if (!answer.begun()) {
         state.first_headers = forwarded_answer_headers(connection->headers());
@@ -257,7 +247,7 @@
             state.repeatable ? std::min<duration>(left, stream_pause_limit) : left;
         const auto more = co_await connection->read_body(bytes, timeout);
         if (!more) {
-            co_return attempt_failed{more.error(), {}, false};
+            co_return attempt_failed{more.error()};
         }
         state.events.add(bytes);
         const bool last = !*more;
@@ -276,7 +266,7 @@
         if (!written) {
             request->abort({verdict::may_have_run, reason::cancelled, "the caller is gone", {}});
             connection->close();
-            co_return attempt_failed{*request->aborted(), {}, false};
+            co_return attempt_failed{*request->aborted()};
         }
         if (last) {
             outcome.whole = boot_clock::now() - started;
