Log which requests a stop leaves unfinished

Cause: the line 'stopped' counted unfinished requests only. It could not tell late admission from slow stages, nor an exit that overlooks requests, nor a connection that a new configuration cuts.

A connection that ends without a complete answer is logged where that happens: the response is left incomplete, cannot be written, or the request never came in whole.

--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -3,6 +3,7 @@
 
 // One attempt of a caller's request as read from its connection, and the writer of its response.
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -40,6 +41,18 @@
     std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
 };
 
+// What a request that is being served is waiting for.
+enum class request_phase
+{
+    stages,   // the results of its stages
+    endpoint, // an endpoint with free capacity, or a connection to it
+    response, // the endpoint's response
+    stream    // further events of a response that has started
+};
+
+// Returns the stable lower-case name, e.g. "stages".
+std::string_view to_string(request_phase value) noexcept;
+
 // A request that is being served. `abort` ends the processing early.
 class running_request
 {
@@ -61,6 +74,9 @@
     int priority = 0;           // effective priority: the customer's, else the route's
     time_point deadline;        // the caller's or the route's deadline, whichever is earlier
     time_point target_deadline; // a response until then meets the route's latency target
+    request_phase phase = request_phase::endpoint;
+    std::optional<time_point> sent;       // when it was first sent to an endpoint
+    std::uint64_t connection_request = 1; // its position among the requests of its connection
 
 private:
     std::optional<failure> abort_reason_;
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -37,7 +38,11 @@
                                        response_writer& writer);
 
     // Returns the number of requests being served.
-    std::size_t running() const noexcept { return running_; }
+    std::size_t running() const noexcept { return running_.size(); }
+
+    // Logs every request being served: what it waits for, and when it was received and sent,
+    // relative to the beginning of the stop.
+    void log_unfinished(time_point stop_began) const;
 
     // Returns the number of requests that have ended, with any outcome.
     std::uint64_t ended() const noexcept { return ended_; }
@@ -122,7 +127,7 @@
     const header_names& names_;
     fleet_retry_budget budget_;
     telemetry::metrics& metrics_;
-    std::size_t running_ = 0;
+    std::set<request_ptr> running_;
     std::uint64_t ended_ = 0;
 };
 
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -115,6 +115,21 @@
 
 } // namespace
 
+std::string_view to_string(request_phase value) noexcept
+{
+    switch (value) {
+    case request_phase::stages:
+        return "stages";
+    case request_phase::endpoint:
+        return "endpoint";
+    case request_phase::response:
+        return "response";
+    case request_phase::stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
 void running_request::abort(failure why)
 {
     if (abort_reason_) {
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -121,6 +121,9 @@
                                    asio::redirect_error(asio::use_awaitable, error));
         timeout.clear();
         if (error) {
+            log_event("response_not_written",
+                      {{"request", current ? std::string_view(current->message.id) : ""},
+                       {"detail", timed_out ? "the caller does not read" : error.message()}});
             close();
         }
         co_return !error;
@@ -213,6 +216,7 @@
     lazy_deadline timeout;
     boost::beast::flat_buffer buffer{read_buffer_limit};
     std::shared_ptr<running_request> current; // being served
+    std::uint64_t requests = 0;               // received so far
     bool persistent = true;
     bool head_request = false;
     bool stream_started = false;
@@ -292,6 +296,10 @@
         }
         caller->timeout.clear();
         if (outcome.closed) {
+            if (caller->timed_out) {
+                log_event("request_not_received",
+                          {{"detail", outcome.detail}, {"head_complete", parser.is_header_done()}});
+            }
             break;
         }
         caller->persistent = outcome.rejection_status == 0 && parser.get().keep_alive();
@@ -329,8 +337,16 @@
         self->body_bytes += body_size;
         ++self->active_requests;
         caller->current = std::make_shared<running_request>(std::move(*request));
+        caller->current->connection_request = ++caller->requests;
         caller->watch_for_disconnect();
         co_await self->serve_request(caller->current, *caller);
+        if (!caller->response_complete) {
+            log_event("response_incomplete",
+                      {{"request", caller->current->message.id},
+                       {"phase", to_string(caller->current->phase)},
+                       {"events_sent", caller->stream_started},
+                       {"connection_request", caller->current->connection_request}});
+        }
         caller->current.reset();
         --self->active_requests;
         self->body_bytes -= body_size;
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -153,6 +153,10 @@
         budget_.count_request(chosen.target.service, started);
     }
     const std::string head = request_head(*request, state, chosen, started);
+    request->phase = request_phase::response;
+    if (!request->sent) {
+        request->sent = started;
+    }
     const auto sent = co_await connection->send(head, request->message.body, send_timeout);
     if (!sent) {
         co_return attempt_failure{sent.error()};
@@ -246,6 +250,7 @@
                            attempt_state& state, std::shared_ptr<channel> connection,
                            serving::attempt_outcome& outcome)
 {
+    request->phase = request_phase::stream;
     if (!writer.has_started_stream()) {
         state.stream_headers = forwarded_response_headers(connection->headers());
     }
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -61,6 +61,22 @@
                      boot_clock::now() - request.message.received);
 }
 
+void request_flow::log_unfinished(time_point stop_began) const
+{
+    const time_point now = boot_clock::now();
+    for (const request_ptr& request : running_) {
+        log_event("request_unfinished",
+                  {{"request", request->message.id},
+                   {"route", request->matched->name},
+                   {"phase", to_string(request->phase)},
+                   {"received_ms", whole_milliseconds(request->message.received - stop_began)},
+                   {"sent", request->sent.has_value()},
+                   {"sent_ms", whole_milliseconds(request->sent.value_or(now) - stop_began)},
+                   {"age_ms", whole_milliseconds(now - request->message.received)},
+                   {"connection_request", request->connection_request}});
+    }
+}
+
 std::optional<failure> request_flow::resolve_route_and_customer(running_request& request,
                                                                 unsigned& status)
 {
@@ -108,7 +124,7 @@
         co_await reject(*request, writer, status, *refused);
         co_return;
     }
-    ++running_;
+    running_.insert(request);
     lazy_deadline timeout(context_.get_executor(), [request] {
         request->abort({verdict::may_have_run, reason::deadline_passed, "deadline passed", {}});
     });
@@ -138,7 +154,7 @@
         coordinator_.release(state.stage_ticket);
     }
     coordinator_.release(state.stage_ticket);
-    --running_;
+    running_.erase(request);
     if (!outcome) {
         co_await reject(*request, writer, status_for(outcome.error()), outcome.error());
     } else if (!state.last_response) {
@@ -157,6 +173,7 @@
         std::optional<job_outcome> outcome;
     };
     const route& matched = *request->matched;
+    request->phase = request_phase::stages;
     const auto counts = parse_piece_counts(request->message.piece_counts);
     if (!counts) {
         co_return not_run(reason::invalid_request, "the piece counts are malformed");
@@ -258,6 +275,7 @@
                                                                        const attempt_state& state)
 {
     const std::string service = select_service(*request);
+    request->phase = request_phase::endpoint;
     endpoint_requirements requirements{request->message.prefixes, state.tried_endpoints};
     const time_point wait_until = std::min(request->target_deadline, request->deadline);
     while (true) {
