Refuse requests that cannot end before a stopping instance exits

What callers saw: requests taken by an instance after its SIGTERM ended with a closed connection at 7.6 s, most in the middle of a response.

Cause: admission and sending did not know of the stop. Until its exit the process read requests from open connections and sent them to endpoints, also those that had waited for seconds for their stages, and then exited whatever was running.

Change: drain_plan gives each request the latest time at which it may be sent: any time if its deadline is before the end of the stop, else so that one and a half times the slowest recent response of its route fits, and never for a stream received after callers could know of the stop, since a started stream cannot end with an error status. A request beyond that time is refused with 503, reason stopping, Retry-After 0 if another instance is ready. Waiting requests are refused at that moment, stages get it as their deadline, a retry obeys it too, and at the end what has no response gets 502 instead of a closed connection.

Why it works: the exit no longer depends on luck; a request is either not sent, or bounded by its own deadline or by evidence, or answerable by status.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <quetzal/gateway/caller_request.hpp>
 #include <quetzal/gateway/channel_pool.hpp>
+#include <quetzal/gateway/drain_plan.hpp>
 #include <quetzal/gateway/endpoint_pools.hpp>
 #include <quetzal/gateway/event_splitter.hpp>
 #include <quetzal/gateway/fleet_retry_budget.hpp>
@@ -40,6 +41,15 @@
     // Returns the number of requests being served.
     std::size_t running() const noexcept { return running_.size(); }
 
+    // Begins a planned stop. From now on a request is sent to an endpoint only if its response is
+    // expected to be complete before the end of the window; others are refused with 503 at once.
+    void begin_drain(drain_window window);
+
+    // Refuses the waiting requests that can no longer be sent in time. At the end of the window
+    // ends every request whose response has not started, with an error status. Called repeatedly
+    // during a stop.
+    void enforce_drain(time_point now);
+
     // Logs every request being served: what it waits for, and when it was received and sent,
     // relative to the beginning of the stop.
     void log_unfinished(time_point stop_began) const;
@@ -113,10 +123,14 @@
     duration response_head_timeout(const running_request& request, const attempt_state& state,
                                    time_point now) const;
     bool may_retry(const running_request& request, const attempt_state& state,
-                   const attempt_failure& failed, time_point now);
+                   const attempt_failure& failed, bool started_stream, time_point now);
     boost::asio::awaitable<void> reject(running_request& request, response_writer& writer,
                                         unsigned status, const failure& why);
     void record_outcome(const running_request& request, std::string_view outcome);
+    // Returns the latest time at which a planned stop allows to send the request.
+    time_point latest_send(const running_request& request) const;
+    // Returns the refusal of a request that cannot be sent in time, and when to retry it.
+    failure drain_refusal(time_point now) const;
 
     boost::asio::io_context& context_;
     const catalog& view_;
@@ -127,6 +141,7 @@
     const header_names& names_;
     fleet_retry_budget budget_;
     telemetry::metrics& metrics_;
+    drain_plan drain_;
     std::set<request_ptr> running_;
     std::uint64_t ended_ = 0;
 };
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -61,22 +61,6 @@
                      boot_clock::now() - request.message.received);
 }
 
-void request_flow::log_unfinished(time_point stop_began) const
-{
-    const time_point now = boot_clock::now();
-    for (const request_ptr& request : running_) {
-        log_event("request_unfinished",
-                  {{"request", request->message.id},
-                   {"route", request->matched->name},
-                   {"phase", to_string(request->phase)},
-                   {"received_ms", whole_milliseconds(request->message.received - stop_began)},
-                   {"sent", request->sent.has_value()},
-                   {"sent_ms", whole_milliseconds(request->sent.value_or(now) - stop_began)},
-                   {"age_ms", whole_milliseconds(now - request->message.received)},
-                   {"connection_request", request->connection_request}});
-    }
-}
-
 std::optional<failure> request_flow::resolve_route_and_customer(running_request& request,
                                                                 unsigned& status)
 {
@@ -159,6 +143,9 @@
         co_await reject(*request, writer, status_for(outcome.error()), outcome.error());
     } else if (!state.last_response) {
         record_outcome(*request, "answered");
+        if (request->sent) {
+            drain_.record_response(matched.name, boot_clock::now() - *request->sent);
+        }
     }
 }
 
@@ -179,8 +166,13 @@
         co_return not_run(reason::invalid_request, "the piece counts are malformed");
     }
     local_job job;
-    job.latency_deadline = request->target_deadline - time_after_stages;
-    job.deadline = request->deadline;
+    const time_point wanted = request->target_deadline - time_after_stages;
+    const time_point latest = latest_send(*request);
+    if (boot_clock::now() > latest) {
+        co_return tl::unexpected(drain_refusal(boot_clock::now()));
+    }
+    job.latency_deadline = std::min(wanted, latest);
+    job.deadline = std::min(request->deadline, latest);
     job.content.request_id = request->message.id;
     job.content.piece_key = request->message.piece_key;
     job.content.priority = request->priority;
@@ -217,6 +209,9 @@
     case job_status::done:
         co_return std::move(outcome.results);
     case job_status::refused:
+        if (latest < wanted) {
+            co_return tl::unexpected(drain_refusal(boot_clock::now()));
+        }
         co_return not_run(reason::overloaded,
                           "the stages need " + std::to_string(outcome.expected_ms) +
                               " ms but are allowed " + std::to_string(outcome.allowed_ms) + " ms",
@@ -312,6 +307,9 @@
             why.run = state.runs > 0 ? verdict::may_have_run : verdict::not_run;
             co_return tl::unexpected(why);
         }
+        if (state.runs == 0 && boot_clock::now() > latest_send(*request)) {
+            co_return tl::unexpected(drain_refusal(boot_clock::now()));
+        }
         auto chosen = co_await choose_endpoint(request, state);
         if (!chosen && state.last_response && !writer.has_started_stream()) {
             co_return co_await send_saved_response(request, writer, state);
@@ -349,7 +347,7 @@
         if (request->abort_reason()) {
             continue;
         }
-        if (!may_retry(*request, state, failed, now)) {
+        if (!may_retry(*request, state, failed, writer.has_started_stream(), now)) {
             if (state.last_response && !writer.has_started_stream()) {
                 co_return co_await send_saved_response(request, writer, state);
             }
@@ -382,13 +380,16 @@
 }
 
 bool request_flow::may_retry(const running_request& request, const attempt_state& state,
-                             const attempt_failure& failed, time_point now)
+                             const attempt_failure& failed, bool started_stream, time_point now)
 {
     if (now + min_attempt_time >= request.deadline || state.refusals >= max_refusals ||
         state.unreachable >= max_unreachable)
     {
         return false;
     }
+    if (!started_stream && now > latest_send(request)) {
+        return false;
+    }
     const bool ran = failed.error.run != verdict::not_run;
     if (ran && (!state.retryable || state.runs >= request.matched->max_attempts)) {
         return false;
