Handle signals from the start of the process

What callers saw: an instance that got SIGHUP or SIGTERM while it started ended at once; connections that its open ports had accepted were reset. A SIGHUP, which asks for nothing but to read the settings, ended the process as well.

Cause: the signal set was made after the start had opened the ports. Until then, the default action of these signals ends the process.

Evidence: start_signals_test holds the process up while it reads its settings, and sends SIGHUP.

Change: both programs make the signal set first. Signals that arrive during the start are kept and handled once the process runs, so SIGTERM leads to a planned stop with exit code 0.

--- a/apps/quetzallever/run_front.cpp
+++ b/apps/quetzallever/run_front.cpp
@@ -30,6 +30,9 @@
 
 int run_front(const std::string& settings_path)
 {
+    // Signals that arrive while the process starts are handled once it runs.
+    boost::asio::io_context context(1);
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     const auto text = read_file(settings_path);
     if (!text) {
         return exit_usage;
@@ -42,13 +45,11 @@
         return exit_usage;
     }
     quetzal::gateway::start_log(settings->name);
-    boost::asio::io_context context(1);
     quetzal::platform::front front(context, std::move(*settings));
     if (const auto started = front.start(); !started) {
         std::fprintf(stderr, "quetzallever: %s\n", started.error().c_str());
         return exit_failed;
     }
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     wait_for_signals(signals, front);
     context.run();
     quetzal::gateway::stop_log();
--- a/apps/quetzallever/run_instance.cpp
+++ b/apps/quetzallever/run_instance.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <quetzal/node/entry_instance.hpp>
 #include <quetzal/node/log.hpp>
@@ -46,19 +47,20 @@
 
 int run_instance(const std::string& settings_path)
 {
+    // Signals that arrive while the process starts are handled once it runs.
+    boost::asio::io_context context;
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     auto settings = read_settings(settings_path);
     if (!settings) {
         return exit_usage;
     }
     quetzal::node::configure_log(settings->log, settings->instance);
     const unsigned threads = settings->runtime.threads;
-    boost::asio::io_context context(static_cast<int>(threads));
     quetzal::node::entry_instance instance(context, std::move(*settings));
     if (const auto started = instance.start(); !started) {
         std::fprintf(stderr, "quetzallever: %s\n", started.error().c_str());
         return exit_failed;
     }
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     wait_for_signals(signals, instance);
     std::vector<std::jthread> workers;
     for (unsigned index = 1; index < threads; ++index) {
