Give up a silent endpoint only for another one

What callers saw: a resumable stream whose endpoint paused for 1.5 s was cut in the middle, and an idempotent request whose response took twice its latency target got 502, although the deadline was far and the endpoint went on to answer. It hit requests that no other endpoint could take: after the last attempt of a stream, with the retry budget spent, or with all others full.

Cause: the timeouts that move a request to another endpoint closed the connection first, and only then asked whether another attempt is allowed and where. A stream did not even look at its number of attempts.

Change: when an endpoint has been silent for that time, the attempt ends only if a retry is within the attempts and the budget and another warm endpoint is free. Otherwise that is asked again every 50 ms until the response goes on or the deadline passes.

--- a/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
+++ b/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
@@ -57,6 +57,10 @@
                                                  const endpoint_requirements& requirements,
                                                  const member_table& members, time_point now);
 
+    // Whether `start_request` would find an endpoint now. Endpoints that are cold do not count.
+    bool has_free_endpoint(const catalog& view, const std::string& service,
+                           const endpoint_requirements& requirements, time_point now);
+
     // Returns the availability zone of the endpoint that a request would get now, or an empty
     // string if there is none.
     std::string likely_zone(const catalog& view, const std::string& service,
@@ -91,6 +95,8 @@
         std::uint32_t concurrency = 0;
     };
 
+    static std::vector<serving::endpoint_index> indexes_of(const pool& service_pool,
+                                                           const std::vector<std::string>& ids);
     pool& pool_for(const service_definition& definition, std::uint32_t concurrency);
     std::uint32_t concurrency_limit(const service_definition& definition,
                                     std::size_t instances) const;
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -68,6 +68,7 @@
         bool inputs_expired = false; // the stages have to run again
     };
     using attempt_result = std::variant<delivered, attempt_failure>;
+    class silence_watch;
 
     // Progress of the attempts of one request.
     struct attempt_state
@@ -107,11 +108,13 @@
                                                     serving::attempt_outcome& outcome);
     boost::asio::awaitable<attempt_result>
     relay_stream(const request_ptr& request, response_writer& writer, attempt_state& state,
-                 std::shared_ptr<channel> connection, serving::attempt_outcome& outcome);
+                 const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
+                 serving::attempt_outcome& outcome);
     std::string request_head(const running_request& request, const attempt_state& state,
                              const chosen_endpoint& chosen, time_point now) const;
-    duration response_head_timeout(const running_request& request, const attempt_state& state,
-                                   time_point now) const;
+    // Whether a request that is being run by an endpoint could be sent to another one now.
+    bool can_retry_elsewhere(const running_request& request, const attempt_state& state,
+                             const chosen_endpoint& chosen, time_point now);
     bool may_retry(const running_request& request, const attempt_state& state,
                    const attempt_failure& failed, time_point now);
     boost::asio::awaitable<void> reject(running_request& request, response_writer& writer,
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -120,6 +120,44 @@
     readmit_endpoints(now);
 }
 
+std::vector<serving::endpoint_index> endpoint_pools::indexes_of(const pool& service_pool,
+                                                                const std::vector<std::string>& ids)
+{
+    std::vector<serving::endpoint_index> indexes;
+    for (const auto& id : ids) {
+        if (const auto found = service_pool.endpoints.find(id);
+            found != service_pool.endpoints.end()) {
+            indexes.push_back(found->second.first);
+        }
+    }
+    return indexes;
+}
+
+bool endpoint_pools::has_free_endpoint(const catalog& view, const std::string& service,
+                                       const endpoint_requirements& requirements, time_point now)
+{
+    const auto found = pools_.find(service);
+    if (found == pools_.end()) {
+        return false;
+    }
+    const pool& service_pool = *found->second;
+    std::vector<serving::endpoint_index> avoid = indexes_of(service_pool, requirements.avoid);
+    for (std::size_t tries = 0; tries <= service_pool.endpoints.size(); ++tries) {
+        serving::choice_request request;
+        request.avoid = avoid;
+        const auto picked = service_pool.chooser.choose(request, random_, now);
+        if (!picked) {
+            return false;
+        }
+        const endpoint* target = view.find_endpoint(service_pool.chooser.id(picked->endpoint).name);
+        if (target != nullptr && view.accepts_work(*target) && target->cold_until <= now) {
+            return true;
+        }
+        avoid.push_back(picked->endpoint);
+    }
+    return false;
+}
+
 std::optional<chosen_endpoint>
 endpoint_pools::start_request(const catalog& view, const std::string& service,
                               const endpoint_requirements& requirements,
@@ -131,13 +169,7 @@
         return std::nullopt;
     }
     pool& service_pool = *found->second;
-    std::vector<serving::endpoint_index> avoid;
-    for (const auto& id : requirements.avoid) {
-        if (const auto tried = service_pool.endpoints.find(id);
-            tried != service_pool.endpoints.end()) {
-            avoid.push_back(tried->second.first);
-        }
-    }
+    std::vector<serving::endpoint_index> avoid = indexes_of(service_pool, requirements.avoid);
     for (std::size_t tries = 0; tries <= service_pool.endpoints.size(); ++tries) {
         serving::choice_request request;
         request.prefixes = requirements.prefixes;
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -21,12 +21,14 @@
 constexpr duration send_timeout = 2s;
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
 constexpr unsigned max_stray_responses = 2; // responses to other requests skipped in one attempt
-// A retryable request is sent to another endpoint when its response takes longer than this multiple
-// of the route's latency target.
+// A retryable request is sent to another endpoint, if one may take it, when its response takes
+// longer than this multiple of the route's latency target.
 constexpr int slow_attempt_factor = 2;
 constexpr duration min_attempt_timeout = 400ms;
-// A resumable stream that sends nothing for this time is resumed at another endpoint.
+// A resumable stream that sends nothing for this time is resumed at another endpoint, if one may
+// take it.
 constexpr duration stream_stall_timeout = 1500ms;
+constexpr duration silence_recheck = 50ms; // while no endpoint may take the request
 
 // Parses the running and waiting requests of "RUNNING,WAITING,SLOTS".
 std::optional<std::pair<std::uint32_t, std::uint32_t>> read_load(std::string_view text)
@@ -52,17 +54,59 @@
 
 } // namespace
 
-duration request_flow::response_head_timeout(const running_request& request,
-                                             const attempt_state& state, time_point now) const
+// Closes the connection of an attempt when its endpoint has sent nothing for some time, as soon as
+// another endpoint may take the request over.
+class request_flow::silence_watch
 {
-    const duration left =
-        request.deadline - now + 100ms; // the request's own deadline expires first
-    const bool last = state.runs + 1 >= request.matched->max_attempts;
-    if (!state.retryable || last) {
-        return left;
+public:
+    silence_watch(request_flow& flow, const running_request& request, const attempt_state& state,
+                  const chosen_endpoint& chosen, channel& connection)
+        : retryable_(state.retryable), timer_(flow.context_.get_executor(), [&, this] {
+              if (!flow.can_retry_elsewhere(request, state, chosen, boot_clock::now())) {
+                  timer_.expires_after(silence_recheck);
+                  return;
+              }
+              fired_ = true;
+              connection.close();
+          })
+    {
     }
-    return std::min(left, std::max<duration>(request.matched->latency_target * slow_attempt_factor,
-                                             min_attempt_timeout));
+
+    void start(duration allowed)
+    {
+        if (retryable_) {
+            timer_.expires_after(allowed);
+        }
+    }
+
+    void stop() { timer_.clear(); }
+
+    // Returns the failure of the attempt whose read ended with `error`.
+    attempt_failure describe(failure error) const
+    {
+        if (fired_) {
+            error.detail = "the endpoint is silent and another one is free";
+        }
+        return attempt_failure{std::move(error)};
+    }
+
+private:
+    bool retryable_;
+    bool fired_ = false;
+    lazy_deadline timer_;
+};
+
+bool request_flow::can_retry_elsewhere(const running_request& request, const attempt_state& state,
+                                       const chosen_endpoint& chosen, time_point now)
+{
+    if (!state.retryable || state.runs + 1 >= request.matched->max_attempts) {
+        return false;
+    }
+    const std::string service = select_service(request);
+    endpoint_requirements requirements{{}, state.tried_endpoints};
+    requirements.avoid.push_back(chosen.target.id);
+    return budget_.allows_retry(service, members_.recent_size(now), now) &&
+           pools_.has_free_endpoint(view_, service, requirements, now);
 }
 
 std::string request_flow::request_head(const running_request& request, const attempt_state& state,
@@ -162,12 +206,16 @@
         co_return attempt_failure{sent.error()};
     }
     const bool head_request = request->message.method == "HEAD";
-    const duration timeout = response_head_timeout(*request, state, started);
+    // The request's own deadline expires first.
+    const duration timeout = request->deadline - started + 100ms;
+    silence_watch silence(*this, *request, state, chosen, *connection);
+    silence.start(std::max<duration>(request->matched->latency_target * slow_attempt_factor,
+                                     min_attempt_timeout));
     unsigned status = 0;
     for (unsigned stray = 0;; ++stray) {
         const auto got = co_await connection->read_head(timeout, head_request);
         if (!got) {
-            co_return attempt_failure{got.error()};
+            co_return silence.describe(got.error());
         }
         status = *got;
         const auto echoed = header_value(connection->headers(), names_.request_id);
@@ -187,6 +235,7 @@
                                        {}}};
         }
     }
+    silence.stop();
     const time_point answered = boot_clock::now();
     outcome.latency = answered - started;
     const auto& headers = connection->headers();
@@ -206,7 +255,7 @@
                                    {}}};
     }
     if (success && request->matched->kind == route_kind::stream) {
-        co_return co_await relay_stream(request, writer, state, connection, outcome);
+        co_return co_await relay_stream(request, writer, state, chosen, connection, outcome);
     }
     std::string response_headers = forwarded_response_headers(headers);
     auto body = co_await connection->read_whole_body(max_response_size,
@@ -247,8 +296,8 @@
 
 asio::awaitable<request_flow::attempt_result>
 request_flow::relay_stream(const request_ptr& request, response_writer& writer,
-                           attempt_state& state, std::shared_ptr<channel> connection,
-                           serving::attempt_outcome& outcome)
+                           attempt_state& state, const chosen_endpoint& chosen,
+                           std::shared_ptr<channel> connection, serving::attempt_outcome& outcome)
 {
     request->phase = request_phase::stream;
     if (!writer.has_started_stream()) {
@@ -256,16 +305,16 @@
     }
     state.events.discard_partial_event();
     const time_point started = boot_clock::now() - outcome.latency;
+    silence_watch silence(*this, *request, state, chosen, *connection);
     bool first = true;
     while (true) {
         std::string bytes;
-        const time_point now = boot_clock::now();
-        const duration left = request->deadline - now + 100ms;
-        const duration timeout =
-            state.retryable ? std::min<duration>(left, stream_stall_timeout) : left;
+        const duration timeout = request->deadline - boot_clock::now() + 100ms;
+        silence.start(stream_stall_timeout);
         const auto more = co_await connection->read_body(bytes, timeout);
+        silence.stop();
         if (!more) {
-            co_return attempt_failure{more.error()};
+            co_return silence.describe(more.error());
         }
         state.events.add(bytes);
         const bool last = !*more;
