Never write an error response into a started stream

What callers saw: in the middle of a chunked stream, where the size of the next chunk was due, a status line with headers and a body; the connection was kept as if that were a complete response.

Cause: when a stream broke off and the endpoint that was to resume it answered with a status below 500 that is no success, that response was written as for a request that has had none. Statuses from 500 on were saved, and not sent.

Evidence, with the test on the commit before:

only events are written into the stream, not status 404 no [FAIL] incomplete_response::stream_resumed_by_an_endpoint_that_rejects_it

Change: once a stream has started, any response that cannot go on with it is a failed attempt. It is resumed elsewhere or ends with a closed connection.

--- a/libs/gateway/src/incomplete_response_test.cpp
+++ b/libs/gateway/src/incomplete_response_test.cpp
@@ -105,3 +105,28 @@
         check(gateway.received_requests() == 2, "the other endpoint receives the request");
     });
 }
+
+// Guards against an error response that is written into a stream that has started.
+Test(incomplete_response, stream_resumed_by_an_endpoint_that_rejects_it)
+{
+    const scripted_response interrupted{stream_response_head("1") + chunk(event(0)), true};
+    const scripted_response error{response_with("1", "no", "404 Not Found")};
+    const std::vector<std::vector<std::vector<scripted_response>>> orders{{{interrupted}, {error}},
+                                                                          {{error}, {interrupted}}};
+    int started = 0;
+    for (const auto& responses : orders) {
+        gateway_fixture gateway(route_kind::stream, true, responses);
+        const auto response = gateway.serve("1");
+        if (!response.stream_started_) {
+            continue; // the endpoint that rejects the request was chosen first
+        }
+        ++started;
+        check(gateway.received_requests() == 2, "the stream is resumed");
+        check(response.status_ == 200 && response.body_ == event(0),
+              "only events are written into the stream, not status " +
+                  std::to_string(response.status_) + " " + response.body_);
+        check(!response.complete_ && response.connection_aborted_,
+              "the connection is closed, so that the stream does not look complete");
+    }
+    check(started > 0, "a stream is interrupted");
+}
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -276,8 +276,9 @@
     if (!body) {
         co_return attempt_failure{body.error()};
     }
-    const bool server_failure = status >= 500;
-    if (server_failure) {
+    // A stream that has started cannot end as another response.
+    const bool stream_started = writer.has_started_stream();
+    if (status >= 500 || stream_started) {
         attempt_failure failed{
             {verdict::ran,
              reason::endpoint_failed,
@@ -285,7 +286,7 @@
              {}},
             saved_response{status, std::move(response_headers), std::move(*body)},
             false};
-        if (!has_signature) {
+        if (!has_signature || stream_started) {
             failed.response.reset();
         }
         co_return failed;
