Skip interim responses of endpoints

What callers saw: an endpoint's 100 Continue or 103 Early Hints as the response to their request, after which the final response never came. The connection was kept, so they waited until their own time limit.

Cause: the first head that an endpoint sent was taken as the final one, whatever its status.

Evidence, before:

the final response is forwarded [FAIL] incomplete_response::interim_responses_are_skipped

Change: up to two responses with a status below 200 are skipped in an attempt; a third one fails it, as responses to other requests do.

--- a/libs/gateway/src/incomplete_response_test.cpp
+++ b/libs/gateway/src/incomplete_response_test.cpp
@@ -130,3 +130,17 @@
     }
     check(started > 0, "a stream is interrupted");
 }
+
+// Guards against an interim response that is forwarded as the final one, after which the caller
+// waits for a response that never comes.
+Test(incomplete_response, interim_responses_are_skipped)
+{
+    for (const std::string interim :
+         {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"})
+    {
+        gateway_fixture gateway(route_kind::non_idempotent, false,
+                                {{{interim + response_with("1", "x")}}});
+        const auto response = gateway.serve("1");
+        check(response.status_ == 200 && response.body_ == "x", "the final response is forwarded");
+    }
+}
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -20,7 +20,8 @@
 constexpr duration connect_timeout = 300ms;
 constexpr duration send_timeout = 2s;
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
-constexpr unsigned max_stray_responses = 2; // responses to other requests skipped in one attempt
+// Interim responses and responses to other requests that are skipped in one attempt.
+constexpr unsigned max_skipped_responses = 2;
 // A retryable request is sent to another endpoint, if one may take it, when its response takes
 // longer than this multiple of the route's latency target.
 constexpr int slow_attempt_factor = 2;
@@ -212,14 +213,17 @@
     silence.start(std::max<duration>(request->matched->latency_target * slow_attempt_factor,
                                      min_attempt_timeout));
     unsigned status = 0;
-    for (unsigned stray = 0;; ++stray) {
+    for (unsigned skipped_responses = 0;; ++skipped_responses) {
         const auto got = co_await connection->read_head(timeout, head_request);
         if (!got) {
             co_return silence.describe(got.error());
         }
         status = *got;
+        if (status < http_status::ok && skipped_responses < max_skipped_responses) {
+            continue; // the final response follows
+        }
         const auto echoed = header_value(connection->headers(), names_.request_id);
-        if (echoed.empty() || echoed == request->message.id) {
+        if (status >= http_status::ok && (echoed.empty() || echoed == request->message.id)) {
             break;
         }
         // A late response to an earlier request; the response to this one may follow.
@@ -227,7 +231,7 @@
                                    {"endpoint", chosen.target.id},
                                    {"answers", echoed}});
         const auto skipped = co_await connection->read_whole_body(max_response_size, timeout);
-        if (!skipped || stray >= max_stray_responses) {
+        if (!skipped || skipped_responses >= max_skipped_responses) {
             connection->close();
             co_return attempt_failure{{verdict::may_have_run,
                                        reason::answer_mismatch,
