Answer requests whose handler throws

What callers saw: no answer and no close. An exception while a request was served ended its coroutine; the connection stayed open, because the watch for the caller's close still owned it, until the caller gave up. The request counted as active for ever, so a planned stop waited until its end.

Cause: the exception was caught only where the coroutine was started, which logs it.

Evidence, before:

section: given an exception before the response the caller gets a response: [FAIL] caller_connection::exception_while_a_request_is_served: (0.31s)

Change: the connection's loop catches it, answers 502, which promises nothing, unless a response has begun, closes the connection and counts down as for any other request. The time limit of a write becomes an option of the server, for the tests of the connections.

Measured: caller_connection_test 1 of 1, caller_server_test 3 of 3. No case in which a request throws is known; a slot of its endpoint would stay taken.

--- /dev/null
+++ b/libs/gateway/src/caller_connection_test.cpp
@@ -0,0 +1,136 @@
+// Tests how connections of callers end: after a failure while a request is served, after a timeout,
+// and after the last response.
+
+#include <chrono>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <quetzal/gateway/caller_server.hpp>
+#include <quetzal/testing/section.hpp>
+
+#include "test_names.hpp"
+
+using namespace quetzal;
+using namespace quetzal::gateway;
+using quetzal::gateway::testing::test_names;
+using quetzal::testing::check;
+using quetzal::testing::section;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string get = "GET /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n";
+
+// A server and one connection to it, whose receive buffer is small.
+struct connection_fixture
+{
+    explicit connection_fixture(caller_server::handler serve, duration write_timeout = {})
+        : names(test_names()), server(context, options(write_timeout), view, names, serve)
+    {
+        published_configuration configuration;
+        configuration.version = 1;
+        configuration.limits.header_timeout = milliseconds(150);
+        configuration.limits.idle_timeout = milliseconds(400);
+        configuration.limits.body_size = 1u << 20;
+        view.apply(configuration);
+        check(server.start().has_value(), "the server starts listening");
+        caller.open(asio::ip::tcp::v4());
+        caller.set_option(asio::socket_base::receive_buffer_size(16 << 10));
+        caller.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+        caller.non_blocking(true);
+    }
+
+    static caller_server_options options(duration write_timeout)
+    {
+        caller_server_options value;
+        value.address = {asio::ip::make_address("127.0.0.1"), 0};
+        if (write_timeout > duration::zero()) {
+            value.write_timeout = write_timeout;
+        }
+        return value;
+    }
+
+    void run(milliseconds time)
+    {
+        context.restart();
+        context.run_for(time);
+    }
+
+    void send(const std::string& bytes)
+    {
+        boost::system::error_code error;
+        asio::write(caller, asio::buffer(bytes), error);
+    }
+
+    // Runs the server and reads what it sends, at most `rate` bytes at a time every 10 ms. Stops
+    // when the server closes the connection, or when nothing has arrived for `silence`.
+    std::string receive(milliseconds silence = milliseconds(300), std::size_t rate = 1u << 20)
+    {
+        std::string received;
+        std::string part(rate, '\0');
+        milliseconds quiet{};
+        while (quiet < silence && !ended) {
+            run(milliseconds(10));
+            const std::size_t size = caller.read_some(asio::buffer(part), ended);
+            if (ended == asio::error::would_block) {
+                ended = {};
+            }
+            received.append(part, 0, size);
+            quiet = size > 0 ? milliseconds(0) : quiet + milliseconds(10);
+        }
+        return received;
+    }
+
+    asio::io_context context{1};
+    catalog view;
+    header_names names;
+    caller_server server;
+    asio::ip::tcp::socket caller{context};
+    boost::system::error_code ended; // how the server closed the connection
+};
+
+asio::awaitable<void> throw_before_response(std::shared_ptr<running_request>, response_writer&)
+{
+    throw std::runtime_error("failed");
+    co_return;
+}
+
+asio::awaitable<void> throw_within_stream(std::shared_ptr<running_request>, response_writer& writer)
+{
+    const std::string headers;
+    std::string events = "id: 0\n\n";
+    co_await writer.write_stream_part(200, headers, std::move(events), false);
+    throw std::runtime_error("failed");
+}
+
+} // namespace
+
+// Guards against requests that get no answer, and a stop that waits for them, after an exception
+// while they are served.
+Test(caller_connection, exception_while_a_request_is_served)
+{
+    section("given an exception before the response", [] {
+        connection_fixture connection(throw_before_response);
+        connection.send(get);
+        const std::string response = connection.receive();
+        check(response.starts_with("HTTP/1.1 502"), "the caller gets a response: " + response);
+        check(connection.ended == asio::error::eof, "the connection is closed");
+        check(connection.server.active_requests() == 0, "the request is not active any more");
+        check(connection.server.open_connections() == 0, "the connection is not open any more");
+    });
+    section("given an exception within a stream", [] {
+        connection_fixture connection(throw_within_stream);
+        connection.send(get);
+        const std::string response = connection.receive();
+        check(response.starts_with("HTTP/1.1 200") && !response.ends_with("0\r\n\r\n"),
+              "the stream does not look complete");
+        check(bool(connection.ended), "the connection is closed");
+        check(connection.server.active_requests() == 0, "the request is not active any more");
+    });
+}
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdio>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -28,7 +29,6 @@
 
 namespace {
 
-constexpr duration write_timeout = std::chrono::seconds(5);      // for a caller that does not read
 constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
 constexpr std::size_t read_buffer_limit = 64u << 10;             // bytes
 constexpr int listen_backlog = 1024;
@@ -116,7 +116,7 @@
     asio::awaitable<bool> write(std::string bytes)
     {
         boost::system::error_code error;
-        timeout.expires_after(write_timeout);
+        timeout.expires_after(server.options.write_timeout);
         co_await asio::async_write(socket, asio::buffer(bytes),
                                    asio::redirect_error(asio::use_awaitable, error));
         timeout.clear();
@@ -211,6 +211,20 @@
                           });
     }
 
+    // Ends a request whose handler has thrown. It may have run.
+    asio::awaitable<void> end_failed_request(const std::string& exception)
+    {
+        log_event("request_failed", {{"request", current->message.id},
+                                     {"phase", to_string(current->phase)},
+                                     {"error", exception}});
+        persistent = false;
+        if (!stream_started && !response_complete) {
+            std::string headers;
+            std::string body;
+            co_await write_response(http_status::bad_gateway, std::move(headers), std::move(body));
+        }
+    }
+
     tcp::socket socket;
     implementation& server;
     lazy_deadline timeout;
@@ -339,7 +353,15 @@
         caller->current = std::make_shared<running_request>(std::move(*request));
         caller->current->connection_request = ++caller->requests;
         caller->watch_for_disconnect();
-        co_await self->serve_request(caller->current, *caller);
+        std::optional<std::string> exception;
+        try {
+            co_await self->serve_request(caller->current, *caller);
+        } catch (const std::exception& thrown) {
+            exception = thrown.what();
+        }
+        if (exception) {
+            co_await caller->end_failed_request(*exception);
+        }
         if (!caller->response_complete) {
             log_event("response_incomplete",
                       {{"request", caller->current->message.id},
