Let the last response of a connection arrive before the close

What callers saw: a caller that had sent more bytes when the last response of its connection was written (the next request, or the rest of a body that is too large) got a reset. Of a response of 2 MiB it received 24 KiB; a caller that was still sending its body saw a reset instead of 413.

Cause: the connection was closed at once after a response with "Connection: close", a 4xx or a 503 of a stop. Closing a socket with unread bytes, and bytes that arrive at a closed socket, reset the connection, which destroys what is still on its way.

Evidence, before:

section: given a large response and a further request behind the last one the caller receives the whole response, not only 24576 bytes section: given a body above the limit the connection ends without a reset: Connection reset by peer [FAIL] caller_connection::last_response_reaches_a_caller_that_has_sent_more

Change: after a complete response only the sending side is closed. What the caller still sends is discarded until it closes, for at most 2 s. Responses that were cut are closed at once as before. Such a connection counts as open, but not as a request, so a planned stop does not wait for it.

--- a/libs/gateway/src/caller_connection_test.cpp
+++ b/libs/gateway/src/caller_connection_test.cpp
@@ -95,6 +95,17 @@
     boost::system::error_code ended; // how the server closed the connection
 };
 
+// Responds with a body of the given size.
+caller_server::handler responds_with(std::size_t size)
+{
+    return
+        [size](std::shared_ptr<running_request>, response_writer& writer) -> asio::awaitable<void> {
+            std::string headers;
+            std::string body(size, 'x');
+            co_await writer.write_response(200, std::move(headers), std::move(body));
+        };
+}
+
 asio::awaitable<void> throw_before_response(std::shared_ptr<running_request>, response_writer&)
 {
     throw std::runtime_error("failed");
@@ -122,6 +133,8 @@
         check(response.starts_with("HTTP/1.1 502"), "the caller gets a response: " + response);
         check(connection.ended == asio::error::eof, "the connection is closed");
         check(connection.server.active_requests() == 0, "the request is not active any more");
+        connection.caller.close();
+        connection.run(milliseconds(20));
         check(connection.server.open_connections() == 0, "the connection is not open any more");
     });
     section("given an exception within a stream", [] {
@@ -134,3 +147,38 @@
         check(connection.server.active_requests() == 0, "the request is not active any more");
     });
 }
+
+// Guards against a response that is destroyed on its way, because the connection is closed while
+// bytes of the caller are unread.
+Test(caller_connection, last_response_reaches_a_caller_that_has_sent_more)
+{
+    section("given a large response and a further request behind the last one", [] {
+        constexpr std::size_t size = 2u << 20;
+        connection_fixture connection(responds_with(size));
+        connection.send("GET /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: close\r\n\r\n");
+        connection.run(milliseconds(50));
+        connection.send(get);
+        const std::string response = connection.receive();
+        check(response.size() > size, "the caller receives the whole response, not only " +
+                                          std::to_string(response.size()) + " bytes");
+        check(connection.ended == asio::error::eof,
+              "the connection ends without a reset: " + connection.ended.message());
+    });
+    section("given a body above the limit", [] {
+        connection_fixture connection(responds_with(1));
+        connection.send("POST /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 2000000\r\n\r\n" +
+                        std::string(200'000, 'x'));
+        const std::string response = connection.receive();
+        check(response.starts_with("HTTP/1.1 413"), "the caller receives the response");
+        check(connection.ended == asio::error::eof,
+              "the connection ends without a reset: " + connection.ended.message());
+    });
+    section("given a caller that keeps its connection open", [] {
+        connection_fixture connection(responds_with(1));
+        connection.send("GET /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: close\r\n\r\n");
+        connection.run(milliseconds(50));
+        check(connection.server.open_connections() == 1, "the server waits for the caller");
+        connection.run(milliseconds(2500));
+        check(connection.server.open_connections() == 0, "the server closes the connection");
+    });
+}
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -29,6 +29,7 @@
 
 namespace {
 
+constexpr duration linger_time = std::chrono::seconds(2);        // for the caller's close
 constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
 constexpr std::size_t read_buffer_limit = 64u << 10;             // bytes
 constexpr int listen_backlog = 1024;
@@ -211,6 +212,21 @@
                           });
     }
 
+    // Ends the connection after its last response. Closing a connection with unread bytes resets
+    // it, which destroys the part of the response that is still on its way.
+    asio::awaitable<void> linger()
+    {
+        boost::system::error_code error;
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        timeout.expires_after(linger_time);
+        std::array<char, 4096> discarded{};
+        while (!error) {
+            co_await socket.async_read_some(asio::buffer(discarded),
+                                            asio::redirect_error(asio::use_awaitable, error));
+        }
+        timeout.clear();
+    }
+
     // Ends a request whose handler has thrown. It may have run.
     asio::awaitable<void> end_failed_request(const std::string& exception)
     {
@@ -376,6 +392,9 @@
             break;
         }
     }
+    if (caller->response_complete && caller->socket.is_open()) {
+        co_await caller->linger();
+    }
     caller->close();
     --self->open_connections;
 }
