--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -10,22 +10,25 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <quetzal/gateway/channel.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/lazy_deadline.hpp>
 #include <quetzal/gateway/spawn.hpp>
 
+#include "request_framing.hpp"
+
 namespace quetzal::gateway {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
+using internal::framing_error;
+using internal::read_failure;
+using internal::read_result;
+using internal::request_parser;
 
 namespace {
 
@@ -34,31 +37,6 @@
 constexpr std::size_t read_buffer_limit = 64u << 10;             // bytes
 constexpr int listen_backlog = 1024;
 
-using request_parser = http::request_parser<http::string_body>;
-
-// Returns why the framing of a request is rejected, or null. Rejects framing that another parser
-// might interpret differently.
-const char* framing_error(const request_parser& parser)
-{
-    const auto& message = parser.get();
-    const auto encodings = message.count(http::field::transfer_encoding);
-    const auto lengths = message.count(http::field::content_length);
-    if (encodings > 1 || lengths > 1 || (encodings > 0 && lengths > 0)) {
-        return "ambiguous body length";
-    }
-    if (encodings == 1 &&
-        !boost::beast::iequals(message[http::field::transfer_encoding], "chunked")) {
-        return "unknown transfer encoding";
-    }
-    if (message.version() != 11) {
-        return "not HTTP/1.1";
-    }
-    if (message.count(http::field::host) != 1) {
-        return "missing or repeated Host header";
-    }
-    return nullptr;
-}
-
 std::string status_line(unsigned status)
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -255,37 +233,6 @@
     bool timed_out = false;
 };
 
-namespace {
-
-struct read_result
-{
-    unsigned rejection_status = 0; // 0: not rejected
-    const char* detail = "";
-    bool closed = false; // the connection ends without a response
-};
-
-read_result read_failure(const boost::system::error_code& error, bool timed_out, bool began)
-{
-    if (timed_out) {
-        return {0, "slow sender", true};
-    }
-    if (error == http::error::header_limit) {
-        return {http_status::header_too_large, "header too large", false};
-    }
-    if (error == http::error::body_limit) {
-        return {http_status::body_too_large, "body too large", false};
-    }
-    const bool disconnected =
-        error == http::error::end_of_stream || error == http::error::partial_message ||
-        error.category() != http::make_error_code(http::error::bad_version).category();
-    if (disconnected || !began) {
-        return {0, "closed", true};
-    }
-    return {http_status::bad_request, "malformed request", false};
-}
-
-} // namespace
-
 asio::awaitable<void> caller_server::implementation::serve(std::shared_ptr<implementation> self,
                                                            std::shared_ptr<connection> caller)
 {
