Cut a response only when its caller reads nothing

What callers saw: a long response was cut when it could not be written within 5 s, although the caller read all the time and its deadline was far. A response of 8 MiB needed 13 Mbit/s.

Cause: the time limit for a caller that does not read held for the write of a whole response or of all events that had come together.

Evidence, before, with a limit of 200 ms:

the caller receives the whole response, not only 3612672 bytes [FAIL] caller_connection::slow_reader_receives_the_whole_response: (2.25s)

Change: the limit starts anew with every part that the socket takes, and when it expires after the caller has acknowledged bytes. Parts alone were not enough: the socket takes more only when a large share of its buffer is free (the test failed at 3588096 bytes).

--- a/libs/gateway/include/quetzal/gateway/caller_server.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_server.hpp
@@ -22,7 +22,7 @@
     boost::asio::ip::tcp::endpoint address;
     std::size_t max_connections = 2000;      // open connections; further ones are closed on accept
     std::size_t max_body_memory = 96u << 20; // total bytes of the bodies of requests being served
-    duration write_timeout = std::chrono::seconds(5); // for a caller that does not read
+    duration write_timeout = std::chrono::seconds(5); // for a caller that reads nothing
 };
 
 class caller_server
--- a/libs/gateway/src/caller_connection_test.cpp
+++ b/libs/gateway/src/caller_connection_test.cpp
@@ -182,3 +182,15 @@
         check(connection.server.open_connections() == 0, "the server closes the connection");
     });
 }
+
+// Guards against a response that is cut because the caller reads it slowly, although it reads all
+// the time.
+Test(caller_connection, slow_reader_receives_the_whole_response)
+{
+    constexpr std::size_t size = 8u << 20;
+    connection_fixture connection(responds_with(size), milliseconds(200));
+    connection.send(get);
+    const std::string response = connection.receive(milliseconds(300), 64u << 10);
+    check(response.size() > size, "the caller receives the whole response, not only " +
+                                      std::to_string(response.size()) + " bytes");
+}
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <cstdio>
+#include <linux/sockios.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -79,6 +81,10 @@
 {
     connection(tcp::socket accepted, implementation& owner)
         : socket(std::move(accepted)), server(owner), timeout(socket.get_executor(), [this] {
+              if (writing && unacknowledged_bytes() < unacknowledged) {
+                  limit_write();
+                  return;
+              }
               timed_out = true;
               close();
           })
@@ -92,13 +98,36 @@
         socket.close(ignored);
     }
 
+    // Returns the number of written bytes that the caller has not acknowledged.
+    int unacknowledged_bytes()
+    {
+        int bytes = 0;
+        ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes);
+        return bytes;
+    }
+
+    // Starts the time limit for the caller to read anything. The socket accepts further bytes only
+    // when a large part of its buffer is free, so a slow caller is noticed by what it acknowledges.
+    void limit_write()
+    {
+        unacknowledged = unacknowledged_bytes();
+        timeout.expires_after(server.options.write_timeout);
+    }
+
     asio::awaitable<bool> write(std::string bytes)
     {
         boost::system::error_code error;
-        timeout.expires_after(server.options.write_timeout);
-        co_await asio::async_write(socket, asio::buffer(bytes),
-                                   asio::redirect_error(asio::use_awaitable, error));
+        std::size_t written = 0;
+        writing = true;
+        while (!error && written < bytes.size()) {
+            limit_write();
+            const asio::const_buffer rest(bytes.data() + written, bytes.size() - written);
+            const std::size_t size = co_await socket.async_write_some(
+                rest, asio::redirect_error(asio::use_awaitable, error));
+            written += size;
+        }
         timeout.clear();
+        writing = false;
         if (error) {
             log_event("response_not_written",
                       {{"request", current ? std::string_view(current->message.id) : ""},
@@ -231,6 +260,8 @@
     bool response_complete = false;
     bool watching = false;
     bool timed_out = false;
+    bool writing = false;
+    int unacknowledged = 0; // bytes when the time limit of the write was set
 };
 
 asio::awaitable<void> caller_server::implementation::serve(std::shared_ptr<implementation> self,
