Answer requests that arrive too slowly with 408

What callers saw: a closed connection without a response when a request did not arrive within the time for heads. A caller with a request that must not run twice cannot know that it has not run. The same happened to a request that was there in whole when the time expired, because the process had not run meanwhile: its head was read, and then the connection was closed.

Cause: the time limit closed the connection, whatever had been read.

Evidence, before:

Change: while a request is read, the limit only interrupts the read. A read that has ended goes on; an interrupted one is answered with 408, which says that the request has not run. Idle connections are closed without a response as before.

--- a/libs/gateway/include/quetzal/gateway/http_status.hpp
+++ b/libs/gateway/include/quetzal/gateway/http_status.hpp
@@ -8,6 +8,7 @@
 inline constexpr unsigned bad_request = 400;
 inline constexpr unsigned unauthorized = 401;
 inline constexpr unsigned not_found = 404;
+inline constexpr unsigned request_timeout = 408;
 inline constexpr unsigned conflict = 409;
 inline constexpr unsigned gone = 410;
 inline constexpr unsigned body_too_large = 413;
--- a/libs/gateway/src/caller_connection_test.cpp
+++ b/libs/gateway/src/caller_connection_test.cpp
@@ -194,3 +194,38 @@
     check(response.size() > size, "the caller receives the whole response, not only " +
                                       std::to_string(response.size()) + " bytes");
 }
+
+// Guards against a caller that does not learn whether its request was run, because the connection
+// is closed without a response when the request arrives too slowly.
+Test(caller_connection, slow_request_is_rejected)
+{
+    section("given half a head", [] {
+        connection_fixture connection(responds_with(1));
+        connection.send("GET /a/ HTTP/1.1\r\nHost: h\r\n");
+        check(connection.receive().starts_with("HTTP/1.1 408"), "the response states a timeout");
+    });
+    section("given half a body", [] {
+        connection_fixture connection(responds_with(1));
+        connection.send("POST /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 9\r\n\r\nhalf");
+        check(connection.receive().starts_with("HTTP/1.1 408"), "the response states a timeout");
+        check(connection.server.active_requests() == 0, "the request is not active any more");
+    });
+    section("given an idle connection", [] {
+        connection_fixture connection(responds_with(1));
+        check(connection.receive(milliseconds(600)).empty() && connection.ended == asio::error::eof,
+              "it is closed without a response");
+    });
+}
+
+// Guards against a request that is dropped because the process did not run while it arrived.
+Test(caller_connection, request_that_arrives_while_the_process_does_not_run)
+{
+    connection_fixture connection(responds_with(1));
+    connection.send("GET /a/ HTTP/1.1\r\n");
+    connection.run(milliseconds(50));
+    connection.send("Host: h\r\nId: 1\r\n\r\n");
+    const time_point resume = boot_clock::now() + milliseconds(200);
+    while (boot_clock::now() < resume) {
+    }
+    check(connection.receive().starts_with("HTTP/1.1 200"), "it is served");
+}
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -86,7 +86,12 @@
                   return;
               }
               timed_out = true;
-              close();
+              if (!reading) {
+                  close();
+                  return;
+              }
+              boost::system::error_code ignored; // a read that has ended is not interrupted
+              socket.cancel(ignored);
           })
     {
     }
@@ -261,6 +266,7 @@
     bool watching = false;
     bool timed_out = false;
     bool writing = false;
+    bool reading = false;   // a request, whose timeout is answered
     int unacknowledged = 0; // bytes when the time limit of the write was set
 };
 
@@ -283,6 +289,8 @@
                 break;
             }
         }
+        caller->timed_out = false;
+        caller->reading = true;
         caller->timeout.expires_after(limits.header_timeout);
         co_await http::async_read_header(caller->socket, caller->buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
@@ -294,6 +302,9 @@
             outcome = {http_status::bad_request, problem, false};
         }
         if (!error && outcome.rejection_status == 0) {
+            if (std::exchange(caller->timed_out, false)) { // the head was complete before
+                caller->timeout.expires_after(limits.header_timeout);
+            }
             ++self->active_requests;
             co_await http::async_read(caller->socket, caller->buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
@@ -303,11 +314,13 @@
             }
         }
         caller->timeout.clear();
+        caller->reading = false;
+        if (outcome.rejection_status == http_status::request_timeout) {
+            log_event("request_not_received",
+                      {{"detail", outcome.detail}, {"head_complete", parser.is_header_done()}});
+        }
+        caller->timed_out = false;
         if (outcome.closed) {
-            if (caller->timed_out) {
-                log_event("request_not_received",
-                          {{"detail", outcome.detail}, {"head_complete", parser.is_header_done()}});
-            }
             break;
         }
         caller->persistent = outcome.rejection_status == 0 && parser.get().keep_alive();
--- a/libs/gateway/src/request_framing.cpp
+++ b/libs/gateway/src/request_framing.cpp
@@ -32,7 +32,7 @@
 read_result read_failure(const boost::system::error_code& error, bool timed_out, bool began)
 {
     if (timed_out) {
-        return {0, "slow sender", true};
+        return {http_status::request_timeout, "slow sender", false};
     }
     if (error == http::error::header_limit) {
         return {http_status::header_too_large, "header too large", false};
