Ask callers for a body that they have announced

What callers saw: a caller that sends "Expect: 100-continue" and waits for the interim response before it sends the body got no answer; the connection was closed after the time for heads. Clients that wait for a while only lost that time.

Cause: the header was neither answered nor refused.

Evidence, before:

the server asks for the body: [FAIL] caller_connection::announced_body_is_asked_for: (0.03s)

Change: after a head that passes all checks, 100 Continue is sent unless bytes of the body are there already.

Measured: caller_connection_test 6 of 6, caller_server_test 3 of 3.

--- a/libs/gateway/src/caller_connection_test.cpp
+++ b/libs/gateway/src/caller_connection_test.cpp
@@ -229,3 +229,19 @@
     }
     check(connection.receive().starts_with("HTTP/1.1 200"), "it is served");
 }
+
+// Guards against a caller that waits for an interim response before it sends the body, and whose
+// request therefore never ends.
+Test(caller_connection, announced_body_is_asked_for)
+{
+    connection_fixture connection(responds_with(1));
+    connection.send("POST /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length: 4\r\n"
+                    "Expect: 100-continue\r\n\r\n");
+    connection.run(milliseconds(30));
+    std::string part(1000, '\0');
+    boost::system::error_code error;
+    part.resize(connection.caller.read_some(asio::buffer(part), error));
+    check(part == "HTTP/1.1 100 Continue\r\n\r\n", "the server asks for the body: " + part);
+    connection.send("body");
+    check(connection.receive().starts_with("HTTP/1.1 200"), "the request is served");
+}
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
 #include <quetzal/gateway/channel.hpp>
@@ -306,6 +307,15 @@
                 caller->timeout.expires_after(limits.header_timeout);
             }
             ++self->active_requests;
+            if (!parser.is_done() && caller->buffer.size() == 0 &&
+                boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
+            {
+                caller->reading = false;
+                std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+                co_await caller->write(std::move(interim));
+                caller->reading = true;
+                caller->timeout.expires_after(limits.header_timeout);
+            }
             co_await http::async_read(caller->socket, caller->buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
             --self->active_requests;
