--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -1,6 +1,6 @@
 // Tests what a planned stop does to requests, against endpoints on raw sockets.
 
-#include "test_gateway.hpp"
+#include "request_flow_fixture.hpp"
 
 #include <quetzal/testing/section.hpp>
 
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -1,6 +1,6 @@
 // Tests the complete request flow against endpoints on raw sockets that fail in different ways.
 
-#include "test_gateway.hpp"
+#include "request_flow_fixture.hpp"
 
 #include <quetzal/testing/section.hpp>
 
