Accept waiting connections before the port closes

What callers saw: during a planned stop, a reset of a new connection on which the request had been sent.

Cause: connections that the system has established, but the process has not accepted yet, are reset when the listening socket closes. With an idle loop there are none; a process that gets little processor time has some.

Evidence, before:

the request is answered: [FAIL] caller_connection::connection_that_waits_when_the_port_closes: (0.01s)

Change: the waiting connections are accepted without blocking before the port closes; their requests are served or refused like any other.

--- a/libs/gateway/src/caller_connection_test.cpp
+++ b/libs/gateway/src/caller_connection_test.cpp
@@ -245,3 +245,21 @@
     connection.send("body");
     check(connection.receive().starts_with("HTTP/1.1 200"), "the request is served");
 }
+
+// Guards against connections that are reset because the port closes before the process has accepted
+// them, although the system has.
+Test(caller_connection, connection_that_waits_when_the_port_closes)
+{
+    connection_fixture connection(responds_with(1));
+    connection.run(milliseconds(10));
+    connection.caller.close();
+    connection.caller.connect({asio::ip::make_address("127.0.0.1"), connection.server.port()});
+    connection.caller.non_blocking(true);
+    connection.send(get);
+    connection.server.drain();
+    connection.server.stop_accepting();
+    const std::string response = connection.receive();
+    check(response.starts_with("HTTP/1.1 200"), "the request is answered: " + response);
+    check(response.find("Connection: close\r\n") != std::string::npos,
+          "the response announces the close");
+}
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -64,6 +64,9 @@
     static asio::awaitable<void> serve(std::shared_ptr<implementation> self,
                                        std::shared_ptr<connection> caller);
 
+    // Serves an accepted connection.
+    void admit(tcp::socket socket);
+
     asio::io_context& context;
     caller_server_options options;
     const catalog& view;
@@ -417,14 +420,19 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
             continue;
         }
-        if (self->open_connections >= self->options.max_connections) {
-            log_event("connection_refused", {{"open", self->open_connections}});
-            continue; // the destructor closes the socket
-        }
-        configure_socket(socket);
-        auto caller = std::make_shared<connection>(std::move(socket), *self);
-        spawn(self->context, "serve", serve(self, std::move(caller)));
+        self->admit(std::move(socket));
+    }
+}
+
+void caller_server::implementation::admit(tcp::socket socket)
+{
+    if (open_connections >= options.max_connections) {
+        log_event("connection_refused", {{"open", open_connections}});
+        return; // the destructor closes the socket
     }
+    configure_socket(socket);
+    auto caller = std::make_shared<connection>(std::move(socket), *this);
+    spawn(context, "serve", serve(shared_from_this(), std::move(caller)));
 }
 
 caller_server::caller_server(asio::io_context& context, caller_server_options options,
@@ -460,6 +468,16 @@
 
 void caller_server::stop_accepting()
 {
+    // Closing the port resets the connections that wait to be accepted.
+    boost::system::error_code error;
+    self_->acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(self_->context);
+        self_->acceptor.accept(socket, error);
+        if (!error) {
+            self_->admit(std::move(socket));
+        }
+    }
     boost::system::error_code ignored; // the port is closed in any case
     self_->acceptor.close(ignored);
 }
