Run pieces of a failed slow call again or end their job

What callers saw: a request that waited for its stages until its deadline and then got 503, although its stages had failed seconds before.

Cause: a call that becomes slow is marked, and its pieces are queued a second time as far as the retry budget goes. If the call then fails, none of its pieces was retried, also not those that the budget had left out. They were neither waiting nor running, and no one ended their job.

Evidence, before:

section: when its connection is lost the job ends [FAIL] stage_job_end::slow_call_that_fails

Change: a call records which of its pieces are queued again. The others are retried, or end their job, as in any other call that fails.

--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -5,6 +5,7 @@
 // form the next call, and which endpoint gets the call. A call takes nearly the same time however
 // few pieces it carries, so pieces of many requests share calls. The scheduler does no I/O.
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -162,7 +163,13 @@
         std::uint64_t reserved = 0; // bytes
         time_point started;
         duration expected{};
-        bool hedged = false; // its pieces are queued a second time
+        bool hedged = false;               // the retry budget was asked for its pieces
+        std::vector<std::size_t> requeued; // indexes of the pieces that are queued a second time
+
+        bool is_requeued(std::size_t index) const
+        {
+            return std::find(requeued.begin(), requeued.end(), index) != requeued.end();
+        }
     };
 
     using action_list = scheduler_actions;
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -404,7 +404,7 @@
             end_job(piece.job, job_status::failed, now, actions);
             break;
         case piece_status::failed:
-            if (!call.hedged) {
+            if (!call.is_requeued(index)) {
                 retry_piece(piece, true, now, actions);
             }
             break;
@@ -430,11 +430,10 @@
     } else {
         workers_.record_failure(call.endpoint_id, now);
     }
-    if (call.hedged) {
-        return actions;
-    }
-    for (const called_piece& piece : call.pieces) {
-        retry_piece(piece, run != verdict::not_run, now, actions);
+    for (std::size_t index = 0; index < call.pieces.size(); ++index) {
+        if (!call.is_requeued(index)) {
+            retry_piece(call.pieces[index], run != verdict::not_run, now, actions);
+        }
     }
     return actions;
 }
@@ -462,11 +461,13 @@
             continue;
         }
         call.hedged = true;
-        for (const called_piece& piece : call.pieces) {
+        for (std::size_t index = 0; index < call.pieces.size(); ++index) {
+            const called_piece& piece = call.pieces[index];
             const auto job = jobs_.find(piece.job);
             if (job != jobs_.end() && budget_.try_retry(call.service, 1, now)) {
                 queue_piece(piece.job, job->second, piece.stage, piece.piece, job->second.zone,
                             now);
+                call.requeued.push_back(index);
             }
         }
     }
