Close a peer's connection when its message cannot be handled

What callers saw: requests with stages that waited until their deadline, at all times from then on. An exception while a message was handled ended the reading of that connection, which stayed open: answers of the coordinator were not read any more, and neither side noticed.

Cause: the exception was caught only where the coroutine was started, which logs it.

Evidence, before:

the connection is closed, so that the peer opens another one [FAIL] peer_link::message_that_cannot_be_handled: (0.15s)

Change: such a message is logged and closes the connection, as a malformed one does.

No message that throws is known.

--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -217,7 +217,13 @@
                 log_event("peer_message_malformed", {{"peer", peer->address}});
                 break;
             }
-            self->handle_message(peer->address, std::move(*message));
+            try {
+                self->handle_message(peer->address, std::move(*message));
+            } catch (const std::exception& thrown) {
+                log_event("peer_message_failed",
+                          {{"peer", peer->address}, {"error", thrown.what()}});
+                break;
+            }
         }
         self->close_connection(peer);
     }
--- /dev/null
+++ b/libs/gateway/src/peer_link_test.cpp
@@ -0,0 +1,110 @@
+#include <chrono>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <quetzal/gateway/peer_link.hpp>
+#include <quetzal/testing/section.hpp>
+
+#include "peer_codec.hpp"
+
+using namespace quetzal;
+using namespace quetzal::gateway;
+using quetzal::testing::check;
+using quetzal::testing::section;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string address = "127.0.0.1"; // of this instance and of the peer
+
+member_record self()
+{
+    member_record record;
+    record.address = address;
+    return record;
+}
+
+// A peer link, and connections that a peer has opened to it.
+struct link_fixture
+{
+    // `port` is used by no other test, nor is the one after it.
+    explicit link_fixture(std::uint16_t port)
+        : members({}, self(), boot_clock::now()),
+          link(context, {address, port, static_cast<std::uint16_t>(port + 1), {}}, members),
+          stream({asio::ip::make_address(address), static_cast<std::uint16_t>(port + 1)})
+    {
+        link.on_message([this](const std::string&, const peer_message&) {
+            ++messages;
+            if (fail) {
+                throw std::runtime_error("failed");
+            }
+        });
+        link.on_loss([this](const std::string& lost) { losses.push_back(lost); });
+        const auto started = link.start();
+        check(started.has_value(), started ? "" : started.error());
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(context);
+        socket.connect(stream);
+        run();
+        return socket;
+    }
+
+    void send(asio::ip::tcp::socket& socket)
+    {
+        const std::string bytes = internal::encode(peer_message(snapshot_request{1}));
+        const auto length =
+            boost::endian::native_to_little(static_cast<std::uint32_t>(bytes.size()));
+        asio::write(socket, asio::buffer(&length, sizeof(length)));
+        asio::write(socket, asio::buffer(bytes));
+        run();
+    }
+
+    void run()
+    {
+        context.restart();
+        context.run_for(milliseconds(50));
+    }
+
+    bool is_closed(asio::ip::tcp::socket& socket)
+    {
+        char byte = 0;
+        boost::system::error_code error;
+        socket.non_blocking(true);
+        socket.read_some(asio::buffer(&byte, 1), error);
+        return error && error != asio::error::would_block;
+    }
+
+    asio::io_context context{1};
+    member_table members;
+    peer_link link;
+    asio::ip::tcp::endpoint stream;
+    int messages = 0;
+    bool fail = false;
+    std::vector<std::string> losses;
+};
+
+} // namespace
+
+// Guards against requests that wait for a peer until their deadline, because its messages are not
+// read any more after one of them could not be handled.
+Test(peer_link, message_that_cannot_be_handled)
+{
+    link_fixture fixture(19880);
+    auto peer = fixture.connect();
+    fixture.send(peer);
+    check(fixture.messages == 1, "a message is handled");
+    fixture.fail = true;
+    fixture.send(peer);
+    check(fixture.messages == 2, "the next one fails");
+    check(fixture.is_closed(peer), "the connection is closed, so that the peer opens another one");
+    check(fixture.losses == std::vector{address}, "the loss is reported");
+}
