Report the loss of every connection to a peer

What callers saw: requests with stages that waited until their deadline after one of two connections between two instances was lost.

Cause: two instances that connect to each other at the same time keep two connections; each sends on one of them. The side that had not opened the lost one did not report the loss. The coordinator dropped the jobs of that peer, as it must, and the peer went on to wait for their answers.

Evidence, before:

the loss is reported [FAIL] peer_link::loss_of_a_second_connection: (0.20s)

Change: the loss of any connection is reported, since messages of the peer may be lost with it. Jobs may then run twice, which pieces allow.

Measured: peer_link_test 2 of 2.

--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -236,13 +236,15 @@
         peer->open = false;
         boost::system::error_code ignored; // nothing depends on the outcome of closing
         peer->socket.close(ignored);
+        // A connection that is not used for sending carried messages of the peer, which are lost
+        // too.
         if (const auto found = connections.find(peer->address);
             found != connections.end() && found->second == peer)
         {
             connections.erase(found);
-            members.mark_unreliable(peer->address, boot_clock::now());
-            handle_loss(peer->address);
         }
+        members.mark_unreliable(peer->address, boot_clock::now());
+        handle_loss(peer->address);
     }
 
     static asio::awaitable<void> connect(std::shared_ptr<implementation> self,
--- a/libs/gateway/src/peer_link_test.cpp
+++ b/libs/gateway/src/peer_link_test.cpp
@@ -108,3 +108,18 @@
     check(fixture.is_closed(peer), "the connection is closed, so that the peer opens another one");
     check(fixture.losses == std::vector{address}, "the loss is reported");
 }
+
+// Guards against requests that wait for a peer until their deadline, because the loss of the
+// connection that carried the peer's messages is not reported while another one exists.
+Test(peer_link, loss_of_a_second_connection)
+{
+    link_fixture fixture(19882);
+    auto first = fixture.connect();
+    auto second = fixture.connect();
+    fixture.send(second);
+    check(fixture.messages == 1, "messages of both connections are handled");
+    second.close();
+    fixture.run();
+    check(fixture.losses == std::vector{address}, "the loss is reported");
+    check(!fixture.is_closed(first), "the first connection stays open");
+}
