--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -246,6 +246,7 @@
         message.host = "h";
         message.id = id;
         message.key = key;
+        message.piece_counts = "1"; // read only on routes with stages
         message.forwarded_headers = "Host: h\r\nId: " + id + "\r\n";
         message.received = boot_clock::now();
         return message;
