Report the loss of a peer outside of send

The process had ended with code 139 while it forwarded a large configuration.

Cause: send closes the connection of a peer whose queue is over its limit and called the loss handler within the call. document_relay::forward_changes was just then iterating over its followers, and the handler erased the current one: the loop went on from freed memory.

Evidence, before:

document_relay_test.cpp:50: Unexpected signal caught below this line! [FAIL] document_relay::loses_followers_while_forwarding: CRASH!

and with the address sanitizer: heap-use-after-free, WRITE of size 8 in document_relay::forward_changes, freed by std::map::erase (peer_lost) within forward_changes.

Change: the loss handler runs from the event loop, for every caller of send. stage_coordinator::peer_lost, which keeps a reference to a job across send, had the same weakness.

Measured: document_relay_test and peer_link_test pass.

--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -142,7 +142,7 @@
     // Called for each message over TCP. `from` is the address of the sending instance.
     using message_handler = std::function<void(const std::string& from, peer_message message)>;
     // Called when the connection to an instance is lost or cannot be opened. Messages that were
-    // sent and not answered may be lost too.
+    // sent and not answered may be lost too. Runs from the event loop, never within `send`.
     using loss_handler = std::function<void(const std::string& address)>;
 
     peer_link(boost::asio::io_context& context, peer_link_options options, member_table& members);
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -244,7 +244,10 @@
             connections.erase(found);
         }
         members.mark_unreliable(peer->address, boot_clock::now());
-        handle_loss(peer->address);
+        // Not called here: a caller of `send` may be iterating over what the handler changes.
+        asio::post(context, [self = shared_from_this(), address = peer->address] {
+            self->handle_loss(address);
+        });
     }
 
     static asio::awaitable<void> connect(std::shared_ptr<implementation> self,
