Let a stop refuse requests that an endpoint has refused

What callers saw: a stream sent to a second endpoint during a stop, too late to be complete before the exit, and cut off there.

Cause: `sent` was set by the first attempt and kept when the endpoint refused the request. enforce_drain took the request for one that an endpoint works on, and the latest time to send was compared before the wait for another endpoint, which may last until the latency target, but not after it.

Change: a request that no endpoint works on counts as not sent again, and the time is compared once more right before a request is sent.

Evidence: the test failed before: request_drain::refused_requests_that_wait_for_another_endpoint no other endpoint receives the request

--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -173,6 +173,11 @@
         channels_.release(chosen.target, *taken, boot_clock::now());
         ended = attempt_failure{
             {verdict::not_run, reason::no_endpoint, "the endpoint no longer accepts work", {}}};
+    } else if (!writer.has_started_stream() && boot_clock::now() > latest_send(*request)) {
+        // The request has waited too long, for an endpoint or for the connection.
+        outcome.counts = false;
+        channels_.release(chosen.target, *taken, boot_clock::now());
+        ended = attempt_failure{drain_refusal(boot_clock::now())};
     } else {
         const std::shared_ptr<channel> connection = *taken;
         request->set_abort_handler([connection] { connection->close(); });
--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -37,6 +37,32 @@
     gateway.context.run_for(time);
 }
 
+// Runs for the given time and checks the stop as often as an instance does.
+void run_stop(gateway_fixture& gateway, milliseconds time)
+{
+    constexpr milliseconds interval{20};
+    for (milliseconds passed{0}; passed < time; passed += interval) {
+        gateway.flow.enforce_drain(boot_clock::now());
+        run_for(gateway, interval);
+    }
+}
+
+void allow(gateway_fixture& gateway, milliseconds timeout, milliseconds latency_target)
+{
+    route& matched = gateway.configuration.routes.front();
+    matched.timeout = timeout;
+    matched.latency_target = latency_target;
+    ++gateway.configuration.version;
+    gateway.view.apply(gateway.configuration);
+}
+
+scripted_response stream_after(milliseconds pause, const std::string& id)
+{
+    scripted_response response;
+    response.pause = pause;
+    response.rest = stream_response_head(id) + chunk(event(0)) + "0\r\n\r\n";
+    return response;
+}
 } // namespace
 
 // Guards against a stopping instance that sends requests to endpoints although it exits before
@@ -144,3 +170,30 @@
     check(gateway.received_requests() <= 1, "the request is not sent again");
     check(response.status_ == 502 || response.status_ == 503, "it gets a complete response");
 }
+
+// Guards against requests that an endpoint has refused, that then wait for another endpoint and are
+// sent to it when their responses can no longer be complete before the exit.
+Test(request_drain, refused_requests_that_wait_for_another_endpoint)
+{
+    const scripted_response refusal{
+        response_with("1", "", "503 Service Unavailable", "Not-Run: 1\r\n")};
+    gateway_fixture gateway(route_kind::stream, false,
+                            {{stream_after(milliseconds(100), "0"), refusal}});
+    allow(gateway, milliseconds(3000), milliseconds(2000));
+    check(gateway.serve("0").complete_, "a response of 100 ms is recorded");
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    check(gateway.received_requests() == 2, "an endpoint refuses the request");
+    gateway.flow.begin_drain(stop_in(milliseconds(500)));
+    run_stop(gateway, milliseconds(400));
+    gateway.endpoints.push_back(std::make_unique<fake_endpoint>(
+        gateway.context, std::vector{stream_after(milliseconds(300), "1")}));
+    quetzal::gateway::endpoint other = *gateway.view.find_endpoint("e1");
+    other.id = "e2";
+    other.address = gateway.endpoints.back()->address();
+    gateway.view.put_endpoint(other);
+    gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+    run_stop(gateway, milliseconds(60));
+    check(gateway.endpoints.back()->requests().empty(), "no other endpoint receives the request");
+    check(response.status_ == 503, "it is refused as not run");
+}
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -337,6 +337,9 @@
         const bool ran = failed.error.run != verdict::not_run;
         const bool unreachable = !ran && failed.error.why == reason::no_endpoint;
         (ran ? state.runs : unreachable ? state.unreachable : state.refusals) += 1;
+        if (state.runs == 0) {
+            request->sent.reset(); // no endpoint works on it, so a stop may still refuse it
+        }
         if (failed.response) {
             state.last_response = std::move(failed.response);
         }
