Answer streams whose callers have received nothing at the exit

What callers saw: a closed connection without a response at the exit, when the endpoint had sent the head of a stream but no event.

Cause: the phase `stream` began with the endpoint's head, but the caller receives a head only with the first events. At the end of a stop requests in this phase are left alone.

Change: the phase begins when the first events are written, so an error status can still end the request before.

Evidence: the test failed before: request_drain::streams_without_an_event_at_the_end it gets an error response

--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -309,7 +309,6 @@
                            attempt_state& state, const chosen_endpoint& chosen,
                            std::shared_ptr<channel> connection, serving::attempt_outcome& outcome)
 {
-    request->phase = request_phase::stream;
     if (!writer.has_started_stream()) {
         state.stream_headers = forwarded_response_headers(connection->headers());
     }
@@ -339,6 +338,7 @@
             outcome.latency = boot_clock::now() - started;
             coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
         }
+        request->phase = request_phase::stream;
         const bool written =
             co_await writer.write_stream_part(200, state.stream_headers, std::move(events), last);
         if (!written) {
--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -197,3 +197,20 @@
     check(gateway.endpoints.back()->requests().empty(), "no other endpoint receives the request");
     check(response.status_ == 503, "it is refused as not run");
 }
+
+// Guards against streams that end with a closed connection at the exit although their callers have
+// received nothing yet.
+Test(request_drain, streams_without_an_event_at_the_end)
+{
+    scripted_response slow{stream_response_head("1")};
+    slow.pause = milliseconds(600);
+    slow.rest = chunk(event(0)) + "0\r\n\r\n";
+    gateway_fixture gateway(route_kind::stream, false, {{slow}});
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    gateway.flow.begin_drain(stop_in(milliseconds(60)));
+    run_stop(gateway, milliseconds(120));
+    check(response.status_ == 502, "it gets an error response");
+    check(!response.stream_started_ && !response.connection_aborted_,
+          "its connection is not closed");
+}
