End connection attempts to endpoints with the stop

What callers saw: a closed connection without a response at the exit, when the connection to the endpoint was not yet established.

Cause: a connection attempt may last 300 ms and is not interrupted when the request is ended, but the process exits 150 ms after it ends the requests.

Change: during a stop a connection attempt lasts until the end of the responses at most.

Evidence: the test, with a port that accepts no connection, failed before: request_drain::connections_to_endpoints_at_the_end it is refused before the exit

--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr duration connect_timeout = 300ms;
+constexpr duration min_connect_timeout = 1ms; // at the end of a stop
 constexpr duration send_timeout = 2s;
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
 // Interim responses and responses to other requests that are skipped in one attempt.
@@ -153,7 +154,12 @@
     serving::attempt_outcome outcome;
     outcome.prompt = chosen.prompt;
     outcome.expected_prefix = chosen.expected_prefix;
-    auto taken = co_await channels_.acquire(chosen.target, connect_timeout);
+    duration connect_limit = connect_timeout;
+    if (drain_.window()) {
+        const duration left = drain_.window()->responses_end - boot_clock::now();
+        connect_limit = std::clamp(left, duration(min_connect_timeout), connect_timeout);
+    }
+    auto taken = co_await channels_.acquire(chosen.target, connect_limit);
     attempt_result ended = attempt_failure{};
     if (!taken) {
         pools_.mark_unreachable(chosen, boot_clock::now());
--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -63,6 +63,29 @@
     response.rest = stream_response_head(id) + chunk(event(0)) + "0\r\n\r\n";
     return response;
 }
+
+// A port whose queue of connections is full, so that a further connection is never established.
+class full_port
+{
+public:
+    explicit full_port(asio::io_context& context)
+        : acceptor_(context), waiting_{tcp::socket(context), tcp::socket(context)}
+    {
+        acceptor_.open(tcp::v4());
+        acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
+        acceptor_.listen(0);
+        for (tcp::socket& socket : waiting_) {
+            socket.async_connect(acceptor_.local_endpoint(), [](boost::system::error_code) {});
+        }
+    }
+
+    tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+private:
+    tcp::acceptor acceptor_;
+    std::array<tcp::socket, 2> waiting_;
+};
+
 } // namespace
 
 // Guards against a stopping instance that sends requests to endpoints although it exits before
@@ -214,3 +237,22 @@
     check(!response.stream_started_ && !response.connection_aborted_,
           "its connection is not closed");
 }
+
+// Guards against requests that are still connecting to an endpoint when the process exits.
+Test(request_drain, connections_to_endpoints_at_the_end)
+{
+    gateway_fixture gateway(route_kind::non_idempotent, false, {{{response_with("0", "x")}}});
+    check(gateway.serve("0").body_ == "x", "a fast response is recorded");
+    const full_port silent(gateway.context);
+    run_for(gateway, milliseconds(10));
+    quetzal::gateway::endpoint unreachable = *gateway.view.find_endpoint("e1");
+    unreachable.address = silent.address();
+    gateway.view.put_endpoint(unreachable);
+    gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+    gateway.flow.begin_drain(stop_in(milliseconds(100)));
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    check(response.status_ == 0, "the connection is not established");
+    run_stop(gateway, milliseconds(140));
+    check(response.status_ == 503, "it is refused before the exit");
+}
