Keep a silent endpoint when a stop forbids to send again

What callers saw: 502 during a stop, although the endpoint would have responded before the exit.

Cause: can_retry_elsewhere did not compare the latest time to send, which may_retry does. A silent endpoint was given up for another one, to which the request was then not sent.

Change: both compare it.

Evidence: the test failed before: request_drain::silent_endpoints_during_the_stop the response is forwarded, not status 502

--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -104,6 +104,9 @@
     if (!state.retryable || state.runs + 1 >= request.matched->max_attempts) {
         return false;
     }
+    if (request.phase != request_phase::stream && now > latest_send(request)) {
+        return false; // may_retry would refuse
+    }
     const std::string service = select_service(request);
     endpoint_requirements requirements{{}, state.tried_endpoints};
     requirements.avoid.push_back(chosen.target.id);
--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -256,3 +256,20 @@
     run_stop(gateway, milliseconds(140));
     check(response.status_ == 503, "it is refused before the exit");
 }
+
+// Guards against a silent endpoint that is given up during the stop although the request may not be
+// sent to another one.
+Test(request_drain, silent_endpoints_during_the_stop)
+{
+    scripted_response slow;
+    slow.pause = milliseconds(700);
+    slow.rest = response_with("1", "late");
+    gateway_fixture gateway(route_kind::idempotent, false, {{slow}, {slow}});
+    allow(gateway, milliseconds(3000), milliseconds(100));
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    gateway.flow.begin_drain(stop_in(milliseconds(1500)));
+    run_stop(gateway, milliseconds(900));
+    check(response.status_ == 200 && response.body_ == "late",
+          "the response is forwarded, not status " + std::to_string(response.status_));
+}
