Test waits after a failed attempt and Retry-After of a fleet that stops

The check of the time right before a request is sent, and the condition that other instances that stop do not count as ready, were covered by no test.

Evidence: without the check in request_flow::attempt the test fails: request_drain::failed_requests_that_wait_for_another_endpoint no other endpoint receives the request

--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -127,6 +127,18 @@
         check(gateway.serve("1").headers_.find("Retry-After: 0.000000\r\n") != std::string::npos,
               "callers may retry at once");
     });
+    section("when all other instances are stopping too", [] {
+        gateway_fixture gateway(route_kind::non_idempotent, false, {{{response_with("1", "x")}}});
+        member_record other;
+        other.address = "127.0.0.2";
+        other.incarnation = 1;
+        other.ready = true;
+        other.leaving = true;
+        gateway.members.merge_heartbeat({{other, 0}, {}}, boot_clock::now());
+        gateway.flow.begin_drain(stop_in(milliseconds(100)));
+        check(gateway.serve("1").headers_.find("Retry-After: 0.500000\r\n") != std::string::npos,
+              "callers are asked to wait");
+    });
 }
 
 // Guards against requests that were accepted before the stop and end with a closed connection when
@@ -221,6 +233,34 @@
     check(response.status_ == 503, "it is refused as not run");
 }
 
+// Guards against requests whose attempt has failed, that then wait for another endpoint and are
+// sent to it when their responses can no longer be complete before the exit.
+Test(request_drain, failed_requests_that_wait_for_another_endpoint)
+{
+    scripted_response fast;
+    fast.pause = milliseconds(100);
+    fast.rest = response_with("0", "x");
+    gateway_fixture gateway(route_kind::idempotent, false, {{fast, {"", true}}});
+    allow(gateway, milliseconds(3000), milliseconds(2000));
+    check(gateway.serve("0").body_ == "x", "a response of 100 ms is recorded");
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    check(gateway.received_requests() == 2 && response.status_ == 0, "the first attempt fails");
+    gateway.flow.begin_drain(stop_in(milliseconds(500)));
+    run_stop(gateway, milliseconds(400));
+    gateway.endpoints.push_back(std::make_unique<fake_endpoint>(
+        gateway.context, std::vector<scripted_response>{{response_with("1", "x")}}));
+    quetzal::gateway::endpoint other = *gateway.view.find_endpoint("e1");
+    other.id = "e2";
+    other.address = gateway.endpoints.back()->address();
+    gateway.view.put_endpoint(other);
+    gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+    run_stop(gateway, milliseconds(60));
+    check(gateway.endpoints.back()->requests().empty(), "no other endpoint receives the request");
+    run_stop(gateway, milliseconds(120));
+    check(response.status_ == 502, "it gets a response that does not claim that it has not run");
+}
+
 // Guards against streams that end with a closed connection at the exit although their callers have
 // received nothing yet.
 Test(request_drain, streams_without_an_event_at_the_end)
