Expect the time of a stream from streams only

During a stop a stream is sent if one and a half times the slowest recent response of its route fits. Short error responses of the endpoints were recorded as such responses, so that after 32 of them any stream of the route seemed to fit and was cut at the exit.

Change: for routes of streams only responses that were streams are recorded.

Evidence: the test failed before: request_drain::error_responses_of_streams nothing is known about the time of the route's streams

--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -261,6 +261,23 @@
     check(response.status_ == 502, "it gets a response that does not claim that it has not run");
 }
 
+// Guards against streams that are sent although they cannot be complete before the exit, because
+// their route has recently sent short error responses.
+Test(request_drain, error_responses_of_streams)
+{
+    gateway_fixture gateway(
+        route_kind::stream, false,
+        {{{response_with("0", "no", "404 Not Found")}, {response_with("1", "x")}}});
+    check(gateway.serve("0").status_ == 404, "the error response is forwarded");
+    recorded_response response;
+    const auto received = boot_clock::now();
+    drain_window window = stop_in(route_timeout / 2);
+    window.notice_end = received + milliseconds(300);
+    gateway.flow.begin_drain(window);
+    serve_for(gateway, response, milliseconds(20));
+    check(response.status_ == 503, "nothing is known about the time of the route's streams");
+}
+
 // Guards against streams that end with a closed connection at the exit although their callers have
 // received nothing yet.
 Test(request_drain, streams_without_an_event_at_the_end)
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -143,7 +143,8 @@
         co_await reject(*request, writer, status_for(outcome.error()), outcome.error());
     } else if (!state.last_response) {
         record_outcome(*request, "answered");
-        if (request->sent) {
+        // The time of an error response says nothing about the time of a stream.
+        if (request->sent && (matched.kind != route_kind::stream || writer.has_started_stream())) {
             drain_.record_response(matched.name, boot_clock::now() - *request->sent);
         }
     }
