--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr duration connect_timeout = 300ms;
+constexpr duration min_connect_timeout = 1ms; // at the end of a stop
 constexpr duration send_timeout = 2s;
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
 // Interim responses and responses to other requests that are skipped in one attempt.
@@ -103,6 +104,9 @@
     if (!state.retryable || state.runs + 1 >= request.matched->max_attempts) {
         return false;
     }
+    if (request.phase != request_phase::stream && now > latest_send(request)) {
+        return false; // may_retry would refuse
+    }
     const std::string service = select_service(request);
     endpoint_requirements requirements{{}, state.tried_endpoints};
     requirements.avoid.push_back(chosen.target.id);
@@ -153,7 +157,12 @@
     serving::attempt_outcome outcome;
     outcome.prompt = chosen.prompt;
     outcome.expected_prefix = chosen.expected_prefix;
-    auto taken = co_await channels_.acquire(chosen.target, connect_timeout);
+    duration connect_limit = connect_timeout;
+    if (drain_.window()) {
+        const duration left = drain_.window()->responses_end - boot_clock::now();
+        connect_limit = std::clamp(left, duration(min_connect_timeout), connect_timeout);
+    }
+    auto taken = co_await channels_.acquire(chosen.target, connect_limit);
     attempt_result ended = attempt_failure{};
     if (!taken) {
         pools_.mark_unreachable(chosen, boot_clock::now());
@@ -173,6 +182,11 @@
         channels_.release(chosen.target, *taken, boot_clock::now());
         ended = attempt_failure{
             {verdict::not_run, reason::no_endpoint, "the endpoint no longer accepts work", {}}};
+    } else if (!writer.has_started_stream() && boot_clock::now() > latest_send(*request)) {
+        // The request has waited too long, for an endpoint or for the connection.
+        outcome.counts = false;
+        channels_.release(chosen.target, *taken, boot_clock::now());
+        ended = attempt_failure{drain_refusal(boot_clock::now())};
     } else {
         const std::shared_ptr<channel> connection = *taken;
         request->set_abort_handler([connection] { connection->close(); });
@@ -304,7 +318,6 @@
                            attempt_state& state, const chosen_endpoint& chosen,
                            std::shared_ptr<channel> connection, serving::attempt_outcome& outcome)
 {
-    request->phase = request_phase::stream;
     if (!writer.has_started_stream()) {
         state.stream_headers = forwarded_response_headers(connection->headers());
     }
@@ -334,6 +347,7 @@
             outcome.latency = boot_clock::now() - started;
             coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
         }
+        request->phase = request_phase::stream;
         const bool written =
             co_await writer.write_stream_part(200, state.stream_headers, std::move(events), last);
         if (!written) {
--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -37,6 +37,55 @@
     gateway.context.run_for(time);
 }
 
+// Runs for the given time and checks the stop as often as an instance does.
+void run_stop(gateway_fixture& gateway, milliseconds time)
+{
+    constexpr milliseconds interval{20};
+    for (milliseconds passed{0}; passed < time; passed += interval) {
+        gateway.flow.enforce_drain(boot_clock::now());
+        run_for(gateway, interval);
+    }
+}
+
+void allow(gateway_fixture& gateway, milliseconds timeout, milliseconds latency_target)
+{
+    route& matched = gateway.configuration.routes.front();
+    matched.timeout = timeout;
+    matched.latency_target = latency_target;
+    ++gateway.configuration.version;
+    gateway.view.apply(gateway.configuration);
+}
+
+scripted_response stream_after(milliseconds pause, const std::string& id)
+{
+    scripted_response response;
+    response.pause = pause;
+    response.rest = stream_response_head(id) + chunk(event(0)) + "0\r\n\r\n";
+    return response;
+}
+
+// A port whose queue of connections is full, so that a further connection is never established.
+class full_port
+{
+public:
+    explicit full_port(asio::io_context& context)
+        : acceptor_(context), waiting_{tcp::socket(context), tcp::socket(context)}
+    {
+        acceptor_.open(tcp::v4());
+        acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
+        acceptor_.listen(0);
+        for (tcp::socket& socket : waiting_) {
+            socket.async_connect(acceptor_.local_endpoint(), [](boost::system::error_code) {});
+        }
+    }
+
+    tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+private:
+    tcp::acceptor acceptor_;
+    std::array<tcp::socket, 2> waiting_;
+};
+
 } // namespace
 
 // Guards against a stopping instance that sends requests to endpoints although it exits before
@@ -78,6 +127,18 @@
         check(gateway.serve("1").headers_.find("Retry-After: 0.000000\r\n") != std::string::npos,
               "callers may retry at once");
     });
+    section("when all other instances are stopping too", [] {
+        gateway_fixture gateway(route_kind::non_idempotent, false, {{{response_with("1", "x")}}});
+        member_record other;
+        other.address = "127.0.0.2";
+        other.incarnation = 1;
+        other.ready = true;
+        other.leaving = true;
+        gateway.members.merge_heartbeat({{other, 0}, {}}, boot_clock::now());
+        gateway.flow.begin_drain(stop_in(milliseconds(100)));
+        check(gateway.serve("1").headers_.find("Retry-After: 0.500000\r\n") != std::string::npos,
+              "callers are asked to wait");
+    });
 }
 
 // Guards against requests that were accepted before the stop and end with a closed connection when
@@ -144,3 +205,128 @@
     check(gateway.received_requests() <= 1, "the request is not sent again");
     check(response.status_ == 502 || response.status_ == 503, "it gets a complete response");
 }
+
+// Guards against requests that an endpoint has refused, that then wait for another endpoint and are
+// sent to it when their responses can no longer be complete before the exit.
+Test(request_drain, refused_requests_that_wait_for_another_endpoint)
+{
+    const scripted_response refusal{
+        response_with("1", "", "503 Service Unavailable", "Not-Run: 1\r\n")};
+    gateway_fixture gateway(route_kind::stream, false,
+                            {{stream_after(milliseconds(100), "0"), refusal}});
+    allow(gateway, milliseconds(3000), milliseconds(2000));
+    check(gateway.serve("0").complete_, "a response of 100 ms is recorded");
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    check(gateway.received_requests() == 2, "an endpoint refuses the request");
+    gateway.flow.begin_drain(stop_in(milliseconds(500)));
+    run_stop(gateway, milliseconds(400));
+    gateway.endpoints.push_back(std::make_unique<fake_endpoint>(
+        gateway.context, std::vector{stream_after(milliseconds(300), "1")}));
+    quetzal::gateway::endpoint other = *gateway.view.find_endpoint("e1");
+    other.id = "e2";
+    other.address = gateway.endpoints.back()->address();
+    gateway.view.put_endpoint(other);
+    gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+    run_stop(gateway, milliseconds(60));
+    check(gateway.endpoints.back()->requests().empty(), "no other endpoint receives the request");
+    check(response.status_ == 503, "it is refused as not run");
+}
+
+// Guards against requests whose attempt has failed, that then wait for another endpoint and are
+// sent to it when their responses can no longer be complete before the exit.
+Test(request_drain, failed_requests_that_wait_for_another_endpoint)
+{
+    scripted_response fast;
+    fast.pause = milliseconds(100);
+    fast.rest = response_with("0", "x");
+    gateway_fixture gateway(route_kind::idempotent, false, {{fast, {"", true}}});
+    allow(gateway, milliseconds(3000), milliseconds(2000));
+    check(gateway.serve("0").body_ == "x", "a response of 100 ms is recorded");
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    check(gateway.received_requests() == 2 && response.status_ == 0, "the first attempt fails");
+    gateway.flow.begin_drain(stop_in(milliseconds(500)));
+    run_stop(gateway, milliseconds(400));
+    gateway.endpoints.push_back(std::make_unique<fake_endpoint>(
+        gateway.context, std::vector<scripted_response>{{response_with("1", "x")}}));
+    quetzal::gateway::endpoint other = *gateway.view.find_endpoint("e1");
+    other.id = "e2";
+    other.address = gateway.endpoints.back()->address();
+    gateway.view.put_endpoint(other);
+    gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+    run_stop(gateway, milliseconds(60));
+    check(gateway.endpoints.back()->requests().empty(), "no other endpoint receives the request");
+    run_stop(gateway, milliseconds(120));
+    check(response.status_ == 502, "it gets a response that does not claim that it has not run");
+}
+
+// Guards against streams that are sent although they cannot be complete before the exit, because
+// their route has recently sent short error responses.
+Test(request_drain, error_responses_of_streams)
+{
+    gateway_fixture gateway(
+        route_kind::stream, false,
+        {{{response_with("0", "no", "404 Not Found")}, {response_with("1", "x")}}});
+    check(gateway.serve("0").status_ == 404, "the error response is forwarded");
+    recorded_response response;
+    const auto received = boot_clock::now();
+    drain_window window = stop_in(route_timeout / 2);
+    window.notice_end = received + milliseconds(300);
+    gateway.flow.begin_drain(window);
+    serve_for(gateway, response, milliseconds(20));
+    check(response.status_ == 503, "nothing is known about the time of the route's streams");
+}
+
+// Guards against streams that end with a closed connection at the exit although their callers have
+// received nothing yet.
+Test(request_drain, streams_without_an_event_at_the_end)
+{
+    scripted_response slow{stream_response_head("1")};
+    slow.pause = milliseconds(600);
+    slow.rest = chunk(event(0)) + "0\r\n\r\n";
+    gateway_fixture gateway(route_kind::stream, false, {{slow}});
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    gateway.flow.begin_drain(stop_in(milliseconds(60)));
+    run_stop(gateway, milliseconds(120));
+    check(response.status_ == 502, "it gets an error response");
+    check(!response.stream_started_ && !response.connection_aborted_,
+          "its connection is not closed");
+}
+
+// Guards against requests that are still connecting to an endpoint when the process exits.
+Test(request_drain, connections_to_endpoints_at_the_end)
+{
+    gateway_fixture gateway(route_kind::non_idempotent, false, {{{response_with("0", "x")}}});
+    check(gateway.serve("0").body_ == "x", "a fast response is recorded");
+    const full_port silent(gateway.context);
+    run_for(gateway, milliseconds(10));
+    quetzal::gateway::endpoint unreachable = *gateway.view.find_endpoint("e1");
+    unreachable.address = silent.address();
+    gateway.view.put_endpoint(unreachable);
+    gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+    gateway.flow.begin_drain(stop_in(milliseconds(100)));
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    check(response.status_ == 0, "the connection is not established");
+    run_stop(gateway, milliseconds(140));
+    check(response.status_ == 503, "it is refused before the exit");
+}
+
+// Guards against a silent endpoint that is given up during the stop although the request may not be
+// sent to another one.
+Test(request_drain, silent_endpoints_during_the_stop)
+{
+    scripted_response slow;
+    slow.pause = milliseconds(700);
+    slow.rest = response_with("1", "late");
+    gateway_fixture gateway(route_kind::idempotent, false, {{slow}, {slow}});
+    allow(gateway, milliseconds(3000), milliseconds(100));
+    recorded_response response;
+    serve_for(gateway, response, milliseconds(20));
+    gateway.flow.begin_drain(stop_in(milliseconds(1500)));
+    run_stop(gateway, milliseconds(900));
+    check(response.status_ == 200 && response.body_ == "late",
+          "the response is forwarded, not status " + std::to_string(response.status_));
+}
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -143,7 +143,8 @@
         co_await reject(*request, writer, status_for(outcome.error()), outcome.error());
     } else if (!state.last_response) {
         record_outcome(*request, "answered");
-        if (request->sent) {
+        // The time of an error response says nothing about the time of a stream.
+        if (request->sent && (matched.kind != route_kind::stream || writer.has_started_stream())) {
             drain_.record_response(matched.name, boot_clock::now() - *request->sent);
         }
     }
@@ -337,6 +338,9 @@
         const bool ran = failed.error.run != verdict::not_run;
         const bool unreachable = !ran && failed.error.why == reason::no_endpoint;
         (ran ? state.runs : unreachable ? state.unreachable : state.refusals) += 1;
+        if (state.runs == 0) {
+            request->sent.reset(); // no endpoint works on it, so a stop may still refuse it
+        }
         if (failed.response) {
             state.last_response = std::move(failed.response);
         }
