Count the unfinished jobs that an instance coordinates for others

For the planned stop: an instance without requests of its own exits while calls of other instances' jobs run. Their instances then submit the jobs to the next coordinator, which starts them anew and may refuse them for lack of time. The stop itself is not changed here.

--- a/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
@@ -60,6 +60,9 @@
     // Returns the number of jobs that this instance schedules.
     std::size_t open_jobs() const noexcept { return scheduler_.open_jobs(); }
 
+    // Returns the number of jobs of other instances that are not finished.
+    std::size_t unfinished_peer_jobs() const;
+
     // Schedules a dispatch after a change of the catalog.
     void refresh() { schedule_dispatch(duration::zero()); }
 
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -116,6 +116,14 @@
     bool has_work() const;
 
     std::size_t open_jobs() const noexcept { return jobs_.size(); }
+
+    // Whether the job is neither finished nor released.
+    bool is_running(job_number number) const
+    {
+        const auto found = jobs_.find(number);
+        return found != jobs_.end() && !found->second.finished;
+    }
+
     std::size_t waiting_pieces(const std::string& service) const;
 
     // Returns the expected time until a new job has its results, given the committed work.
--- a/libs/gateway/src/stage_conductor_test.cpp
+++ b/libs/gateway/src/stage_conductor_test.cpp
@@ -78,3 +78,22 @@
     check(instance.refused == 50,
           "each job is refused once the instance has joined as the only one");
 }
+
+// Guards against a stopping instance that exits while it runs the stages of requests that other
+// instances have accepted, which then have to start anew elsewhere.
+Test(stage_coordinator, unfinished_jobs_of_peers_are_counted)
+{
+    started_instance instance;
+    stage_job job;
+    job.stages.push_back({"s", {}, 0, 1});
+    job.latency_budget_ms = job.remaining_ms = 5000;
+    instance.coordinator.take("127.0.0.9", job_submission{7, job});
+    check(instance.coordinator.unfinished_peer_jobs() == 1, "a job of a peer counts");
+    instance.coordinator.take({}, job_submission{7, job});
+    check(instance.coordinator.unfinished_peer_jobs() == 1, "a job of this instance does not");
+    instance.coordinator.take("127.0.0.9", job_release{7});
+    check(instance.coordinator.unfinished_peer_jobs() == 0, "a released job does not");
+    job.stages.front().pieces = 0;
+    instance.coordinator.take("127.0.0.9", job_submission{8, job});
+    check(instance.coordinator.unfinished_peer_jobs() == 0, "a finished job does not");
+}
--- a/libs/gateway/src/stage_coordinator.cpp
+++ b/libs/gateway/src/stage_coordinator.cpp
@@ -164,6 +164,16 @@
     }
 }
 
+std::size_t stage_coordinator::unfinished_peer_jobs() const
+{
+    const auto unfinished =
+        std::count_if(submitters_.begin(), submitters_.end(), [this](const auto& entry) {
+            const auto& [number, submitter] = entry;
+            return !submitter.first.empty() && scheduler_.is_running(number);
+        });
+    return static_cast<std::size_t>(unfinished);
+}
+
 asio::awaitable<void> stage_coordinator::watch_coordinators()
 {
     while (true) {
