Let long bodies take until the deadline to be sent

What callers saw: 502 for a request with a long body, 2 s after it was sent, although its endpoint read it and the deadline was far. A request that must not run twice cannot be repeated then.

Cause: the send to an endpoint had a fixed limit of 2 s, whatever the size of the body and the speed of the link.

Evidence, before:

the response is forwarded, not status 502 [FAIL] incomplete_response::long_body_is_sent_slowly: (2.07s)

Change: a send ends with the deadline of the request. An endpoint that cannot be reached or reads nothing still fails after about 3 s, by the limit for unacknowledged bytes that every connection has.

--- a/libs/gateway/src/incomplete_response_test.cpp
+++ b/libs/gateway/src/incomplete_response_test.cpp
@@ -40,6 +40,22 @@
     return response;
 }
 
+// An endpoint that begins to read after a pause, and responds to a request that ends with "END".
+asio::awaitable<void> read_late(tcp::acceptor& acceptor, milliseconds pause)
+{
+    boost::system::error_code error;
+    tcp::socket socket =
+        co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    asio::steady_timer timer(acceptor.get_executor(), pause);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    asio::streambuf received;
+    co_await asio::async_read_until(socket, received, "END",
+                                    asio::redirect_error(asio::use_awaitable, error));
+    const std::string response = response_with("1", "x");
+    co_await asio::async_write(socket, asio::buffer(response),
+                               asio::redirect_error(asio::use_awaitable, error));
+}
+
 } // namespace
 
 // Guards against resumable streams that are cut because their endpoint pauses, although no other
@@ -144,3 +160,23 @@
         check(response.status_ == 200 && response.body_ == "x", "the final response is forwarded");
     }
 }
+
+// Guards against requests that fail because their body takes long to send, although the endpoint
+// reads it and the deadline is far.
+Test(incomplete_response, long_body_is_sent_slowly)
+{
+    gateway_fixture gateway(route_kind::non_idempotent, false, {{}});
+    allow(gateway, seconds(4), 1);
+    tcp::acceptor acceptor(gateway.context, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::co_spawn(gateway.context, read_late(acceptor, milliseconds(2300)), asio::detached);
+    quetzal::gateway::endpoint slow = *gateway.view.find_endpoint("e1");
+    slow.address = acceptor.local_endpoint();
+    gateway.view.put_endpoint(slow);
+    gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+    caller_request message = gateway_fixture::make_message("1", "key", "/a/x");
+    message.method = "POST";
+    message.body = std::string(16u << 20, 'x') + "END";
+    const auto response = gateway.serve(std::move(message));
+    check(response.status_ == 200 && response.body_ == "x",
+          "the response is forwarded, not status " + std::to_string(response.status_));
+}
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr duration connect_timeout = 300ms;
-constexpr duration send_timeout = 2s;
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
 // Interim responses and responses to other requests that are skipped in one attempt.
 constexpr unsigned max_skipped_responses = 2;
@@ -202,13 +201,14 @@
     if (!request->sent) {
         request->sent = started;
     }
-    const auto sent = co_await connection->send(head, request->message.body, send_timeout);
+    // The request's own deadline expires first. The connection fails earlier if the endpoint reads
+    // nothing (see `configure_socket`).
+    const duration timeout = request->deadline - started + 100ms;
+    const auto sent = co_await connection->send(head, request->message.body, timeout);
     if (!sent) {
         co_return attempt_failure{sent.error()};
     }
     const bool head_request = request->message.method == "HEAD";
-    // The request's own deadline expires first.
-    const duration timeout = request->deadline - started + 100ms;
     silence_watch silence(*this, *request, state, chosen, *connection);
     silence.start(std::max<duration>(request->matched->latency_target * slow_attempt_factor,
                                      min_attempt_timeout));
--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -223,9 +223,14 @@
     // Serves one request and returns the recorded response.
     recorded_response serve(const std::string& id, const std::string& key = "key",
                             const std::string& target = "/a/x")
+    {
+        return serve(make_message(id, key, target));
+    }
+
+    recorded_response serve(caller_request message)
     {
         recorded_response response;
-        request = std::make_shared<running_request>(make_message(id, key, target));
+        request = std::make_shared<running_request>(std::move(message));
         asio::co_spawn(context, flow.serve(request, response), asio::detached);
         const auto ended = flow.ended();
         for (int step = 0; step < 400 && flow.ended() == ended; ++step) {
