--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -142,9 +142,11 @@
 class recorded_response final : public response_writer
 {
 public:
-    asio::awaitable<bool> write_response(unsigned status, std::string, std::string body) override
+    asio::awaitable<bool> write_response(unsigned status, std::string headers,
+                                         std::string body) override
     {
         status_ = status;
+        headers_ = std::move(headers);
         body_ = std::move(body);
         co_return true;
     }
@@ -164,6 +166,7 @@
     void abort_connection() override { connection_aborted_ = true; }
 
     unsigned status_ = 0;
+    std::string headers_;
     std::string body_;
     bool stream_started_ = false;
     bool complete_ = false;
