Keep slow endpoints when a stop allows no further attempt

What callers saw: 502 for an idempotent request at a stopping instance, when its endpoint took twice the latency target and another one was free.

Cause: whether to give up a silent endpoint was decided by the attempts, the budget and the free endpoints. Whether the request may be sent again also depends on the stop, which refuses it if the response is not expected in time, on the time that is left and on the attempts that failed; that was asked only after the connection was closed.

Evidence, before:

the response is forwarded, not status 502 [FAIL] incomplete_response::slow_response_during_a_stop: (0.43s)

Change: both decisions ask the same function.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -124,7 +124,10 @@
                              const chosen_endpoint& chosen, time_point now) const;
     // Whether a request that is being run by an endpoint could be sent to another one now.
     bool can_retry_elsewhere(const running_request& request, const attempt_state& state,
-                             const chosen_endpoint& chosen, time_point now);
+                             const chosen_endpoint& chosen, bool started_stream, time_point now);
+    // Whether the time that is left, the failed attempts and a planned stop allow another attempt.
+    bool may_send_again(const running_request& request, const attempt_state& state,
+                        bool started_stream, time_point now) const;
     bool may_retry(const running_request& request, const attempt_state& state,
                    const attempt_failure& failed, bool started_stream, time_point now);
     boost::asio::awaitable<void> reject(running_request& request, response_writer& writer,
--- a/libs/gateway/src/incomplete_response_test.cpp
+++ b/libs/gateway/src/incomplete_response_test.cpp
@@ -122,6 +122,22 @@
     });
 }
 
+// Guards against requests that a stopping instance gives up because their endpoint is slow,
+// although it would not send them to another one any more.
+Test(incomplete_response, slow_response_during_a_stop)
+{
+    gateway_fixture gateway(route_kind::idempotent, false, {{slow_response()}, {slow_response()}});
+    allow(gateway, seconds(3), 2);
+    asio::steady_timer timer(gateway.context, milliseconds(100));
+    timer.async_wait([&](const boost::system::error_code&) {
+        const time_point now = boot_clock::now();
+        gateway.flow.begin_drain({now, now + seconds(2)});
+    });
+    const auto response = gateway.serve("1");
+    check(response.status_ == 200 && response.body_ == "late",
+          "the response is forwarded, not status " + std::to_string(response.status_));
+}
+
 // Guards against an error response that is written into a stream that has started.
 Test(incomplete_response, stream_resumed_by_an_endpoint_that_rejects_it)
 {
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -60,9 +60,11 @@
 {
 public:
     silence_watch(request_flow& flow, const running_request& request, const attempt_state& state,
-                  const chosen_endpoint& chosen, channel& connection)
+                  const chosen_endpoint& chosen, const response_writer& writer, channel& connection)
         : retryable_(state.retryable), timer_(flow.context_.get_executor(), [&, this] {
-              if (!flow.can_retry_elsewhere(request, state, chosen, boot_clock::now())) {
+              if (!flow.can_retry_elsewhere(request, state, chosen, writer.has_started_stream(),
+                                            boot_clock::now()))
+              {
                   timer_.expires_after(silence_recheck);
                   return;
               }
@@ -97,9 +99,12 @@
 };
 
 bool request_flow::can_retry_elsewhere(const running_request& request, const attempt_state& state,
-                                       const chosen_endpoint& chosen, time_point now)
+                                       const chosen_endpoint& chosen, bool started_stream,
+                                       time_point now)
 {
-    if (!state.retryable || state.runs + 1 >= request.matched->max_attempts) {
+    if (!state.retryable || state.runs + 1 >= request.matched->max_attempts ||
+        !may_send_again(request, state, started_stream, now))
+    {
         return false;
     }
     const std::string service = select_service(request);
@@ -209,7 +214,7 @@
         co_return attempt_failure{sent.error()};
     }
     const bool head_request = request->message.method == "HEAD";
-    silence_watch silence(*this, *request, state, chosen, *connection);
+    silence_watch silence(*this, *request, state, chosen, writer, *connection);
     silence.start(std::max<duration>(request->matched->latency_target * slow_attempt_factor,
                                      min_attempt_timeout));
     unsigned status = 0;
@@ -310,7 +315,7 @@
     }
     state.events.discard_partial_event();
     const time_point started = boot_clock::now() - outcome.latency;
-    silence_watch silence(*this, *request, state, chosen, *connection);
+    silence_watch silence(*this, *request, state, chosen, writer, *connection);
     bool first = true;
     while (true) {
         std::string bytes;
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -379,19 +379,20 @@
     co_return result<void>{};
 }
 
+bool request_flow::may_send_again(const running_request& request, const attempt_state& state,
+                                  bool started_stream, time_point now) const
+{
+    return now + min_attempt_time < request.deadline && state.refusals < max_refusals &&
+           state.unreachable < max_unreachable && (started_stream || now <= latest_send(request));
+}
+
 bool request_flow::may_retry(const running_request& request, const attempt_state& state,
                              const attempt_failure& failed, bool started_stream, time_point now)
 {
-    if (now + min_attempt_time >= request.deadline || state.refusals >= max_refusals ||
-        state.unreachable >= max_unreachable)
-    {
-        return false;
-    }
-    if (!started_stream && now > latest_send(request)) {
-        return false;
-    }
     const bool ran = failed.error.run != verdict::not_run;
-    if (ran && (!state.retryable || state.runs >= request.matched->max_attempts)) {
+    if (!may_send_again(request, state, started_stream, now) ||
+        (ran && (!state.retryable || state.runs >= request.matched->max_attempts)))
+    {
         return false;
     }
     if (failed.error.why == reason::no_endpoint) {
