Wait for relayed and unread answers in a planned stop

What callers saw: with the project's own interface, an answer that an instance relayed from the one that issued its identity was cut 0.2 s after the SIGTERM of the relaying instance. By reading, the same holds for the rest of an answer that its caller has not read yet.

Cause: the stop waits until the instance's own requests have finished. A relayed request is not one of these, and an answer finishes before its last bytes are written.

Evidence, tests/process_faults before:

- a planned stop cuts no answer that the instance relays FAILED: the relayed answer is whole

Change: the interface counts the requests that it is answering, and the stop goes on only when there are none. New requests are refused meanwhile, as before.

Measured: tests/process_faults passes as a whole, 0 checks failed. Two runs of the start and this section alone: the section passes in both; in one the first lookup after the start was refused at its deadline of 4 s (not_run), before any stop, on a busy machine. That is not traced.

--- a/libs/node/include/quetzal/node/caller_api.hpp
+++ b/libs/node/include/quetzal/node/caller_api.hpp
@@ -3,6 +3,7 @@
 
 // The HTTP interface for callers; see docs/caller-api.md.
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 
@@ -29,6 +30,9 @@
     boost::asio::awaitable<void> handle(const net::http_request& request,
                                         net::response_stream& response);
 
+    // Returns the number of requests whose answer is not written yet, relayed ones included.
+    std::size_t active_requests() const noexcept { return active_requests_; }
+
 private:
     // The caller as identified by its key. `customer` is empty when the request has no key.
     struct caller
@@ -70,7 +74,11 @@
                                                        const std::string& text) const;
     static boost::asio::awaitable<void> refuse(const failure& why, net::response_stream& response);
 
+    boost::asio::awaitable<void> dispatch(const net::http_request& request,
+                                          net::response_stream& response);
+
     boost::asio::any_io_executor executor_;
+    std::atomic<std::size_t> active_requests_{0};
     shared_state& state_;
     control_plane& control_;
     request_engine& engine_;
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -160,6 +160,22 @@
 
 asio::awaitable<void> caller_api::handle(const net::http_request& request,
                                          net::response_stream& response)
+{
+    struct active_request
+    {
+        explicit active_request(std::atomic<std::size_t>& counter) : number(counter) { ++number; }
+        active_request(const active_request&) = delete;
+        active_request& operator=(const active_request&) = delete;
+        ~active_request() { --number; }
+
+        std::atomic<std::size_t>& number;
+    };
+    const active_request active(active_requests_);
+    co_await dispatch(request, response);
+}
+
+asio::awaitable<void> caller_api::dispatch(const net::http_request& request,
+                                           net::response_stream& response)
 {
     if (request.path == "/v1/address" && request.method == "GET") {
         co_await answer_address(request, response);
--- a/libs/node/src/entry_instance.cpp
+++ b/libs/node/src/entry_instance.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+// Interval in which a stopping instance checks whether all answers are written.
+constexpr duration answer_check_interval = std::chrono::milliseconds(50);
 // Delay between the last answer and the stop of the context, so that the last bytes can be sent.
 constexpr duration connection_close_delay = std::chrono::milliseconds(200);
 // Maximum duration of a handover, which needs two messages. When no peer responds, the leases
@@ -293,6 +295,11 @@
 
 void entry_instance::parts::shut_down()
 {
+    if (callers->active_requests() > 0) {
+        stop_timer.expires_after(answer_check_interval);
+        stop_timer.async_wait([self = shared_from_this()](auto) { self->shut_down(); });
+        return;
+    }
     caller_server->stop();
     operator_server->stop();
     links->stop();
