--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -18,8 +18,7 @@
 namespace {
 
 constexpr duration connect_timeout = 300ms;
-constexpr duration min_connect_timeout = 1ms; // at the end of a stop
-constexpr duration send_timeout = 2s;
+constexpr duration min_connect_timeout = 1ms;       // at the end of a stop
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
 // Interim responses and responses to other requests that are skipped in one attempt.
 constexpr unsigned max_skipped_responses = 2;
@@ -62,9 +61,11 @@
 {
 public:
     silence_watch(request_flow& flow, const running_request& request, const attempt_state& state,
-                  const chosen_endpoint& chosen, channel& connection)
+                  const chosen_endpoint& chosen, const response_writer& writer, channel& connection)
         : retryable_(state.retryable), timer_(flow.context_.get_executor(), [&, this] {
-              if (!flow.can_retry_elsewhere(request, state, chosen, boot_clock::now())) {
+              if (!flow.can_retry_elsewhere(request, state, chosen, writer.has_started_stream(),
+                                            boot_clock::now()))
+              {
                   timer_.expires_after(silence_recheck);
                   return;
               }
@@ -99,14 +100,14 @@
 };
 
 bool request_flow::can_retry_elsewhere(const running_request& request, const attempt_state& state,
-                                       const chosen_endpoint& chosen, time_point now)
+                                       const chosen_endpoint& chosen, bool started_stream,
+                                       time_point now)
 {
-    if (!state.retryable || state.runs + 1 >= request.matched->max_attempts) {
+    if (!state.retryable || state.runs + 1 >= request.matched->max_attempts ||
+        !may_send_again(request, state, started_stream, now))
+    {
         return false;
     }
-    if (request.phase != request_phase::stream && now > latest_send(request)) {
-        return false; // may_retry would refuse
-    }
     const std::string service = select_service(request);
     endpoint_requirements requirements{{}, state.tried_endpoints};
     requirements.avoid.push_back(chosen.target.id);
@@ -216,14 +217,15 @@
     if (!request->sent) {
         request->sent = started;
     }
-    const auto sent = co_await connection->send(head, request->message.body, send_timeout);
+    // The request's own deadline expires first. The connection fails earlier if the endpoint reads
+    // nothing (see `configure_socket`).
+    const duration timeout = request->deadline - started + 100ms;
+    const auto sent = co_await connection->send(head, request->message.body, timeout);
     if (!sent) {
         co_return attempt_failure{sent.error()};
     }
     const bool head_request = request->message.method == "HEAD";
-    // The request's own deadline expires first.
-    const duration timeout = request->deadline - started + 100ms;
-    silence_watch silence(*this, *request, state, chosen, *connection);
+    silence_watch silence(*this, *request, state, chosen, writer, *connection);
     silence.start(std::max<duration>(request->matched->latency_target * slow_attempt_factor,
                                      min_attempt_timeout));
     unsigned status = 0;
@@ -323,7 +325,7 @@
     }
     state.events.discard_partial_event();
     const time_point started = boot_clock::now() - outcome.latency;
-    silence_watch silence(*this, *request, state, chosen, *connection);
+    silence_watch silence(*this, *request, state, chosen, writer, *connection);
     bool first = true;
     while (true) {
         std::string bytes;
