Send a request once when its response is unusable

What callers saw: a request that may run once at most was sent to a second endpoint after a successful response without signature, after a response with a content encoding, or after three responses to other requests; the caller got the second endpoint's success (TWICE).

Cause: these failures have the reason answer_mismatch, which `serve` took for an expired stage result and therefore ran the attempts once more. Only an expired result has the verdict not_run.

--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -147,7 +147,8 @@
             state.inputs = std::move(*inputs);
         }
         outcome = co_await run_attempts(request, writer, state);
-        const bool rerun_stages = !outcome && outcome.error().why == reason::answer_mismatch;
+        const bool rerun_stages = !outcome && outcome.error().run == verdict::not_run &&
+                                  outcome.error().why == reason::answer_mismatch;
         if (!rerun_stages) {
             break;
         }
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -391,6 +391,22 @@
     });
 }
 
+// Guards against a non-idempotent request that is sent to a second endpoint after an unusable
+// response of the first one, as if the result of a stage had expired.
+Test(request_flow, unusable_responses_are_not_followed_by_a_second_run)
+{
+    const std::string stray = response_with("other", "x");
+    for (const std::string& unusable : {response_with("1", "x", "200 OK", ""), // without signature
+                                        stray + stray + stray})
+    {
+        const std::vector<scripted_response> responses{{unusable}, {response_with("1", "second")}};
+        gateway_fixture gateway(route_kind::non_idempotent, false, {responses, responses});
+        const auto response = gateway.serve("1");
+        check(gateway.received_requests() == 1, "the request is sent once");
+        check(response.status_ == 502, "the response does not claim that the request has not run");
+    }
+}
+
 // Guards against a retry that finds no endpoint and discards the response of the first one, and
 // against crashed endpoints that use up the attempts of a request.
 Test(request_flow, unavailable_endpoints)
