Reuse no HTTP connection with bytes after a response

What was seen: bytes that had arrived together with a complete response, e.g. a second response, stayed in the buffer of `http_connection`, and the next call on the connection took them for its own response. The client of the platform's store and the polls of endpoint load reuse connections this way.

Cause: `reusable` looked only at the keep-alive state of the response; `closed_by_server` looks only at the socket, not at the buffer.

--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -142,7 +142,8 @@
             co_return std::optional<std::string>(std::string(impl_->body_buffer.data(), received));
         }
     }
-    impl_->is_reusable = parser.keep_alive();
+    // Further bytes belong to no request.
+    impl_->is_reusable = parser.keep_alive() && impl_->buffer.size() == 0;
     co_return std::optional<std::string>();
 }
 
