Bound what the HTTP client reads of one response

What was seen: with a store (or any server of `http_connection`) that sends bytes without end, the process grew by up to 2.1 GB within seconds, a call never returned while bytes trickled in, and an interim response was taken for the answer.

Causes, all in libs/net/src/http_client.cpp: - The buffer of the parser had no limit. The parser limits the size of a head, but not that of a chunk extension or of a trailer. It is now 24 KiB. - Each received part of a body renewed the timeout, even a chunk header without data. A read of a part now has one timeout, and `exchange` reads a body for at most four times its timeout. 1 MB, the size of a page of the store, still arrives at 3 Mbit/s. - Responses with a status below 200 were returned. Up to 8 are skipped. - A body whose length is above the limit was read up to the limit.

--- a/libs/net/include/quetzal/net/http_client.hpp
+++ b/libs/net/include/quetzal/net/http_client.hpp
@@ -2,7 +2,9 @@
 #define QUETZAL_NET_HTTP_CLIENT_HPP
 
 // HTTP/1.1 client for calls to endpoints, the platform and other instances. The verdict of every
-// failure tells whether the request may have reached the server.
+// failure tells whether the request may have reached the server. A server may send bytes without
+// end: what is buffered of a head, of a chunk header or of a trailer is limited, and each timeout
+// covers the whole operation however many bytes arrive.
 
 #include <cstdint>
 #include <memory>
@@ -39,15 +41,16 @@
     // part of the request may have been sent.
     boost::asio::awaitable<result<void>> send(const http_request& request, duration timeout);
 
-    // Reads the status and the headers of the response.
+    // Reads the status and the headers of the response. A few interim responses are skipped.
     boost::asio::awaitable<result<response_head>> read_head(duration timeout);
 
     // Returns the next part of the body, or nullopt after the complete body. If the connection
     // fails earlier, returns a failure with reason `answer_truncated`.
     boost::asio::awaitable<result<std::optional<std::string>>> read_some(duration timeout);
 
-    // Sends the request and reads the complete response. Fails if the body exceeds `body_limit`
-    // bytes.
+    // Sends the request and reads the complete response. `timeout` applies to sending, to the head
+    // and to each part of the body; the whole body takes at most four times as long. Fails if the
+    // body exceeds `body_limit` bytes.
     boost::asio::awaitable<result<http_response>>
     exchange(const http_request& request, duration timeout, std::size_t body_limit);
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include <quetzal/net/http_client.hpp>
 
+#include <algorithm>
 #include <array>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,15 +22,35 @@
 
 constexpr std::size_t body_buffer_size = 16u << 10;  // bytes per read of a response body
 constexpr std::uint32_t max_header_size = 16u << 10; // bytes of response headers
+// Bytes that wait to be parsed: a head, or the header, extension or trailer of a chunk. The parser
+// itself limits only the head.
+constexpr std::size_t max_unparsed_size = 24u << 10;
+constexpr unsigned max_interim_responses = 8; // skipped before a response
+constexpr unsigned first_final_status = 200;
+// `exchange` reads a body for at most this multiple of its timeout.
+constexpr int body_timeout_factor = 4;
 
 auto await_with_error(boost::system::error_code& error)
 {
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
+// Describes an error, and the limit if one was exceeded.
+std::string describe(const boost::system::error_code& error)
+{
+    if (error == http::error::header_limit) {
+        return "the headers exceed " + std::to_string(max_header_size) + " bytes";
+    }
+    if (error == http::error::buffer_overflow) {
+        return "the header or trailer of a chunk exceeds " + std::to_string(max_unparsed_size) +
+               " bytes";
+    }
+    return error.message();
+}
+
 tl::unexpected<failure> connection_failure(const boost::system::error_code& error)
 {
-    return may_have_run(reason::endpoint_failed, "the connection failed: " + error.message());
+    return may_have_run(reason::endpoint_failed, "the connection failed: " + describe(error));
 }
 
 http::request<http::string_body> to_beast_request(const http_request& request,
@@ -58,7 +79,7 @@
 
     beast::tcp_stream stream;
     std::string host;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_size};
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, body_buffer_size> body_buffer{};
     bool is_reusable = true;
@@ -99,9 +120,6 @@
     if (error) {
         co_return connection_failure(error);
     }
-    impl_->parser.emplace();
-    impl_->parser->header_limit(max_header_size);
-    impl_->parser->body_limit(boost::none);
     co_return result<void>();
 }
 
@@ -109,10 +127,23 @@
 {
     boost::system::error_code error;
     impl_->stream.expires_after(timeout);
-    co_await http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
-                                     await_with_error(error));
-    if (error) {
-        co_return connection_failure(error);
+    for (unsigned interim = 0;; ++interim) {
+        impl_->parser.emplace();
+        impl_->parser->header_limit(max_header_size);
+        impl_->parser->body_limit(boost::none);
+        co_await http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
+                                         await_with_error(error));
+        if (error) {
+            co_return connection_failure(error);
+        }
+        if (impl_->parser->get().result_int() >= first_final_status) {
+            break;
+        }
+        if (interim >= max_interim_responses) {
+            co_return may_have_run(reason::endpoint_failed,
+                                   "more than " + std::to_string(max_interim_responses) +
+                                       " interim responses");
+        }
     }
     const auto& message = impl_->parser->get();
     response_head head;
@@ -127,15 +158,15 @@
 {
     boost::system::error_code error;
     auto& parser = *impl_->parser;
+    impl_->stream.expires_after(timeout);
     while (!parser.is_done()) {
         parser.get().body().data = impl_->body_buffer.data();
         parser.get().body().size = impl_->body_buffer.size();
-        impl_->stream.expires_after(timeout);
         co_await http::async_read_some(impl_->stream, impl_->buffer, parser,
                                        await_with_error(error));
         if (error && error != http::error::need_buffer) {
             co_return may_have_run(reason::answer_truncated,
-                                   "the response ended early: " + error.message());
+                                   "the response ended early: " + describe(error));
         }
         const std::size_t received = impl_->body_buffer.size() - parser.get().body().size;
         if (received > 0) {
@@ -158,18 +189,27 @@
         co_return tl::unexpected(head.error());
     }
     http_response response{head->status, std::move(head->headers), {}};
+    const auto too_large =
+        may_have_run(reason::answer_truncated,
+                     "the response body exceeds " + std::to_string(body_limit) + " bytes");
+    if (impl_->parser->content_length().value_or(0) > body_limit) {
+        co_return too_large;
+    }
+    impl_->parser->eager(true); // a read returns many small chunks together
+    const time_point body_due = boot_clock::now() + timeout * body_timeout_factor;
     while (true) {
-        auto body_part = co_await read_some(timeout);
+        const duration part_timeout = std::min<duration>(timeout, body_due - boot_clock::now());
+        auto body_part = co_await read_some(part_timeout);
         if (!body_part) {
             co_return tl::unexpected(body_part.error());
         }
         if (!body_part->has_value()) {
             co_return response;
         }
-        response.body += **body_part;
-        if (response.body.size() > body_limit) {
-            co_return may_have_run(reason::answer_truncated, "the response body exceeds the limit");
+        if (response.body.size() + (*body_part)->size() > body_limit) {
+            co_return too_large;
         }
+        response.body += **body_part;
     }
 }
 
--- a/libs/net/src/http_client_endless_test.cpp
+++ b/libs/net/src/http_client_endless_test.cpp
@@ -13,13 +13,45 @@
 using quetzal::testing::check;
 using quetzal::testing::endless_bytes;
 using quetzal::testing::endless_server;
+using quetzal::testing::memory_growth;
+using quetzal::testing::section;
 namespace asio = boost::asio;
 
 namespace {
 
 constexpr auto call_timeout = 300ms;
 constexpr auto total_limit = 6 * call_timeout; // sending, head, and four times for the body
+constexpr auto trickle_pause = 20ms;
 constexpr std::size_t body_limit = 1u << 20;
+constexpr std::size_t growth_limit_kib = 8u << 10;
+
+struct variant
+{
+    std::string name;
+    std::string prefix;
+    std::string unit;
+};
+
+std::vector<variant> variants()
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    return {
+        {"no status line", "", "x"},
+        {"header lines", head, "A: b\r\n"},
+        {"one header line", head + "A: ", "b"},
+        {"interim 100", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"empty lines", "", "\r\n"},
+        {"line feeds", "", "\n"},
+        {"length too large", head + "Content-Length: 999999999999\r\n\r\n", "x"},
+        {"length within the limit", head + "Content-Length: 1000000\r\n\r\n", "x"},
+        {"chunks", chunked, "8\r\nxxxxxxxx\r\n"},
+        {"chunk extension", chunked + "1;", "x"},
+        {"trailer lines", chunked + "1\r\nx\r\n0\r\n", "A: b\r\n"},
+        {"trailer line", chunked + "1\r\nx\r\n0\r\nA: ", "b"},
+        {"no length", head + "\r\n", "x"},
+    };
+}
 
 // The outcome of one call.
 struct played_call
@@ -43,6 +75,46 @@
 
 } // namespace
 
+// Guards against endless bytes that are buffered without limit, read beyond the timeout, or taken
+// for a response.
+Test(http_client, endless_responses_fail_within_their_timeout, .timeout = 120)
+{
+    std::size_t broken = 0;
+    for (const variant& sent : variants()) {
+        for (const auto pause : {0ms, std::chrono::milliseconds(trickle_pause)}) {
+            const bool complete = pause == 0ms && sent.name == "length within the limit";
+            endless_server server([&](const std::string&, std::size_t) {
+                return endless_bytes{sent.prefix, sent.unit, pause};
+            });
+            asio::io_context context(1);
+            const memory_growth growth;
+            played_call played;
+            asio::co_spawn(context, call(server.port(), played), asio::detached);
+            context.run_for(total_limit + 500ms);
+            const std::size_t growth_kib = growth.kib();
+            const bool responded = played.response && *played.response;
+            std::fprintf(stderr, "| %s | %s | %s | %lld | %zu |\n", sent.name.c_str(),
+                         pause == 0ms ? "full speed" : "trickle",
+                         !played.response ? "none"
+                         : responded      ? std::to_string((*played.response)->status).c_str()
+                                          : played.response->error().detail.c_str(),
+                         static_cast<long long>(whole_milliseconds(played.took)), growth_kib);
+            const auto expect = [&](bool condition, const char* text) {
+                if (!condition) {
+                    ++broken;
+                    std::fprintf(stderr, "    BROKEN: %s\n", text);
+                }
+            };
+            expect(played.response && played.took < total_limit + 150ms,
+                   "the call ends within its timeout");
+            expect(responded == complete, "only a complete response is returned");
+            expect(complete || !played.reusable, "the connection is not reused");
+            expect(growth_kib < growth_limit_kib, "memory stays bounded");
+        }
+    }
+    check(broken == 0, std::to_string(broken) + " expectations are broken");
+}
+
 // Guards against bytes after a complete response that are taken for the next one.
 Test(http_client, bytes_after_a_response_prevent_reuse)
 {
