Bound the memory and time of a message between instances

What was seen: 16 connections that only announced a message of 16 MB made the process grow by 147,572 KiB, and held it for as long as they sent a byte now and then.

Cause: `read_messages` allocated the announced length before the bytes arrived, had no timeout, and kept the largest buffer for the life of the connection.

Evidence, before: "memory grew by 147572 KiB", memory grows only with the bytes that arrive [FAIL] peer_link::messages_without_end: (0.10s)

Now a message is read in parts of 64 KiB, must be complete 5 s after its length, and its buffer is freed. The log names the peer and the limit. After: memory grows by 1,076 KiB, 16 of 16 connections are closed, an idle connection stays open, and another peer's message is received meanwhile.

--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -1,5 +1,6 @@
 #include <quetzal/gateway/peer_link.hpp>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <set>
@@ -16,6 +17,7 @@
 #include <boost/endian/conversion.hpp>
 #include <quetzal/gateway/channel.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/lazy_deadline.hpp>
 #include <quetzal/gateway/spawn.hpp>
 
 #include "peer_codec.hpp"
@@ -30,8 +32,10 @@
 
 constexpr duration heartbeat_interval = std::chrono::milliseconds(350);
 constexpr duration connect_timeout = std::chrono::milliseconds(500);
-constexpr std::size_t datagram_limit = 60u << 10;    // bytes, below the maximum of UDP
-constexpr std::uint32_t frame_limit = 16u << 20;     // bytes of one TCP message
+constexpr std::size_t datagram_limit = 60u << 10;           // bytes, below the maximum of UDP
+constexpr std::uint32_t frame_limit = 16u << 20;            // bytes of one TCP message
+constexpr std::size_t frame_read_size = 64u << 10;          // bytes allocated before they arrive
+constexpr duration frame_timeout = std::chrono::seconds(5); // from its length to its last byte
 constexpr std::size_t queued_bytes_limit = 8u << 20; // per peer; above, the connection is closed
 // Bytes of the length before each TCP message.
 constexpr std::size_t length_prefix_size = sizeof(std::uint32_t);
@@ -196,19 +200,43 @@
     static asio::awaitable<void> read_messages(std::shared_ptr<implementation> self,
                                                std::shared_ptr<connection> peer)
     {
-        std::string bytes;
+        bool timed_out = false;
+        lazy_deadline timeout(self->context.get_executor(), [peer, &timed_out] {
+            timed_out = true;
+            boost::system::error_code ignored; // the read below fails in any case
+            peer->socket.close(ignored);
+        });
         while (peer->open) {
             boost::system::error_code error;
             std::uint32_t length = 0;
             co_await asio::async_read(peer->socket, asio::buffer(&length, sizeof(length)),
                                       asio::redirect_error(asio::use_awaitable, error));
             boost::endian::little_to_native_inplace(length);
-            if (error || length > frame_limit) {
+            if (!error && length > frame_limit) {
+                log_event("peer_message_too_large",
+                          {{"peer", peer->address}, {"bytes", length}, {"limit", frame_limit}});
                 break;
             }
-            bytes.resize(length);
-            co_await asio::async_read(peer->socket, asio::buffer(bytes),
-                                      asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                break;
+            }
+            timeout.expires_after(frame_timeout);
+            std::string bytes;
+            while (!error && bytes.size() < length) {
+                const std::size_t before = bytes.size();
+                bytes.resize(std::min<std::size_t>(length, before + frame_read_size));
+                const asio::mutable_buffer next =
+                    asio::buffer(bytes.data() + before, bytes.size() - before);
+                co_await asio::async_read(peer->socket, next,
+                                          asio::redirect_error(asio::use_awaitable, error));
+            }
+            timeout.clear();
+            if (timed_out) {
+                log_event("peer_message_too_slow",
+                          {{"peer", peer->address},
+                           {"bytes", length},
+                           {"limit_ms", whole_milliseconds(frame_timeout)}});
+            }
             if (error) {
                 break;
             }
