Bound what a channel buffers and how long it reads a body

What was seen: an endpoint that sends bytes without end made the process grow by 0.5 to 1.0 GB within one request (an instance has 160 to 260 MB), 64 such responses at once by up to 800 MB, and an interim response was forwarded as the answer.

Causes, in libs/gateway/src/channel.cpp: - The buffer had no limit. The parser limits the size of a head, but not that of a chunk extension or of a trailer. It is now 40 KiB. - Each received part of a body renewed the timeout of `read_whole_body`, so a trickle was read up to the request's deadline, and in a stage call for ever. The timeout now covers the whole body. - Each response was limited to 8 MiB, but not all of them together. They now share 24 MiB in the channel pool; the first 64 KiB of a body are always allowed. A body whose length is above the limit is not read. - `read_head` returned statuses below 200 as the response. Up to 8 interim responses are skipped within the one timeout. Errors name the limit.

--- /dev/null
+++ b/libs/gateway/include/quetzal/gateway/body_memory.hpp
@@ -0,0 +1,63 @@
+#ifndef QUETZAL_GATEWAY_BODY_MEMORY_HPP
+#define QUETZAL_GATEWAY_BODY_MEMORY_HPP
+
+#include <cstddef>
+#include <memory>
+
+namespace quetzal::gateway {
+
+// Bounds the memory of all response bodies that are read as a whole at the same time. Not
+// thread-safe.
+class body_memory
+{
+public:
+    explicit body_memory(std::size_t limit) : limit_(limit) {}
+
+    // The part of the memory that one body uses; returned to the others on destruction.
+    class share
+    {
+    public:
+        // Without an owner the share is unlimited.
+        explicit share(std::shared_ptr<body_memory> owner) : owner_(std::move(owner)) {}
+        ~share()
+        {
+            if (owner_) {
+                owner_->used_ -= size_;
+            }
+        }
+        share(const share&) = delete;
+        share& operator=(const share&) = delete;
+
+        // Raises the share to `size` bytes. Returns false if the limit does not allow that. The
+        // first `free_size` bytes of each body do not count, so that small responses are read even
+        // when large ones use up the limit.
+        bool grow(std::size_t size)
+        {
+            if (!owner_ || size <= free_size || size <= size_) {
+                return true;
+            }
+            if (size - size_ > owner_->limit_ - owner_->used_) {
+                return false;
+            }
+            owner_->used_ += size - size_;
+            size_ = size;
+            return true;
+        }
+
+    private:
+        static constexpr std::size_t free_size = 64u << 10; // bytes
+
+        std::shared_ptr<body_memory> owner_;
+        std::size_t size_ = 0;
+    };
+
+    std::size_t limit() const noexcept { return limit_; }
+
+private:
+    std::size_t limit_;    // bytes
+    std::size_t used_ = 0; // bytes
+};
+
+} // namespace quetzal::gateway
+
+#endif
--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -2,7 +2,8 @@
 #define QUETZAL_GATEWAY_CHANNEL_HPP
 
 // One HTTP/1.1 client connection to an endpoint. Every failure states whether the request may have
-// run.
+// run. An endpoint may send bytes without end: what is buffered of a head, of a chunk header or of
+// a trailer is limited, and each timeout covers the whole operation however many bytes arrive.
 
 #include <memory>
 #include <optional>
@@ -17,6 +18,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <quetzal/base/time.hpp>
 #include <quetzal/base/verdict.hpp>
+#include <quetzal/gateway/body_memory.hpp>
 #include <quetzal/gateway/lazy_deadline.hpp>
 #include <tl/expected.hpp>
 
@@ -28,7 +30,9 @@
 public:
     using fields = boost::beast::http::fields;
 
-    explicit channel(const boost::asio::any_io_executor& executor);
+    // `memory` bounds the bodies of all channels that share it; null: only each one by itself.
+    explicit channel(const boost::asio::any_io_executor& executor,
+                     std::shared_ptr<body_memory> memory = {});
 
     // Connects. A failure is always `not_run`.
     boost::asio::awaitable<result<void>> open(boost::asio::ip::tcp::endpoint address,
@@ -38,8 +42,9 @@
     boost::asio::awaitable<result<void>> send(std::string_view head, std::string_view body,
                                               duration timeout);
 
-    // Reads the status and the headers of the next response and returns the status. `head_request`
-    // means that the response has no body regardless of its headers.
+    // Reads the status and the headers of the next response and returns the status, which is at
+    // least 200: a few interim responses are skipped. `head_request` means that the response has no
+    // body regardless of its headers.
     boost::asio::awaitable<result<unsigned>> read_head(duration timeout, bool head_request = false);
 
     // The headers of the response; valid after `read_head`.
@@ -49,7 +54,8 @@
     // and no bytes were appended.
     boost::asio::awaitable<result<bool>> read_body(std::string& into, duration timeout);
 
-    // Reads the rest of the body. Fails if it is longer than `limit` bytes.
+    // Reads the rest of the body. Fails if it is longer than `limit` bytes, if it does not end
+    // within `timeout`, or if the bodies that are read at the same time use too much memory.
     boost::asio::awaitable<result<std::string>> read_whole_body(std::size_t limit,
                                                                 duration timeout);
 
@@ -70,10 +76,17 @@
 private:
     static constexpr std::size_t body_read_size = 8u << 10; // maximum bytes of one read
 
+    // Appends the next bytes of the body, without a timeout of its own.
+    boost::asio::awaitable<result<bool>> read_body_part(std::string& into);
+
+    // Describes an error of a read; `timeout` is the one that may have expired.
+    std::string read_error(std::string_view what, const boost::system::error_code& error,
+                           duration timeout) const;
     failure connection_failure(std::string detail);
 
     boost::asio::ip::tcp::socket socket_;
     lazy_deadline timeout_;
+    std::shared_ptr<body_memory> memory_;
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
     bool timed_out_ = false;
--- a/libs/gateway/include/quetzal/gateway/channel_pool.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel_pool.hpp
@@ -16,7 +16,7 @@
 class channel_pool
 {
 public:
-    explicit channel_pool(boost::asio::any_io_executor executor) : executor_(std::move(executor)) {}
+    explicit channel_pool(boost::asio::any_io_executor executor);
 
     // Returns an idle connection that is still usable, or opens a new one within `timeout`.
     boost::asio::awaitable<result<std::shared_ptr<channel>>> acquire(const endpoint& target,
@@ -46,6 +46,7 @@
     };
 
     boost::asio::any_io_executor executor_;
+    std::shared_ptr<body_memory> memory_;             // of the bodies on all connections
     std::unordered_map<std::string, idle_list> idle_; // by endpoint id
     std::uint64_t opened_ = 0;
 };
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -1,5 +1,6 @@
 #include <quetzal/gateway/channel.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -10,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <quetzal/gateway/http_status.hpp>
 
 namespace quetzal::gateway {
 
@@ -27,6 +29,10 @@
 constexpr int keepalive_probes = 2;
 
 constexpr std::uint32_t max_response_header_size = 32u << 10; // bytes
+// Bytes that wait to be parsed: a head, or the header, extension or trailer of a chunk. The parser
+// itself limits only the head.
+constexpr std::size_t max_unparsed_size = 40u << 10;
+constexpr unsigned max_interim_responses = 8; // skipped before a response
 
 void set_socket_option(int socket, int level, int name, int value)
 {
@@ -78,11 +84,13 @@
            "\r\n" + expected_header + ": " + expected_id + "\r\n\r\n";
 }
 
-channel::channel(const asio::any_io_executor& executor)
-    : socket_(executor), timeout_(executor, [this] {
-          timed_out_ = true;
-          close();
-      })
+channel::channel(const asio::any_io_executor& executor, std::shared_ptr<body_memory> memory)
+    : socket_(executor), timeout_(executor,
+                                  [this] {
+                                      timed_out_ = true;
+                                      close();
+                                  }),
+      memory_(std::move(memory)), buffer_(max_unparsed_size)
 {
 }
 
@@ -110,7 +118,8 @@
     co_await asio::async_write(socket_, parts, asio::redirect_error(asio::use_awaitable, error));
     timeout_.clear();
     if (error) {
-        co_return tl::unexpected(connection_failure("sending failed: " + error.message()));
+        co_return tl::unexpected(connection_failure(
+            timed_out_ ? "sending timed out" : "sending failed: " + error.message()));
     }
     co_return result<void>{};
 }
@@ -118,21 +127,42 @@
 asio::awaitable<result<unsigned>> channel::read_head(duration timeout, bool head_request)
 {
     boost::system::error_code error;
-    parser_.emplace();
-    parser_->header_limit(max_response_header_size);
-    parser_->body_limit(boost::none);
-    parser_->skip(head_request);
     timeout_.expires_after(timeout);
-    co_await http::async_read_header(socket_, buffer_, *parser_,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    timeout_.clear();
-    if (error) {
-        co_return tl::unexpected(connection_failure("no response: " + error.message()));
+    for (unsigned interim = 0; interim <= max_interim_responses; ++interim) {
+        parser_.emplace();
+        parser_->header_limit(max_response_header_size);
+        parser_->body_limit(boost::none);
+        parser_->skip(head_request);
+        co_await http::async_read_header(socket_, buffer_, *parser_,
+                                         asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            timeout_.clear();
+            co_return tl::unexpected(
+                connection_failure(read_error("the response's head", error, timeout)));
+        }
+        const unsigned status = parser_->get().result_int();
+        if (status >= http_status::ok) {
+            timeout_.clear();
+            co_return status;
+        }
     }
-    co_return parser_->get().result_int();
+    timeout_.clear();
+    co_return tl::unexpected(connection_failure(
+        "more than " + std::to_string(max_interim_responses) + " interim responses"));
 }
 
 asio::awaitable<result<bool>> channel::read_body(std::string& into, duration timeout)
+{
+    timeout_.expires_after(timeout);
+    auto more = co_await read_body_part(into);
+    timeout_.clear();
+    if (!more && timed_out_) {
+        more.error().detail = read_error("the next part of the body", {}, timeout);
+    }
+    co_return more;
+}
+
+asio::awaitable<result<bool>> channel::read_body_part(std::string& into)
 {
     if (parser_->is_done()) {
         co_return false;
@@ -144,14 +174,12 @@
     body.size = body_read_size;
     body.more = true;
     boost::system::error_code error;
-    timeout_.expires_after(timeout);
     co_await http::async_read_some(socket_, buffer_, *parser_,
                                    asio::redirect_error(asio::use_awaitable, error));
-    timeout_.clear();
     into.resize(before + body_read_size - body.size);
     if (error && error != http::error::need_buffer) {
         co_return tl::unexpected(
-            connection_failure("the response ended early: " + error.message()));
+            connection_failure(read_error("the response's body", error, duration::zero())));
     }
     co_return into.size() > before || !parser_->is_done();
 }
@@ -159,15 +187,46 @@
 asio::awaitable<result<std::string>> channel::read_whole_body(std::size_t limit, duration timeout)
 {
     std::string body;
+    if (parser_->is_done()) {
+        co_return body;
+    }
+    const std::string too_large = "the response's body exceeds " + std::to_string(limit) + " bytes";
+    if (parser_->content_length().value_or(0) > limit) {
+        co_return tl::unexpected(connection_failure(too_large));
+    }
+    body_memory::share memory(memory_);
+    parser_->eager(true); // a read returns many small chunks together
+    timeout_.expires_after(timeout);
     while (true) {
-        const auto more = co_await read_body(body, timeout);
-        if (!more) {
-            co_return tl::unexpected(more.error());
-        }
-        if (body.size() > limit) {
-            co_return tl::unexpected(connection_failure("the response exceeds the size limit"));
+        const std::size_t needed = body.size() + body_read_size;
+        if (needed > body.capacity()) {
+            std::size_t size = std::max(needed, 2 * body.capacity());
+            if (size >= limit) {
+                size = std::max(needed, limit + body_read_size);
+            }
+            if (!memory.grow(size)) {
+                timeout_.clear();
+                co_return tl::unexpected(connection_failure("the bodies of all responses exceed " +
+                                                            std::to_string(memory_->limit()) +
+                                                            " bytes"));
+            }
+            std::string larger; // `reserve` of a string with content allocates up to twice the size
+            larger.reserve(size);
+            larger.append(body);
+            body.swap(larger);
         }
-        if (!*more) {
+        auto more = co_await read_body_part(body);
+        if (!more || !*more || body.size() > limit) {
+            timeout_.clear();
+            if (!more && timed_out_) {
+                more.error().detail = read_error("the response's body", {}, timeout);
+            }
+            if (!more) {
+                co_return tl::unexpected(more.error());
+            }
+            if (body.size() > limit) {
+                co_return tl::unexpected(connection_failure(too_large));
+            }
             co_return body;
         }
     }
@@ -213,13 +272,28 @@
     socket_.close(ignored);
 }
 
+std::string channel::read_error(std::string_view what, const boost::system::error_code& error,
+                                duration timeout) const
+{
+    const std::string subject(what);
+    if (timed_out_) {
+        return subject + " was not complete after " + std::to_string(whole_milliseconds(timeout)) +
+               " ms";
+    }
+    if (error == http::error::header_limit) {
+        return subject + " exceeds " + std::to_string(max_response_header_size) + " bytes";
+    }
+    if (error == http::error::buffer_overflow) {
+        return subject + " has more than " + std::to_string(max_unparsed_size) +
+               " bytes in the header or trailer of a chunk";
+    }
+    return subject + " ended early: " + error.message();
+}
+
 failure channel::connection_failure(std::string detail)
 {
     failed_ = true;
-    return {verdict::may_have_run,
-            reason::endpoint_failed,
-            timed_out_ ? "endpoint timed out" : std::move(detail),
-            {}};
+    return {verdict::may_have_run, reason::endpoint_failed, std::move(detail), {}};
 }
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/channel_pool.cpp
+++ b/libs/gateway/src/channel_pool.cpp
@@ -14,10 +14,16 @@
 // the connection.
 constexpr duration idle_timeout_margin = std::chrono::milliseconds(700);
 constexpr duration max_idle_timeout = std::chrono::seconds(20);
-constexpr std::size_t max_idle_connections = 16; // for each endpoint
+constexpr std::size_t max_idle_connections = 16;   // for each endpoint
+constexpr std::size_t max_body_memory = 24u << 20; // bytes of all response bodies read at once
 
 } // namespace
 
+channel_pool::channel_pool(boost::asio::any_io_executor executor)
+    : executor_(std::move(executor)), memory_(std::make_shared<body_memory>(max_body_memory))
+{
+}
+
 boost::asio::awaitable<result<std::shared_ptr<channel>>>
 channel_pool::acquire(const endpoint& target, duration timeout)
 {
@@ -37,7 +43,7 @@
             }
         }
     }
-    auto opened = std::make_shared<channel>(executor_);
+    auto opened = std::make_shared<channel>(executor_, memory_);
     ++opened_;
     const auto address = target.address;
     const auto connected = co_await opened->open(address, timeout);
