Close idle connections on which an endpoint sends bytes

What was seen: an endpoint that went on sending after a complete answer stayed connected, and sent at its full speed into the socket buffer, for as long as the connection counted as idle (up to 20 s). The bytes were never taken for an answer, because a connection is checked before it is used again.

Cause: `prune` looked only at the time and at the catalog. It now also checks for unexpected bytes or a close, at most every 500 ms.

Evidence, before: section: when idle connections are pruned the connection is closed [FAIL] endless_response::bytes_after_a_complete_answer: (0.21s)

--- a/libs/gateway/include/quetzal/gateway/channel_pool.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel_pool.hpp
@@ -25,8 +25,8 @@
     // Returns a connection to the pool if another request may use it; closes it otherwise.
     void release(const endpoint& target, const std::shared_ptr<channel>& used, time_point now);
 
-    // Closes connections whose idle timeout has expired and those to incarnations that are no
-    // longer in the catalog.
+    // Closes connections whose idle timeout has expired, those to incarnations that are no longer
+    // in the catalog, and those that the endpoint has closed or on which it sends unexpected bytes.
     void prune(const catalog& view, time_point now);
 
     // Returns the number of connections opened so far, including failed attempts.
@@ -46,7 +46,8 @@
     };
 
     boost::asio::any_io_executor executor_;
-    std::shared_ptr<body_memory> memory_;             // of the bodies on all connections
+    std::shared_ptr<body_memory> memory_; // of the bodies on all connections
+    time_point next_stale_check_{};
     std::unordered_map<std::string, idle_list> idle_; // by endpoint id
     std::uint64_t opened_ = 0;
 };
--- a/libs/gateway/src/channel_pool.cpp
+++ b/libs/gateway/src/channel_pool.cpp
@@ -14,7 +14,9 @@
 // the connection.
 constexpr duration idle_timeout_margin = std::chrono::milliseconds(700);
 constexpr duration max_idle_timeout = std::chrono::seconds(20);
-constexpr std::size_t max_idle_connections = 16;   // for each endpoint
+constexpr std::size_t max_idle_connections = 16; // for each endpoint
+// Interval at which idle connections are checked for unexpected bytes, a system call for each.
+constexpr duration stale_check_interval = std::chrono::milliseconds(500);
 constexpr std::size_t max_body_memory = 24u << 20; // bytes of all response bodies read at once
 
 } // namespace
@@ -79,12 +81,17 @@
 
 void channel_pool::prune(const catalog& view, time_point now)
 {
+    const bool check_stale = now >= next_stale_check_;
+    if (check_stale) {
+        next_stale_check_ = now + stale_check_interval;
+    }
     for (auto& entry : idle_) {
         idle_list& idle = entry.second;
         const endpoint* current = view.find_endpoint(entry.first);
         const bool gone = current == nullptr || !current->same_incarnation(idle.target);
         std::erase_if(idle.channels, [&](const idle_channel& candidate) {
-            return gone || candidate.expires <= now;
+            return gone || candidate.expires <= now ||
+                   (check_stale && candidate.connection->is_stale());
         });
     }
     std::erase_if(idle_, [](const auto& entry) { return entry.second.channels.empty(); });
--- a/libs/gateway/src/endless_response_test.cpp
+++ b/libs/gateway/src/endless_response_test.cpp
@@ -96,6 +96,36 @@
     play_many_at_once(slow_body_variants(), route_kind::non_idempotent);
 }
 
+// Guards against endless bytes on an idle connection that are taken for the next answer or stay
+// connected.
+Test(endless_response, bytes_after_a_complete_answer, .timeout = 60)
+{
+    for (const milliseconds pause : {milliseconds(0), trickle_pause}) {
+        endless_server server([&](const std::string& head, std::size_t position) {
+            const bool first = position == 1 && id_of(head) == "r1";
+            return endless_bytes{complete_response(head, id_of(head)),
+                                 first ? complete_response("\r\nId: old\r\n", "old") : "", pause};
+        });
+        gateway_fixture gateway(route_kind::non_idempotent, false, {server.port()});
+        const memory_growth growth;
+        const auto first = gateway.start("/a/x");
+        gateway.finish(*first);
+        check(first->response.body_ == "r1", "the first request gets its own answer");
+        gateway.context.restart();
+        gateway.context.run_for(milliseconds(100));
+        section("when idle connections are pruned", [&] {
+            gateway.channels.prune(gateway.view, boot_clock::now());
+            gateway.context.restart();
+            gateway.context.run_for(milliseconds(100));
+            check(server.sending() == 0, "the connection is closed");
+        });
+        const auto second = gateway.start("/a/x");
+        gateway.finish(*second);
+        check(second->response.body_ == "r2", "the second request gets its own answer");
+        check(growth.kib() < growth_limit_kib, "memory stays bounded");
+    }
+}
+
 // Guards against a response read as a whole, e.g. of a stage call, whose timeout each received byte
 // renews.
 Test(endless_response, whole_body_has_one_timeout, .timeout = 60)
