Bound the events of a stream and forward only events

Cause: `event_splitter` took everything up to an empty line for events, without a limit, and `relay_stream` measured the stall from the last byte. An event now has at most 64 KiB and consists of fields (a name, a colon, a value) or comments; the stall is measured from the last whole event; only new bytes are searched. Whole events before a malformed one are still forwarded, and the attempt then counts as failed. A complete stream whose rest is no event does not end as complete.

--- a/libs/gateway/include/quetzal/gateway/event_splitter.hpp
+++ b/libs/gateway/include/quetzal/gateway/event_splitter.hpp
@@ -2,7 +2,8 @@
 #define QUETZAL_GATEWAY_EVENT_SPLITTER_HPP
 
 // Splits the bytes of a server-sent event stream into complete events, so that an event cut short
-// by an endpoint is never forwarded.
+// by an endpoint, or bytes that are no event, are never forwarded. Every line of an event is a
+// field with a name, a colon and a value, or a comment.
 
 #include <optional>
 #include <string>
@@ -16,18 +17,31 @@
     // Appends received bytes.
     void add(std::string_view bytes) { pending_ += bytes; }
 
-    // Removes and returns all complete events, possibly none. Updates `last_id`.
+    // Removes and returns all complete events, possibly none. Returns only those before the first
+    // malformed one, if any. Updates `last_id`.
     std::string take_complete_events();
 
+    // Whether bytes that are no event were found. Nothing more may be added before
+    // `discard_partial_event`.
+    bool is_malformed() const noexcept { return malformed_; }
+
     // Whether bytes of an incomplete event are buffered.
     bool has_partial_event() const noexcept { return !pending_.empty(); }
 
+    // Returns the number of buffered bytes.
+    std::size_t pending_size() const noexcept { return pending_.size(); }
+
     // Removes and returns the remaining bytes, for a stream that is complete but lacks the final
-    // empty line. Updates `last_id`.
+    // empty line; returns nothing if they are malformed. Updates `last_id`.
     std::string take_remainder();
 
     // Discards the incomplete event before another endpoint continues the stream.
-    void discard_partial_event() { pending_.clear(); }
+    void discard_partial_event()
+    {
+        pending_.clear();
+        searched_ = 0;
+        malformed_ = false;
+    }
 
     // The value of the last `id` field among the returned events, if any.
     const std::optional<std::string>& last_id() const noexcept { return last_id_; }
@@ -36,6 +50,8 @@
     void update_last_id(std::string_view events);
 
     std::string pending_;
+    std::size_t searched_ = 0; // bytes of `pending_` in which no event ends
+    bool malformed_ = false;
     std::optional<std::string> last_id_;
 };
 
--- a/libs/gateway/src/event_splitter_test.cpp
+++ b/libs/gateway/src/event_splitter_test.cpp
@@ -49,6 +49,19 @@
             check(splitter.last_id() == "5", "its id is the last one");
         });
     });
+    section("given lines that end with carriage return and line feed", [] {
+        event_splitter splitter;
+        const std::string events = "id: 1\r\ndata: x\r\n\r\n: comment\r\n\r\n";
+        splitter.add(events);
+        check(splitter.take_complete_events() == events, "the events are returned");
+    });
+    section("given an empty line more than needed", [] {
+        event_splitter splitter;
+        splitter.add("data: x\n\n\ndata: y\n\n\n");
+        check(splitter.take_complete_events() == "data: x\n\n\ndata: y\n\n",
+              "the events are returned");
+        check(splitter.take_remainder() == "\n", "the empty line is returned at the end");
+    });
     section("given an id field inside a data field", [] {
         event_splitter splitter;
         splitter.add("id: 1\ndata: id: 77\n\n");
@@ -56,3 +69,27 @@
         check(splitter.last_id() == "1", "only an id at the start of a line counts");
     });
 }
+
+// Guards against bytes that are no event but contain an empty line, which would be forwarded as an
+// event.
+Test(event_splitter, returns_nothing_from_the_first_malformed_event_on)
+{
+    const std::string whole = "id: 4\ndata: x\n\n";
+    for (const std::string malformed :
+         {"garbage\n\n", "id: 5\n\x01\x02\n\n", "HTTP/1.1 200 OK\r\n\r\n", "\n\n\n\n"})
+    {
+        event_splitter splitter;
+        splitter.add(whole + malformed + "id: 6\ndata: z\n\nid: 7");
+        check(splitter.take_complete_events().starts_with(whole), "the whole event is returned");
+        check(splitter.is_malformed(), "the malformed event is noticed");
+        check(splitter.take_remainder().empty(), "nothing is returned after it");
+        check(splitter.last_id() == "4", "the last id is that of the whole event");
+        section("when another endpoint continues the stream", [&] {
+            splitter.discard_partial_event();
+            splitter.add("id: 5\ndata: y\n\n");
+            check(!splitter.is_malformed() &&
+                      splitter.take_complete_events() == "id: 5\ndata: y\n\n",
+                  "its events are returned");
+        });
+    }
+}
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -21,11 +21,12 @@
 constexpr duration send_timeout = 2s;
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
 constexpr unsigned max_stray_responses = 2; // responses to other requests skipped in one attempt
+constexpr std::size_t max_event_size = 64u << 10; // bytes of one event of a stream
 // A retryable request is sent to another endpoint when its response takes longer than this multiple
 // of the route's latency target.
 constexpr int slow_attempt_factor = 2;
 constexpr duration min_attempt_timeout = 400ms;
-// A resumable stream that sends nothing for this time is resumed at another endpoint.
+// A resumable stream that completes no event for this time is resumed at another endpoint.
 constexpr duration stream_stall_timeout = 1500ms;
 
 // Parses the running and waiting requests of "RUNNING,WAITING,SLOTS".
@@ -255,38 +256,55 @@
         state.stream_headers = forwarded_response_headers(connection->headers());
     }
     state.events.discard_partial_event();
-    const time_point started = boot_clock::now() - outcome.latency;
+    time_point last_event = boot_clock::now();
+    const time_point started = last_event - outcome.latency;
     bool first = true;
     while (true) {
         std::string bytes;
         const time_point now = boot_clock::now();
         const duration left = request->deadline - now + 100ms;
         const duration timeout =
-            state.retryable ? std::min<duration>(left, stream_stall_timeout) : left;
+            state.retryable ? std::min<duration>(left, last_event + stream_stall_timeout - now)
+                            : left;
         const auto more = co_await connection->read_body(bytes, timeout);
         if (!more) {
             co_return attempt_failure{more.error()};
         }
         state.events.add(bytes);
-        const bool last = !*more;
-        std::string events =
-            last ? state.events.take_complete_events() + state.events.take_remainder()
-                 : state.events.take_complete_events();
-        if (events.empty() && !last) {
-            continue;
+        bool last = !*more;
+        std::string events = state.events.take_complete_events();
+        if (last) {
+            events += state.events.take_remainder();
+        }
+        std::string broken;
+        if (state.events.is_malformed()) {
+            broken = "the stream contains bytes that are no event";
+            last = false;
+        } else if (state.events.pending_size() > max_event_size) {
+            broken = "an event of the stream exceeds " + std::to_string(max_event_size) + " bytes";
         }
-        if (first) {
-            first = false;
-            outcome.latency = boot_clock::now() - started;
-            coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
+        if (!events.empty() || last) {
+            if (first) {
+                first = false;
+                outcome.latency = boot_clock::now() - started;
+                coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
+            }
+            const bool written = co_await writer.write_stream_part(200, state.stream_headers,
+                                                                   std::move(events), last);
+            if (!written) {
+                request->abort({verdict::may_have_run,
+                                reason::cancelled,
+                                "the caller closed the connection",
+                                {}});
+                connection->close();
+                co_return attempt_failure{*request->abort_reason()};
+            }
+            last_event = boot_clock::now();
         }
-        const bool written =
-            co_await writer.write_stream_part(200, state.stream_headers, std::move(events), last);
-        if (!written) {
-            request->abort(
-                {verdict::may_have_run, reason::cancelled, "the caller closed the connection", {}});
+        if (!broken.empty()) {
             connection->close();
-            co_return attempt_failure{*request->abort_reason()};
+            co_return attempt_failure{
+                {verdict::may_have_run, reason::endpoint_failed, std::move(broken), {}}};
         }
         if (last) {
             outcome.whole = boot_clock::now() - started;
