Give up an endless response in time and count it against the endpoint

Now the body has that timeout too, skipped responses share the time of the head and have at most 1 MiB, a refusal counts after 64 KiB or 200 ms, and a deadline that passes in the middle of a response is a failure of the endpoint. `attempt_failed` logs endpoint, request, and the limit. The time limits of the test allow for a busy machine.

--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -63,6 +63,9 @@
     // connection and was not followed by further bytes.
     bool is_reusable() const;
 
+    // Whether a response has begun and is not complete.
+    bool has_partial_response() const;
+
     // Whether the endpoint has closed the idle connection or sent unexpected bytes on it.
     bool is_stale();
 
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -100,6 +100,10 @@
     boost::asio::awaitable<attempt_result> attempt(const request_ptr& request,
                                                    response_writer& writer, attempt_state& state,
                                                    const chosen_endpoint& chosen);
+    // Logs an attempt that may have run and failed, with the limit that the response exceeded.
+    // `broke_off` means that the deadline passed in the middle of the response.
+    static void log_failed_attempt(const running_request& request, const chosen_endpoint& chosen,
+                                   const attempt_result& ended, bool broke_off);
     boost::asio::awaitable<attempt_result> exchange(const request_ptr& request,
                                                     response_writer& writer, attempt_state& state,
                                                     const chosen_endpoint& chosen,
@@ -110,8 +114,9 @@
                  std::shared_ptr<channel> connection, serving::attempt_outcome& outcome);
     std::string request_head(const running_request& request, const attempt_state& state,
                              const chosen_endpoint& chosen, time_point now) const;
-    duration response_head_timeout(const running_request& request, const attempt_state& state,
-                                   time_point now) const;
+    // The longest time that an attempt waits for the head of a response, and again for its body.
+    duration response_timeout(const running_request& request, const attempt_state& state,
+                              time_point now) const;
     bool may_retry(const running_request& request, const attempt_state& state,
                    const attempt_failure& failed, time_point now);
     boost::asio::awaitable<void> reject(running_request& request, response_writer& writer,
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -238,6 +238,11 @@
            parser_->get().keep_alive() && !parser_->get().need_eof() && buffer_.size() == 0;
 }
 
+bool channel::has_partial_response() const
+{
+    return parser_ && !parser_->is_done() && (parser_->is_header_done() || buffer_.size() > 0);
+}
+
 bool channel::is_stale()
 {
     return detect_peer_activity(socket_) != peer_activity::none;
--- a/libs/gateway/src/endless_response_test.cpp
+++ b/libs/gateway/src/endless_response_test.cpp
@@ -1,6 +1,7 @@
 // Tests the request flow against endpoints that send a head or a body without end.
 
 #include <boost/asio/detached.hpp>
+#include <quetzal/gateway/decision_log.hpp>
 
 #include "endless_gateway.hpp"
 
@@ -25,6 +26,19 @@
     };
 }
 
+std::vector<variant> stray_variants()
+{
+    return {
+        {"stray answers", "",
+         "HTTP/1.1 200 OK\r\nId: other\r\nSign: s\r\nContent-Length: 1\r\n\r\nx"},
+        {"stray answer's body",
+         "HTTP/1.1 200 OK\r\nId: other\r\nSign: s\r\nContent-Length: 999999999999\r\n\r\n", "x"},
+        {"stray answer's chunks",
+         "HTTP/1.1 200 OK\r\nId: other\r\nSign: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "1\r\nx\r\n"},
+    };
+}
+
 std::vector<variant> body_variants()
 {
     return {
@@ -84,12 +98,47 @@
     play_all(head_variants(), trickle);
 }
 
+// Guards against responses to other requests that are skipped without end.
+Test(endless_response, stray_answers, .timeout = 120)
+{
+    play_all(stray_variants(), full_speed);
+    play_all(stray_variants(), trickle);
+}
+
 // Guards against an endless body that is buffered without limit.
 Test(endless_response, body_at_full_speed, .timeout = 120)
 {
     play_all(body_variants(), full_speed);
 }
 
+// Guards against a timeout that each received byte of a body renews.
+Test(endless_response, body_as_a_trickle, .timeout = 120)
+{
+    play_all(slow_body_variants(), trickle);
+}
+
+// Guards against a refusal that counts as such only after its endless body.
+Test(endless_response, refusal_with_an_endless_body, .timeout = 60)
+{
+    expectations all;
+    for (const milliseconds pause : {milliseconds(0), trickle_pause}) {
+        std::atomic<unsigned> attempts{0};
+        const auto respond = [&](const std::string& head, std::size_t) {
+            const std::string refusal =
+                "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: ID\r\nContent-Length: 9999999999\r\n\r\n";
+            return attempts++ > 0 ? endless_bytes{complete_response(head), {}, {}}
+                                  : endless_bytes{with_id(refusal, id_of(head)), "x", pause};
+        };
+        endless_server first(respond);
+        endless_server second(respond);
+        gateway_fixture gateway(route_kind::non_idempotent, false, {first.port(), second.port()});
+        const auto running = gateway.start("/a/x");
+        gateway.finish(*running);
+        all.expect(running->response.status_ == 200 && running->response.body_ == "good",
+                   "another endpoint answers, as the first one has not run the request");
+    }
+}
+
 // Guards against memory that grows with the number of endless bodies read at once.
 Test(endless_response, many_at_once, .timeout = 120)
 {
@@ -126,6 +175,39 @@
     }
 }
 
+// Guards against an endpoint that keeps getting requests although each one ends at its deadline in
+// the middle of the answer.
+Test(endless_response, counts_as_a_failure_of_the_endpoint, .timeout = 120)
+{
+    constexpr std::size_t rounds = 12;
+    constexpr std::size_t requests_per_round = 4;
+    for (const variant& played : {head_variants()[0], body_variants()[0], body_variants()[2]}) {
+        endless_server bad([&](const std::string& head, std::size_t) {
+            return endless_bytes{with_id(played.prefix, id_of(head)), played.unit, trickle_pause};
+        });
+        const auto respond = [](const std::string& head, std::size_t) {
+            return endless_bytes{complete_response(head), {}, {}};
+        };
+        endless_server good(respond);
+        endless_server good_too(respond);
+        endless_server good_as_well(respond);
+        gateway_fixture gateway(route_kind::non_idempotent, false,
+                                {bad.port(), good.port(), good_too.port(), good_as_well.port()});
+        for (std::size_t round = 0; round < rounds; ++round) {
+            std::vector<std::shared_ptr<exchange>> running;
+            for (std::size_t index = 0; index < requests_per_round; ++index) {
+                running.push_back(gateway.start("/a/x"));
+            }
+            for (const auto& one : running) {
+                gateway.finish(*one);
+            }
+        }
+        std::fprintf(stderr, "| %s | of %zu requests, %zu reach the bad endpoint |\n",
+                     played.name.c_str(), rounds * requests_per_round, bad.requests());
+        check(bad.requests() <= requests_per_round + 2, "the endpoint is ejected");
+    }
+}
+
 // Guards against a response read as a whole, e.g. of a stage call, whose timeout each received byte
 // renews.
 Test(endless_response, whole_body_has_one_timeout, .timeout = 60)
@@ -148,3 +230,28 @@
         });
     }
 }
+
+// Guards against a failure whose log line does not tell which endpoint exceeded which limit.
+Test(endless_response, is_logged_with_endpoint_request_and_limit, .timeout = 60)
+{
+    const std::string path = "/tmp/endless_response_test." + std::to_string(::getpid()) + ".log";
+    check(std::freopen(path.c_str(), "w", stdout) != nullptr, "the log is written to a file");
+    start_log("test");
+    endless_server server([&](const std::string&, std::size_t) {
+        return endless_bytes{signed_head, "A: b\r\n", {}};
+    });
+    gateway_fixture gateway(route_kind::non_idempotent, false, {server.port()});
+    const auto running = gateway.start("/a/x");
+    gateway.finish(*running);
+    stop_log();
+    std::ifstream file(path);
+    std::string found;
+    for (std::string line; std::getline(file, line);) {
+        found += line.find("attempt_failed") != std::string::npos ? line : "";
+    }
+    std::remove(path.c_str());
+    check(found.find("\"r1\"") != std::string::npos, "the request is named");
+    check(found.find("\"s" + std::to_string(server.port()) + "\"") != std::string::npos,
+          "the endpoint is named");
+    check(found.find("exceeds 32768 bytes") != std::string::npos, "the limit is named: " + found);
+}
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -21,6 +21,10 @@
 constexpr duration send_timeout = 2s;
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
 constexpr unsigned max_stray_responses = 2; // responses to other requests skipped in one attempt
+constexpr std::size_t max_stray_size = 1u << 20; // bytes of a skipped response
+// A refusal is taken as such without the rest of its body after these limits.
+constexpr std::size_t max_refusal_size = 64u << 10; // bytes
+constexpr duration refusal_body_timeout = 200ms;
 constexpr std::size_t max_event_size = 64u << 10; // bytes of one event of a stream
 // A retryable request is sent to another endpoint when its response takes longer than this multiple
 // of the route's latency target.
@@ -53,8 +57,8 @@
 
 } // namespace
 
-duration request_flow::response_head_timeout(const running_request& request,
-                                             const attempt_state& state, time_point now) const
+duration request_flow::response_timeout(const running_request& request, const attempt_state& state,
+                                        time_point now) const
 {
     const duration left =
         request.deadline - now + 100ms; // the request's own deadline expires first
@@ -111,6 +115,7 @@
     outcome.expected_prefix = chosen.expected_prefix;
     auto taken = co_await channels_.acquire(chosen.target, connect_timeout);
     attempt_result ended = attempt_failure{};
+    bool broke_off = false; // the deadline passed in the middle of a response
     if (!taken) {
         pools_.mark_unreachable(chosen, boot_clock::now());
         ended = attempt_failure{{verdict::not_run, reason::no_endpoint, taken.error().detail, {}}};
@@ -134,16 +139,42 @@
         request->set_abort_handler([connection] { connection->close(); });
         ended = co_await exchange(request, writer, state, chosen, connection, outcome);
         request->set_abort_handler({});
+        broke_off = request->abort_reason() &&
+                    request->abort_reason()->why == reason::deadline_passed &&
+                    (request->phase == request_phase::stream ? state.events.has_partial_event()
+                                                             : connection->has_partial_response());
+        log_failed_attempt(*request, chosen, ended, broke_off);
         channels_.release(chosen.target, connection, boot_clock::now());
     }
     outcome.success = std::holds_alternative<delivered>(ended);
     if (request->abort_reason()) {
-        outcome.counts = outcome.success;
+        outcome.counts = outcome.success || broke_off;
     }
     pools_.finish_request(chosen, outcome, boot_clock::now());
     co_return ended;
 }
 
+void request_flow::log_failed_attempt(const running_request& request, const chosen_endpoint& chosen,
+                                      const attempt_result& ended, bool broke_off)
+{
+    const auto* failed = std::get_if<attempt_failure>(&ended);
+    if (failed == nullptr || failed->error.run == verdict::not_run) {
+        return;
+    }
+    const failure& why = request.abort_reason() ? *request.abort_reason() : failed->error;
+    if (why.why == reason::cancelled) {
+        return; // the caller has left
+    }
+    log_event("attempt_failed",
+              {{"request", request.message.id},
+               {"endpoint", chosen.target.id},
+               {"verdict", to_string(failed->error.run)},
+               {"reason", to_string(why.why)},
+               {"detail", why.detail},
+               {"within_response", broke_off},
+               {"after_ms", whole_milliseconds(boot_clock::now() - chosen.started)}});
+}
+
 asio::awaitable<request_flow::attempt_result>
 request_flow::exchange(const request_ptr& request, response_writer& writer, attempt_state& state,
                        const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
@@ -163,10 +194,11 @@
         co_return attempt_failure{sent.error()};
     }
     const bool head_request = request->message.method == "HEAD";
-    const duration timeout = response_head_timeout(*request, state, started);
+    const time_point head_due = started + response_timeout(*request, state, started);
     unsigned status = 0;
     for (unsigned stray = 0;; ++stray) {
-        const auto got = co_await connection->read_head(timeout, head_request);
+        const duration head_timeout = head_due - boot_clock::now();
+        const auto got = co_await connection->read_head(head_timeout, head_request);
         if (!got) {
             co_return attempt_failure{got.error()};
         }
@@ -179,13 +211,16 @@
         log_event("stray_answer", {{"request", request->message.id},
                                    {"endpoint", chosen.target.id},
                                    {"answers", echoed}});
-        const auto skipped = co_await connection->read_whole_body(max_response_size, timeout);
+        const duration stray_timeout = head_due - boot_clock::now();
+        const auto skipped = co_await connection->read_whole_body(max_stray_size, stray_timeout);
         if (!skipped || stray >= max_stray_responses) {
             connection->close();
-            co_return attempt_failure{{verdict::may_have_run,
-                                       reason::answer_mismatch,
-                                       "response to another request",
-                                       {}}};
+            std::string detail = "response to another request";
+            if (!skipped) {
+                detail += ": " + skipped.error().detail;
+            }
+            co_return attempt_failure{
+                {verdict::may_have_run, reason::answer_mismatch, std::move(detail), {}}};
         }
     }
     const time_point answered = boot_clock::now();
@@ -210,11 +245,16 @@
         co_return co_await relay_stream(request, writer, state, connection, outcome);
     }
     std::string response_headers = forwarded_response_headers(headers);
-    auto body = co_await connection->read_whole_body(max_response_size,
-                                                     request->deadline - answered + 100ms);
+    std::size_t body_limit = max_response_size;
+    duration body_timeout = response_timeout(*request, state, answered);
+    if (rejected) {
+        body_limit = max_refusal_size;
+        body_timeout = std::min(body_timeout, refusal_body_timeout);
+    }
+    auto body = co_await connection->read_whole_body(body_limit, body_timeout);
     outcome.whole = boot_clock::now() - started;
     if (rejected) {
-        outcome.counts = false;
+        outcome.counts = !body;
         const bool overloaded =
             status == http_status::unavailable || status == http_status::too_many_requests;
         co_return attempt_failure{
