Log failed releases of stage results and test endless stage calls

What was seen: a release of stage results that failed, e.g. because of a response without end, left no log line.

It was not run against the former reading of bodies.

--- a/libs/gateway/src/endless_gateway.hpp
+++ b/libs/gateway/src/endless_gateway.hpp
@@ -36,7 +36,7 @@
 inline constexpr milliseconds timeout_tolerance{300};
 inline constexpr milliseconds close_timeout{1000}; // for the endpoint to notice that it was closed
 inline constexpr milliseconds normal_request_limit{400};   // of a request that is served meanwhile
-inline constexpr std::size_t growth_limit_kib = 16u << 10; // for one response of any kind
+inline constexpr std::size_t growth_limit_kib = 20u << 10; // for one response of any kind
 inline constexpr std::size_t concurrent_requests = 64;
 inline constexpr std::size_t concurrent_growth_limit_kib = 80u << 10;
 // A trickle of units of this size fills memory as far as the limits allow.
--- /dev/null
+++ b/libs/gateway/src/endless_stage_test.cpp
@@ -0,0 +1,142 @@
+// Tests the calls of stages against endpoints that send bytes without end.
+
+#include <boost/asio/io_context.hpp>
+#include <quetzal/gateway/stage_coordinator.hpp>
+#include <quetzal/testing/endless_server.hpp>
+#include <quetzal/testing/section.hpp>
+
+#include "test_names.hpp"
+
+using namespace quetzal;
+using namespace quetzal::gateway;
+using quetzal::gateway::testing::test_names;
+using quetzal::testing::check;
+using quetzal::testing::endless_bytes;
+using quetzal::testing::endless_server;
+using quetzal::testing::section;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds call_time{50};
+constexpr milliseconds job_time{3000};
+// A call is given up after three times its expected time and 300 ms, for its head and again for its
+// body; then it is made once more.
+constexpr milliseconds done_within{1800};
+
+const std::string head = "HTTP/1.1 200 OK\r\n";
+const std::string complete = head + "Content-Length: 2\r\n\r\nok";
+
+// An instance that coordinates the stages alone, with two endpoints.
+class coordinating_instance
+{
+public:
+    explicit coordinating_instance(const std::vector<std::uint16_t>& ports)
+        : members({}, self(), boot_clock::now() - std::chrono::seconds(10)),
+          channels(context.get_executor()), peers(context, {"127.0.0.1", 0, 0, {}}, members),
+          coordinator(context, view, channels, members, peers, test_names(), protocol(),
+                      {0.2, 50, std::chrono::seconds(10)})
+    {
+        published_configuration configuration;
+        configuration.version = 1;
+        service_definition service;
+        service.name = "s";
+        service.max_connections = 50;
+        service.stage.emplace();
+        service.stage->call_time = call_time;
+        service.stage->queue = 1;
+        configuration.services.push_back(service);
+        view.apply(configuration);
+        for (const std::uint16_t port : ports) {
+            endpoint value;
+            value.id = "e" + std::to_string(port);
+            value.service = "s";
+            value.zone = "z";
+            value.address = {boost::asio::ip::make_address("127.0.0.1"), port};
+            view.put_endpoint(value);
+        }
+        coordinator.refresh();
+    }
+
+    static member_record self()
+    {
+        member_record record;
+        record.address = "127.0.0.1";
+        record.configuration = 1;
+        return record;
+    }
+
+    static stage_protocol protocol()
+    {
+        stage_protocol made;
+        made.run_target = "/run";
+        made.release_target = "/release";
+        made.encode_call = [](const std::vector<called_piece>&, time_point) { return "{}"; };
+        made.decode_call = [](std::string_view body, std::size_t pieces) {
+            std::optional<std::vector<piece_outcome>> outcomes;
+            if (body == "ok") {
+                outcomes.emplace(pieces, piece_outcome{piece_status::done, "handle"});
+            }
+            return outcomes;
+        };
+        made.encode_release = [](const std::vector<std::string>&) { return "{}"; };
+        made.endpoint_address_of = [](std::string_view) { return "127.0.0.1:1"; };
+        return made;
+    }
+
+    boost::asio::io_context context{1};
+    catalog view;
+    member_table members;
+    channel_pool channels;
+    peer_link peers;
+    stage_coordinator coordinator;
+};
+
+} // namespace
+
+// Guards against a stage call whose endless response is read until the job is too late, and against
+// one that is taken for a result.
+Test(endless_stage, call_is_given_up_and_made_again, .timeout = 60)
+{
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> variants{
+        {"", "x"},
+        {head, "A: b\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {head + "Content-Length: 999999\r\n\r\n", "x"},
+        {chunked, "1\r\no\r\n"},
+        {chunked + "2\r\nok\r\n0\r\n", "A: b\r\n"},
+        {head + "\r\n", "ok"}};
+    for (const auto& [prefix, unit] : variants) {
+        for (const milliseconds pause : {milliseconds(0), milliseconds(20)}) {
+            std::atomic<unsigned> calls{0};
+            const auto respond = [&, &prefix = prefix, &unit = unit](const std::string&,
+                                                                     std::size_t) {
+                return calls++ == 0 ? endless_bytes{prefix, unit, pause}
+                                    : endless_bytes{complete, {}, {}};
+            };
+            endless_server first(respond);
+            endless_server second(respond);
+            coordinating_instance instance({first.port(), second.port()});
+            local_job job;
+            job.content.request_id = "r";
+            job.content.stages.push_back({"s", {}, 0, 1});
+            const time_point started = boot_clock::now();
+            job.latency_deadline = job.deadline = started + job_time;
+            std::optional<job_outcome> outcome;
+            duration took{};
+            instance.coordinator.submit(std::move(job), [&](const job_outcome& ended) {
+                outcome = ended;
+                took = boot_clock::now() - started;
+                instance.context.stop();
+            });
+            instance.context.run_for(job_time + milliseconds(500));
+            std::fprintf(stderr, "| %s | %s | status %d | %lld ms | %u calls |\n",
+                         (prefix + unit).c_str(), pause.count() == 0 ? "full speed" : "trickle",
+                         outcome ? static_cast<int>(outcome->status) : -1,
+                         static_cast<long long>(whole_milliseconds(took)), calls.load());
+            check(outcome && outcome->status == job_status::done && took < done_within,
+                  "a second call gives the result in time");
+        }
+    }
+}
--- a/libs/gateway/src/stage_coordinator.cpp
+++ b/libs/gateway/src/stage_coordinator.cpp
@@ -378,18 +378,28 @@
     const std::string body = protocol_.encode_release(handles);
     const std::string head = post_head(protocol_.release_target, endpoint_address, body.size(),
                                        names_.expected_endpoint, target.id);
+    const auto log_failure = [&](const failure& why) {
+        log_event("stage_release_failed", {{"service", target.service},
+                                           {"endpoint", target.id},
+                                           {"results", handles.size()},
+                                           {"detail", why.detail}});
+    };
     if (const auto sent = co_await connection->send(head, body, send_timeout); !sent) {
+        log_failure(sent.error());
         co_return;
     }
     if (const auto status = co_await connection->read_head(send_timeout); !status) {
+        log_failure(status.error());
         co_return;
     }
     const auto answer = co_await connection->read_whole_body(release_answer_limit, send_timeout);
-    if (answer) {
-        channels_.release(target, connection, boot_clock::now());
-        scheduler_.confirm_released(handles);
-        schedule_dispatch(duration::zero());
+    if (!answer) {
+        log_failure(answer.error());
+        co_return;
     }
+    channels_.release(target, connection, boot_clock::now());
+    scheduler_.confirm_released(handles);
+    schedule_dispatch(duration::zero());
 }
 
 } // namespace quetzal::gateway
