Allocate at most 1.5 times the limit for a response of the store

What was seen: store_client_test failed in 1 of 3 runs on a busy machine; an endless answer of the store made the process grow by 23,828 KiB where at most 20 MiB are allowed.

Cause: the string of the body doubled when it was nearly full, so that 8 and 16 MiB were allocated at the same time. It now grows to the limit at the latest when it holds half of it.

--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -53,6 +53,21 @@
     return may_have_run(reason::endpoint_failed, "the connection failed: " + describe(error));
 }
 
+// Appends a part to a body that has at most `limit` bytes then, and allocates no more than that.
+void append_within(std::size_t limit, std::string& body, std::string_view part)
+{
+    if (body.size() + part.size() > body.capacity()) {
+        std::string larger; // `reserve` of a string with content allocates up to twice the size
+        const std::size_t doubled = std::max(body.size() + part.size(), 2 * body.capacity());
+        // The last but one size is at most half of the limit, so that both fit into 1.5 times of
+        // it.
+        larger.reserve(2 * doubled < limit ? doubled : limit);
+        larger.append(body);
+        body.swap(larger);
+    }
+    body.append(part);
+}
+
 http::request<http::string_body> to_beast_request(const http_request& request,
                                                   const std::string& host)
 {
@@ -209,7 +224,7 @@
         if (response.body.size() + (*body_part)->size() > body_limit) {
             co_return too_large;
         }
-        response.body += **body_part;
+        append_within(body_limit, response.body, **body_part);
     }
 }
 
