--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -111,6 +111,10 @@
     boost::asio::awaitable<attempt_result> attempt(const request_ptr& request,
                                                    response_writer& writer, attempt_state& state,
                                                    const chosen_endpoint& chosen);
+    // Logs an attempt that may have run and failed, with the limit that the response exceeded.
+    // `broke_off` means that the deadline passed in the middle of the response.
+    static void log_failed_attempt(const running_request& request, const chosen_endpoint& chosen,
+                                   const attempt_result& ended, bool broke_off);
     boost::asio::awaitable<attempt_result> exchange(const request_ptr& request,
                                                     response_writer& writer, attempt_state& state,
                                                     const chosen_endpoint& chosen,
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -20,14 +20,18 @@
 constexpr duration connect_timeout = 300ms;
 constexpr duration min_connect_timeout = 1ms;       // at the end of a stop
 constexpr std::size_t max_response_size = 8u << 20; // bytes of a response that is not a stream
-// Interim responses and responses to other requests that are skipped in one attempt.
-constexpr unsigned max_skipped_responses = 2;
-// A retryable request is sent to another endpoint, if one may take it, when its response takes
-// longer than this multiple of the route's latency target.
+constexpr unsigned max_stray_responses = 2; // responses to other requests skipped in one attempt
+constexpr std::size_t max_stray_size = 1u << 20; // bytes of a skipped response
+// A refusal is taken as such without the rest of its body after these limits.
+constexpr std::size_t max_refusal_size = 64u << 10; // bytes
+constexpr duration refusal_body_timeout = 200ms;
+constexpr std::size_t max_event_size = 64u << 10; // bytes of one event of a stream
+// A retryable request is sent to another endpoint, if one may take it, when the head or the body of
+// its response takes longer than this multiple of the route's latency target.
 constexpr int slow_attempt_factor = 2;
 constexpr duration min_attempt_timeout = 400ms;
-// A resumable stream that sends nothing for this time is resumed at another endpoint, if one may
-// take it.
+// A resumable stream that completes no event for this time is resumed at another endpoint, if one
+// may take it.
 constexpr duration stream_stall_timeout = 1500ms;
 constexpr duration silence_recheck = 50ms; // while no endpoint may take the request
 
@@ -55,7 +59,7 @@
 
 } // namespace
 
-// Closes the connection of an attempt when its endpoint has sent nothing for some time, as soon as
+// Closes the connection of an attempt when its endpoint has been too slow for some time, as soon as
 // another endpoint may take the request over.
 class request_flow::silence_watch
 {
@@ -88,7 +92,7 @@
     attempt_failure describe(failure error) const
     {
         if (fired_) {
-            error.detail = "the endpoint is silent and another one is free";
+            error.detail = "the endpoint is too slow and another one is free";
         }
         return attempt_failure{std::move(error)};
     }
@@ -165,6 +169,7 @@
     }
     auto taken = co_await channels_.acquire(chosen.target, connect_limit);
     attempt_result ended = attempt_failure{};
+    bool broke_off = false; // the deadline passed in the middle of a response
     if (!taken) {
         pools_.mark_unreachable(chosen, boot_clock::now());
         ended = attempt_failure{{verdict::not_run, reason::no_endpoint, taken.error().detail, {}}};
@@ -193,16 +198,42 @@
         request->set_abort_handler([connection] { connection->close(); });
         ended = co_await exchange(request, writer, state, chosen, connection, outcome);
         request->set_abort_handler({});
+        broke_off = request->abort_reason() &&
+                    request->abort_reason()->why == reason::deadline_passed &&
+                    (request->phase == request_phase::stream ? state.events.has_partial_event()
+                                                             : connection->has_partial_response());
+        log_failed_attempt(*request, chosen, ended, broke_off);
         channels_.release(chosen.target, connection, boot_clock::now());
     }
     outcome.success = std::holds_alternative<delivered>(ended);
     if (request->abort_reason()) {
-        outcome.counts = outcome.success;
+        outcome.counts = outcome.success || broke_off;
     }
     pools_.finish_request(chosen, outcome, boot_clock::now());
     co_return ended;
 }
 
+void request_flow::log_failed_attempt(const running_request& request, const chosen_endpoint& chosen,
+                                      const attempt_result& ended, bool broke_off)
+{
+    const auto* failed = std::get_if<attempt_failure>(&ended);
+    if (failed == nullptr || failed->error.run == verdict::not_run) {
+        return;
+    }
+    const failure& why = request.abort_reason() ? *request.abort_reason() : failed->error;
+    if (why.why == reason::cancelled) {
+        return; // the caller has left
+    }
+    log_event("attempt_failed",
+              {{"request", request.message.id},
+               {"endpoint", chosen.target.id},
+               {"verdict", to_string(failed->error.run)},
+               {"reason", to_string(why.why)},
+               {"detail", why.detail},
+               {"within_response", broke_off},
+               {"after_ms", whole_milliseconds(boot_clock::now() - chosen.started)}});
+}
+
 asio::awaitable<request_flow::attempt_result>
 request_flow::exchange(const request_ptr& request, response_writer& writer, attempt_state& state,
                        const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
@@ -225,34 +256,37 @@
         co_return attempt_failure{sent.error()};
     }
     const bool head_request = request->message.method == "HEAD";
+    const duration allowed = std::max<duration>(
+        request->matched->latency_target * slow_attempt_factor, min_attempt_timeout);
+    const time_point due = request->deadline + 100ms; // the request's own deadline expires first
     silence_watch silence(*this, *request, state, chosen, writer, *connection);
-    silence.start(std::max<duration>(request->matched->latency_target * slow_attempt_factor,
-                                     min_attempt_timeout));
+    silence.start(allowed);
     unsigned status = 0;
-    for (unsigned skipped_responses = 0;; ++skipped_responses) {
-        const auto got = co_await connection->read_head(timeout, head_request);
+    for (unsigned stray = 0;; ++stray) {
+        const duration head_timeout = due - boot_clock::now();
+        const auto got = co_await connection->read_head(head_timeout, head_request);
         if (!got) {
             co_return silence.describe(got.error());
         }
         status = *got;
-        if (status < http_status::ok && skipped_responses < max_skipped_responses) {
-            continue; // the final response follows
-        }
         const auto echoed = header_value(connection->headers(), names_.request_id);
-        if (status >= http_status::ok && (echoed.empty() || echoed == request->message.id)) {
+        if (echoed.empty() || echoed == request->message.id) {
             break;
         }
         // A late response to an earlier request; the response to this one may follow.
         log_event("stray_answer", {{"request", request->message.id},
                                    {"endpoint", chosen.target.id},
                                    {"answers", echoed}});
-        const auto skipped = co_await connection->read_whole_body(max_response_size, timeout);
-        if (!skipped || skipped_responses >= max_skipped_responses) {
+        const duration stray_timeout = due - boot_clock::now();
+        const auto skipped = co_await connection->read_whole_body(max_stray_size, stray_timeout);
+        if (!skipped || stray >= max_stray_responses) {
             connection->close();
-            co_return attempt_failure{{verdict::may_have_run,
-                                       reason::answer_mismatch,
-                                       "response to another request",
-                                       {}}};
+            std::string detail = "response to another request";
+            if (!skipped) {
+                detail += ": " + skipped.error().detail;
+            }
+            co_return attempt_failure{
+                {verdict::may_have_run, reason::answer_mismatch, std::move(detail), {}}};
         }
     }
     silence.stop();
@@ -278,11 +312,19 @@
         co_return co_await relay_stream(request, writer, state, chosen, connection, outcome);
     }
     std::string response_headers = forwarded_response_headers(headers);
-    auto body = co_await connection->read_whole_body(max_response_size,
-                                                     request->deadline - answered + 100ms);
+    std::size_t body_limit = max_response_size;
+    duration body_timeout = due - answered;
+    if (rejected) {
+        body_limit = max_refusal_size;
+        body_timeout = std::min(body_timeout, refusal_body_timeout);
+    } else {
+        silence.start(allowed);
+    }
+    auto body = co_await connection->read_whole_body(body_limit, body_timeout);
+    silence.stop();
     outcome.whole = boot_clock::now() - started;
     if (rejected) {
-        outcome.counts = false;
+        outcome.counts = !body;
         const bool overloaded =
             status == http_status::unavailable || status == http_status::too_many_requests;
         co_return attempt_failure{
@@ -294,7 +336,7 @@
             status == http_status::conflict};
     }
     if (!body) {
-        co_return attempt_failure{body.error()};
+        co_return silence.describe(body.error());
     }
     // A stream that has started cannot end as another response.
     const bool stream_started = writer.has_started_stream();
@@ -324,39 +366,56 @@
         state.stream_headers = forwarded_response_headers(connection->headers());
     }
     state.events.discard_partial_event();
-    const time_point started = boot_clock::now() - outcome.latency;
+    time_point last_event = boot_clock::now();
+    const time_point started = last_event - outcome.latency;
     silence_watch silence(*this, *request, state, chosen, writer, *connection);
     bool first = true;
     while (true) {
         std::string bytes;
-        const duration timeout = request->deadline - boot_clock::now() + 100ms;
-        silence.start(stream_stall_timeout);
+        const time_point now = boot_clock::now();
+        const duration timeout = request->deadline - now + 100ms;
+        silence.start(last_event + stream_stall_timeout - now);
         const auto more = co_await connection->read_body(bytes, timeout);
         silence.stop();
         if (!more) {
             co_return silence.describe(more.error());
         }
         state.events.add(bytes);
-        const bool last = !*more;
-        std::string events =
-            last ? state.events.take_complete_events() + state.events.take_remainder()
-                 : state.events.take_complete_events();
-        if (events.empty() && !last) {
-            continue;
+        bool last = !*more;
+        std::string events = state.events.take_complete_events();
+        if (last) {
+            events += state.events.take_remainder();
+        }
+        std::string broken;
+        if (state.events.is_malformed()) {
+            broken = "the stream contains bytes that are no event";
+            last = false;
+        } else if (state.events.pending_size() > max_event_size) {
+            broken = "an event of the stream exceeds " + std::to_string(max_event_size) + " bytes";
         }
-        if (first) {
-            first = false;
-            outcome.latency = boot_clock::now() - started;
-            coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
+        if (!events.empty() || last) {
+            if (first) {
+                first = false;
+                outcome.latency = boot_clock::now() - started;
+                coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
+            }
+            request->phase = request_phase::stream;
+            const bool written = co_await writer.write_stream_part(200, state.stream_headers,
+                                                                   std::move(events), last);
+            if (!written) {
+                request->abort({verdict::may_have_run,
+                                reason::cancelled,
+                                "the caller closed the connection",
+                                {}});
+                connection->close();
+                co_return attempt_failure{*request->abort_reason()};
+            }
+            last_event = boot_clock::now();
         }
-        request->phase = request_phase::stream;
-        const bool written =
-            co_await writer.write_stream_part(200, state.stream_headers, std::move(events), last);
-        if (!written) {
-            request->abort(
-                {verdict::may_have_run, reason::cancelled, "the caller closed the connection", {}});
+        if (!broken.empty()) {
             connection->close();
-            co_return attempt_failure{*request->abort_reason()};
+            co_return attempt_failure{
+                {verdict::may_have_run, reason::endpoint_failed, std::move(broken), {}}};
         }
         if (last) {
             outcome.whole = boot_clock::now() - started;
