Let the test of retries during a stop reach a retry

The request was refused before it was first sent, so the test passed without the check in may_retry. Now an endpoint receives it and closes the connection during the stop, and exactly one request and status 502 are expected; before, at most one request and 502 or 503 were accepted.

Evidence: without the checks in may_retry and attempt the test fails: request_drain::retries_during_the_stop the request is not sent again The former test passed without them.

--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -195,15 +195,19 @@
 // Guards against a failed attempt that is retried during the stop and then cut off.
 Test(request_drain, retries_during_the_stop)
 {
-    const std::vector<scripted_response> lost{{"", true}, {response_with("1", "x")}};
-    gateway_fixture gateway(route_kind::idempotent, false, {lost, lost});
+    scripted_response lost;
+    lost.pause = milliseconds(60);
+    lost.rest = "HTTP/1.1";
+    lost.close = true;
+    const std::vector<scripted_response> responses{lost, {response_with("1", "x")}};
+    gateway_fixture gateway(route_kind::idempotent, false, {responses, responses});
     recorded_response response;
-    serve_for(gateway, response, milliseconds(0));
-    gateway.request->sent = boot_clock::now(); // so that the stop does not refuse it as waiting
-    gateway.flow.begin_drain(stop_in(milliseconds(200)));
-    run_for(gateway, milliseconds(100));
-    check(gateway.received_requests() <= 1, "the request is not sent again");
-    check(response.status_ == 502 || response.status_ == 503, "it gets a complete response");
+    serve_for(gateway, response, milliseconds(20));
+    check(gateway.received_requests() == 1, "an endpoint receives the request");
+    gateway.flow.begin_drain(stop_in(milliseconds(300)));
+    run_stop(gateway, milliseconds(200));
+    check(gateway.received_requests() == 1, "the request is not sent again");
+    check(response.status_ == 502, "it gets a response that does not claim that it has not run");
 }
 
 // Guards against requests that an endpoint has refused, that then wait for another endpoint and are
