Stop counting a request as served when writing its response throws

What callers saw: nothing known; no such exception is known either. The request stayed among those being served and its stage job stayed open, so that the metric and the lines about a stop were wrong and every check of a stop ended a request that was gone.

Change: both are removed before the exception is passed on to the connection.

--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -120,22 +120,28 @@
     state.retryable = matched.kind == route_kind::idempotent ||
                       (matched.kind == route_kind::stream && matched.resumable);
     result<void> outcome;
-    // Stage results can expire before the endpoint fetches them; the stages then run once more.
-    for (int round = 0; round < 2; ++round) {
-        if (!matched.stages.empty()) {
-            auto inputs = co_await run_stages(request, state.stage_ticket);
-            if (!inputs) {
-                outcome = tl::unexpected(inputs.error());
+    try {
+        // Stage results can expire before the endpoint fetches them; the stages then run once more.
+        for (int round = 0; round < 2; ++round) {
+            if (!matched.stages.empty()) {
+                auto inputs = co_await run_stages(request, state.stage_ticket);
+                if (!inputs) {
+                    outcome = tl::unexpected(inputs.error());
+                    break;
+                }
+                state.inputs = std::move(*inputs);
+            }
+            outcome = co_await run_attempts(request, writer, state);
+            const bool rerun_stages = !outcome && outcome.error().why == reason::answer_mismatch;
+            if (!rerun_stages) {
                 break;
             }
-            state.inputs = std::move(*inputs);
-        }
-        outcome = co_await run_attempts(request, writer, state);
-        const bool rerun_stages = !outcome && outcome.error().why == reason::answer_mismatch;
-        if (!rerun_stages) {
-            break;
+            coordinator_.release(state.stage_ticket);
         }
+    } catch (...) {
         coordinator_.release(state.stage_ticket);
+        running_.erase(request);
+        throw; // the caller's connection answers
     }
     coordinator_.release(state.stage_ticket);
     running_.erase(request);
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -10,6 +10,31 @@
 using quetzal::testing::check;
 using quetzal::testing::section;
 
+namespace {
+
+// A writer whose connection fails in an unexpected way.
+class throwing_response final : public response_writer
+{
+public:
+    asio::awaitable<bool> write_response(unsigned, std::string, std::string) override
+    {
+        throw std::runtime_error("not written");
+        co_return false;
+    }
+
+    asio::awaitable<bool> write_stream_part(unsigned, const std::string&, std::string,
+                                            bool) override
+    {
+        co_return false;
+    }
+
+    bool has_started_stream() const override { return false; }
+    bool caller_disconnected() override { return false; }
+    void abort_connection() override {}
+};
+
+} // namespace
+
 // Guards against non-idempotent requests that run twice and against responses that wrongly claim
 // that a request has not run.
 Test(request_flow, non_idempotent_requests_run_at_most_once)
@@ -217,3 +242,20 @@
         check(empty.serve("1").status_ == 503, "the request is rejected as unavailable");
     });
 }
+
+// Guards against requests that count as being served for ever because writing their responses
+// threw.
+Test(request_flow, requests_whose_response_cannot_be_written)
+{
+    gateway_fixture gateway(route_kind::non_idempotent, false, {{{response_with("1", "x")}}});
+    throwing_response response;
+    gateway.request =
+        std::make_shared<running_request>(gateway_fixture::make_message("1", "key", "/a/x"));
+    bool thrown = false;
+    asio::co_spawn(gateway.context, gateway.flow.serve(gateway.request, response),
+                   [&](const std::exception_ptr& error) { thrown = error != nullptr; });
+    gateway.context.restart();
+    gateway.context.run_for(milliseconds(50));
+    check(thrown, "the exception reaches the caller of serve");
+    check(gateway.flow.running() == 0, "the request is no longer being served");
+}
