--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -2,6 +2,9 @@
 
 #include <array>
 #include <cstdio>
+#include <linux/sockios.h>
+#include <optional>
+#include <sys/ioctl.h>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -10,54 +13,33 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <quetzal/gateway/channel.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/lazy_deadline.hpp>
 #include <quetzal/gateway/spawn.hpp>
 
+#include "request_framing.hpp"
+
 namespace quetzal::gateway {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
+using internal::framing_error;
+using internal::read_failure;
+using internal::read_result;
+using internal::request_parser;
 
 namespace {
 
-constexpr duration write_timeout = std::chrono::seconds(5);      // for a caller that does not read
+constexpr duration linger_time = std::chrono::seconds(2);        // for the caller's close
 constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
 constexpr std::size_t read_buffer_limit = 64u << 10;             // bytes
 constexpr int listen_backlog = 1024;
 
-using request_parser = http::request_parser<http::string_body>;
-
-// Returns why the framing of a request is rejected, or null. Rejects framing that another parser
-// might interpret differently.
-const char* framing_error(const request_parser& parser)
-{
-    const auto& message = parser.get();
-    const auto encodings = message.count(http::field::transfer_encoding);
-    const auto lengths = message.count(http::field::content_length);
-    if (encodings > 1 || lengths > 1 || (encodings > 0 && lengths > 0)) {
-        return "ambiguous body length";
-    }
-    if (encodings == 1 &&
-        !boost::beast::iequals(message[http::field::transfer_encoding], "chunked")) {
-        return "unknown transfer encoding";
-    }
-    if (message.version() != 11) {
-        return "not HTTP/1.1";
-    }
-    if (message.count(http::field::host) != 1) {
-        return "missing or repeated Host header";
-    }
-    return nullptr;
-}
-
 std::string status_line(unsigned status)
 {
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
@@ -82,6 +64,9 @@
     static asio::awaitable<void> serve(std::shared_ptr<implementation> self,
                                        std::shared_ptr<connection> caller);
 
+    // Serves an accepted connection.
+    void admit(tcp::socket socket);
+
     asio::io_context& context;
     caller_server_options options;
     const catalog& view;
@@ -100,8 +85,17 @@
 {
     connection(tcp::socket accepted, implementation& owner)
         : socket(std::move(accepted)), server(owner), timeout(socket.get_executor(), [this] {
+              if (writing && unacknowledged_bytes() < unacknowledged) {
+                  limit_write();
+                  return;
+              }
               timed_out = true;
-              close();
+              if (!reading) {
+                  close();
+                  return;
+              }
+              boost::system::error_code ignored; // a read that has ended is not interrupted
+              socket.cancel(ignored);
           })
     {
     }
@@ -113,13 +107,36 @@
         socket.close(ignored);
     }
 
+    // Returns the number of written bytes that the caller has not acknowledged.
+    int unacknowledged_bytes()
+    {
+        int bytes = 0;
+        ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes);
+        return bytes;
+    }
+
+    // Starts the time limit for the caller to read anything. The socket accepts further bytes only
+    // when a large part of its buffer is free, so a slow caller is noticed by what it acknowledges.
+    void limit_write()
+    {
+        unacknowledged = unacknowledged_bytes();
+        timeout.expires_after(server.options.write_timeout);
+    }
+
     asio::awaitable<bool> write(std::string bytes)
     {
         boost::system::error_code error;
-        timeout.expires_after(write_timeout);
-        co_await asio::async_write(socket, asio::buffer(bytes),
-                                   asio::redirect_error(asio::use_awaitable, error));
+        std::size_t written = 0;
+        writing = true;
+        while (!error && written < bytes.size()) {
+            limit_write();
+            const asio::const_buffer rest(bytes.data() + written, bytes.size() - written);
+            const std::size_t size = co_await socket.async_write_some(
+                rest, asio::redirect_error(asio::use_awaitable, error));
+            written += size;
+        }
         timeout.clear();
+        writing = false;
         if (error) {
             log_event("response_not_written",
                       {{"request", current ? std::string_view(current->message.id) : ""},
@@ -211,6 +228,35 @@
                           });
     }
 
+    // Ends the connection after its last response. Closing a connection with unread bytes resets
+    // it, which destroys the part of the response that is still on its way.
+    asio::awaitable<void> linger()
+    {
+        boost::system::error_code error;
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        timeout.expires_after(linger_time);
+        std::array<char, 4096> discarded{};
+        while (!error) {
+            co_await socket.async_read_some(asio::buffer(discarded),
+                                            asio::redirect_error(asio::use_awaitable, error));
+        }
+        timeout.clear();
+    }
+
+    // Ends a request whose handler has thrown. It may have run.
+    asio::awaitable<void> end_failed_request(const std::string& exception)
+    {
+        log_event("request_failed", {{"request", current->message.id},
+                                     {"phase", to_string(current->phase)},
+                                     {"error", exception}});
+        persistent = false;
+        if (!stream_started && !response_complete) {
+            std::string headers;
+            std::string body;
+            co_await write_response(http_status::bad_gateway, std::move(headers), std::move(body));
+        }
+    }
+
     tcp::socket socket;
     implementation& server;
     lazy_deadline timeout;
@@ -223,39 +269,11 @@
     bool response_complete = false;
     bool watching = false;
     bool timed_out = false;
+    bool writing = false;
+    bool reading = false;   // a request, whose timeout is answered
+    int unacknowledged = 0; // bytes when the time limit of the write was set
 };
 
-namespace {
-
-struct read_result
-{
-    unsigned rejection_status = 0; // 0: not rejected
-    const char* detail = "";
-    bool closed = false; // the connection ends without a response
-};
-
-read_result read_failure(const boost::system::error_code& error, bool timed_out, bool began)
-{
-    if (timed_out) {
-        return {0, "slow sender", true};
-    }
-    if (error == http::error::header_limit) {
-        return {http_status::header_too_large, "header too large", false};
-    }
-    if (error == http::error::body_limit) {
-        return {http_status::body_too_large, "body too large", false};
-    }
-    const bool disconnected =
-        error == http::error::end_of_stream || error == http::error::partial_message ||
-        error.category() != http::make_error_code(http::error::bad_version).category();
-    if (disconnected || !began) {
-        return {0, "closed", true};
-    }
-    return {http_status::bad_request, "malformed request", false};
-}
-
-} // namespace
-
 asio::awaitable<void> caller_server::implementation::serve(std::shared_ptr<implementation> self,
                                                            std::shared_ptr<connection> caller)
 {
@@ -275,6 +293,8 @@
                 break;
             }
         }
+        caller->timed_out = false;
+        caller->reading = true;
         caller->timeout.expires_after(limits.header_timeout);
         co_await http::async_read_header(caller->socket, caller->buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
@@ -286,7 +306,19 @@
             outcome = {http_status::bad_request, problem, false};
         }
         if (!error && outcome.rejection_status == 0) {
+            if (std::exchange(caller->timed_out, false)) { // the head was complete before
+                caller->timeout.expires_after(limits.header_timeout);
+            }
             ++self->active_requests;
+            if (!parser.is_done() && caller->buffer.size() == 0 &&
+                boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
+            {
+                caller->reading = false;
+                std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+                co_await caller->write(std::move(interim));
+                caller->reading = true;
+                caller->timeout.expires_after(limits.header_timeout);
+            }
             co_await http::async_read(caller->socket, caller->buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
             --self->active_requests;
@@ -295,11 +327,13 @@
             }
         }
         caller->timeout.clear();
+        caller->reading = false;
+        if (outcome.rejection_status == http_status::request_timeout) {
+            log_event("request_not_received",
+                      {{"detail", outcome.detail}, {"head_complete", parser.is_header_done()}});
+        }
+        caller->timed_out = false;
         if (outcome.closed) {
-            if (caller->timed_out) {
-                log_event("request_not_received",
-                          {{"detail", outcome.detail}, {"head_complete", parser.is_header_done()}});
-            }
             break;
         }
         caller->persistent = outcome.rejection_status == 0 && parser.get().keep_alive();
@@ -339,7 +373,15 @@
         caller->current = std::make_shared<running_request>(std::move(*request));
         caller->current->connection_request = ++caller->requests;
         caller->watch_for_disconnect();
-        co_await self->serve_request(caller->current, *caller);
+        std::optional<std::string> exception;
+        try {
+            co_await self->serve_request(caller->current, *caller);
+        } catch (const std::exception& thrown) {
+            exception = thrown.what();
+        }
+        if (exception) {
+            co_await caller->end_failed_request(*exception);
+        }
         if (!caller->response_complete) {
             log_event("response_incomplete",
                       {{"request", caller->current->message.id},
@@ -354,6 +396,9 @@
             break;
         }
     }
+    if (caller->response_complete && caller->socket.is_open()) {
+        co_await caller->linger();
+    }
     caller->close();
     --self->open_connections;
 }
@@ -375,16 +420,21 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
             continue;
         }
-        if (self->open_connections >= self->options.max_connections) {
-            log_event("connection_refused", {{"open", self->open_connections}});
-            continue; // the destructor closes the socket
-        }
-        configure_socket(socket);
-        auto caller = std::make_shared<connection>(std::move(socket), *self);
-        spawn(self->context, "serve", serve(self, std::move(caller)));
+        self->admit(std::move(socket));
     }
 }
 
+void caller_server::implementation::admit(tcp::socket socket)
+{
+    if (open_connections >= options.max_connections) {
+        log_event("connection_refused", {{"open", open_connections}});
+        return; // the destructor closes the socket
+    }
+    configure_socket(socket);
+    auto caller = std::make_shared<connection>(std::move(socket), *this);
+    spawn(context, "serve", serve(shared_from_this(), std::move(caller)));
+}
+
 caller_server::caller_server(asio::io_context& context, caller_server_options options,
                              const catalog& view, const header_names& names, handler serve)
     : self_(std::make_shared<implementation>(context, std::move(options), view, names,
@@ -418,6 +468,16 @@
 
 void caller_server::stop_accepting()
 {
+    // Closing the port resets the connections that wait to be accepted.
+    boost::system::error_code error;
+    self_->acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(self_->context);
+        self_->acceptor.accept(socket, error);
+        if (!error) {
+            self_->admit(std::move(socket));
+        }
+    }
     boost::system::error_code ignored; // the port is closed in any case
     self_->acceptor.close(ignored);
 }
