Time a stalled stream from its last event, not from every byte

What callers would see: a resumable stream whose endpoint sends an event without end as a trickle was cut at its deadline instead of being resumed at another endpoint.

The watch that gives up a silent endpoint was stopped and started again at every read, with the time that was left. When the next bytes are always there, the read ends before the expired timer is handled, so that it never takes effect.

Change: the watch runs from the last event that was forwarded, and is touched only by events.

--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -366,17 +366,14 @@
         state.stream_headers = forwarded_response_headers(connection->headers());
     }
     state.events.discard_partial_event();
-    time_point last_event = boot_clock::now();
-    const time_point started = last_event - outcome.latency;
+    const time_point started = boot_clock::now() - outcome.latency;
     silence_watch silence(*this, *request, state, chosen, writer, *connection);
+    silence.start(stream_stall_timeout);
     bool first = true;
     while (true) {
         std::string bytes;
-        const time_point now = boot_clock::now();
-        const duration timeout = request->deadline - now + 100ms;
-        silence.start(last_event + stream_stall_timeout - now);
+        const duration timeout = request->deadline - boot_clock::now() + 100ms;
         const auto more = co_await connection->read_body(bytes, timeout);
-        silence.stop();
         if (!more) {
             co_return silence.describe(more.error());
         }
@@ -394,6 +391,7 @@
             broken = "an event of the stream exceeds " + std::to_string(max_event_size) + " bytes";
         }
         if (!events.empty() || last) {
+            silence.stop(); // restarted only by an event, not by every byte
             if (first) {
                 first = false;
                 outcome.latency = boot_clock::now() - started;
@@ -410,7 +408,7 @@
                 connection->close();
                 co_return attempt_failure{*request->abort_reason()};
             }
-            last_event = boot_clock::now();
+            silence.start(stream_stall_timeout);
         }
         if (!broken.empty()) {
             connection->close();
