Drive the endless servers of the response tests from the tested event loop

Its servers were threads, each with a processor of its own to wait for, while the bounds of the test are times of the gateway's thread: a server that did not run for 900 ms looked like an endpoint that does not answer.

Change: driven_endless_server runs on the event loop of the gateway under test, so that a busy machine delays both alike. Bounds, variants and checks are unchanged. The threads stay for the tests of net, stages and peers, which were not red.

--- a/libs/gateway/src/endless_gateway.hpp
+++ b/libs/gateway/src/endless_gateway.hpp
@@ -15,9 +15,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <quetzal/gateway/request_flow.hpp>
-#include <quetzal/testing/endless_server.hpp>
 #include <quetzal/testing/section.hpp>
 
+#include "driven_endless_server.hpp"
 #include "test_names.hpp"
 
 namespace quetzal::gateway::testing {
@@ -26,7 +26,6 @@
 using asio::ip::tcp;
 using quetzal::testing::check;
 using quetzal::testing::endless_bytes;
-using quetzal::testing::endless_server;
 using quetzal::testing::memory_growth;
 using std::chrono::milliseconds;
 
@@ -128,14 +127,15 @@
 class gateway_fixture
 {
 public:
-    gateway_fixture(route_kind kind, bool resumable, const std::vector<std::uint16_t>& ports,
-                    milliseconds timeout = route_timeout)
-        : members({}, self(), boot_clock::now() - std::chrono::seconds(10)), pools({"z", {}, 1}),
-          channels(context.get_executor()), peers(context, {"127.0.0.1", 0, 0, {}}, members),
+    gateway_fixture(asio::io_context& loop, route_kind kind, bool resumable,
+                    const std::vector<std::uint16_t>& ports, milliseconds timeout = route_timeout)
+        : context(loop), members({}, self(), boot_clock::now() - std::chrono::seconds(10)),
+          pools({"z", {}, 1}), channels(context.get_executor()),
+          peers(context, {"127.0.0.1", 0, 0, {}}, members),
           coordinator(context, view, channels, members, peers, names, {}, {}),
           flow(context, view, pools, channels, coordinator, members, names,
                {0.2, 500, std::chrono::seconds(10)}, metrics),
-          normal([](const std::string& head, std::size_t) {
+          normal(context, [](const std::string& head, std::size_t) {
               return endless_bytes{complete_response(head), {}, {}};
           })
     {
@@ -221,7 +221,7 @@
         }
     }
 
-    asio::io_context context{1};
+    asio::io_context& context;
     header_names names = test_names();
     catalog view;
     member_table members;
@@ -231,7 +231,7 @@
     peer_link peers;
     stage_coordinator coordinator;
     request_flow flow;
-    endless_server normal;
+    driven_endless_server normal;
     unsigned last_id = 0;
 };
 
@@ -273,9 +273,11 @@
         const auto id = id_of(head);
         return endless_bytes{with_id(played.prefix, id), with_id(played.unit, id), how.pause};
     };
-    endless_server first(respond);
-    endless_server second(respond);
-    gateway_fixture gateway(how.kind, how.resumable, {first.port(), second.port()}, how.timeout);
+    asio::io_context context(1);
+    driven_endless_server first(context, respond);
+    driven_endless_server second(context, respond);
+    gateway_fixture gateway(context, how.kind, how.resumable, {first.port(), second.port()},
+                            how.timeout);
     const memory_growth growth;
     const auto running = gateway.start("/a/x");
     gateway.context.run_for(milliseconds(50));
@@ -351,10 +353,11 @@
             while (pause.count() > 0 && unit.size() < large_unit_size) {
                 unit += played.unit;
             }
-            endless_server server([&](const std::string& head, std::size_t) {
+            asio::io_context context(1);
+            driven_endless_server server(context, [&](const std::string& head, std::size_t) {
                 return endless_bytes{with_id(played.prefix, id_of(head)), unit, pause};
             });
-            gateway_fixture gateway(kind, false, {server.port()});
+            gateway_fixture gateway(context, kind, false, {server.port()});
             const memory_growth growth;
             std::vector<std::shared_ptr<exchange>> all_running;
             for (std::size_t index = 0; index < concurrent_requests; ++index) {
--- a/libs/gateway/src/endless_response_test.cpp
+++ b/libs/gateway/src/endless_response_test.cpp
@@ -129,9 +129,11 @@
             return attempts++ > 0 ? endless_bytes{complete_response(head), {}, {}}
                                   : endless_bytes{with_id(refusal, id_of(head)), "x", pause};
         };
-        endless_server first(respond);
-        endless_server second(respond);
-        gateway_fixture gateway(route_kind::non_idempotent, false, {first.port(), second.port()});
+        asio::io_context context(1);
+        driven_endless_server first(context, respond);
+        driven_endless_server second(context, respond);
+        gateway_fixture gateway(context, route_kind::non_idempotent, false,
+                                {first.port(), second.port()});
         const auto running = gateway.start("/a/x");
         gateway.finish(*running);
         all.expect(running->response.status_ == 200 && running->response.body_ == "good",
@@ -150,12 +152,13 @@
 Test(endless_response, bytes_after_a_complete_answer, .timeout = 60)
 {
     for (const milliseconds pause : {milliseconds(0), trickle_pause}) {
-        endless_server server([&](const std::string& head, std::size_t position) {
+        asio::io_context context(1);
+        driven_endless_server server(context, [&](const std::string& head, std::size_t position) {
             const bool first = position == 1 && id_of(head) == "r1";
             return endless_bytes{complete_response(head, id_of(head)),
                                  first ? complete_response("\r\nId: old\r\n", "old") : "", pause};
         });
-        gateway_fixture gateway(route_kind::non_idempotent, false, {server.port()});
+        gateway_fixture gateway(context, route_kind::non_idempotent, false, {server.port()});
         const memory_growth growth;
         const auto first = gateway.start("/a/x");
         gateway.finish(*first);
@@ -182,16 +185,17 @@
     constexpr std::size_t rounds = 12;
     constexpr std::size_t requests_per_round = 4;
     for (const variant& played : {head_variants()[0], body_variants()[1], body_variants()[2]}) {
-        endless_server bad([&](const std::string& head, std::size_t) {
+        asio::io_context context(1);
+        driven_endless_server bad(context, [&](const std::string& head, std::size_t) {
             return endless_bytes{with_id(played.prefix, id_of(head)), played.unit, trickle_pause};
         });
         const auto respond = [](const std::string& head, std::size_t) {
             return endless_bytes{complete_response(head), {}, {}};
         };
-        endless_server good(respond);
-        endless_server good_too(respond);
-        endless_server good_as_well(respond);
-        gateway_fixture gateway(route_kind::non_idempotent, false,
+        driven_endless_server good(context, respond);
+        driven_endless_server good_too(context, respond);
+        driven_endless_server good_as_well(context, respond);
+        gateway_fixture gateway(context, route_kind::non_idempotent, false,
                                 {bad.port(), good.port(), good_too.port(), good_as_well.port()});
         for (std::size_t round = 0; round < rounds; ++round) {
             std::vector<std::shared_ptr<exchange>> running;
@@ -214,10 +218,10 @@
 {
     constexpr milliseconds body_timeout{200};
     for (const variant& played : slow_body_variants()) {
-        endless_server server([&](const std::string& head, std::size_t) {
+        asio::io_context context(1);
+        driven_endless_server server(context, [&](const std::string& head, std::size_t) {
             return endless_bytes{with_id(played.prefix, id_of(head)), played.unit, trickle_pause};
         });
-        asio::io_context context(1);
         const auto connection = std::make_shared<channel>(context.get_executor());
         read_outcome read;
         asio::co_spawn(context, read_response(connection, server.port(), body_timeout, read),
@@ -237,10 +241,11 @@
     const std::string path = "/tmp/endless_response_test." + std::to_string(::getpid()) + ".log";
     check(std::freopen(path.c_str(), "w", stdout) != nullptr, "the log is written to a file");
     start_log("test");
-    endless_server server([&](const std::string&, std::size_t) {
+    asio::io_context context(1);
+    driven_endless_server server(context, [&](const std::string&, std::size_t) {
         return endless_bytes{signed_head, "A: b\r\n", {}};
     });
-    gateway_fixture gateway(route_kind::non_idempotent, false, {server.port()});
+    gateway_fixture gateway(context, route_kind::non_idempotent, false, {server.port()});
     const auto running = gateway.start("/a/x");
     gateway.finish(*running);
     stop_log();
