Let a stopping process read the requests that have arrived

Cause: stop_accepting accepts what is queued, but the process exits when no request is being served. After a delay the timer of that check is due in the same turn as the first read of those connections, finds nothing being served, and the exit resets requests that have arrived unread. The same holds for requests on open connections.

Change: caller_server::has_unread_requests tells whether bytes of an unread request have arrived; the exit waits for it, and a process that is late for its exit reads before its last responses. Bytes after the last response do not count.

Test: caller_server/requests_that_wait_to_be_read_are_not_overlooked holds the event loop up by hand, so it needs no luck; the former exit condition (active_requests() == 0) is true in it while two requests wait.

--- a/libs/gateway/include/quetzal/gateway/caller_server.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_server.hpp
@@ -51,6 +51,10 @@
     // Returns the number of requests whose body is being read or that are being served.
     std::size_t active_requests() const;
 
+    // Whether bytes of a request have arrived on an accepted connection and the request is not read
+    // completely yet. A process that exits now would cut it off without an answer.
+    bool has_unread_requests() const;
+
     // Returns the number of open connections.
     std::size_t open_connections() const;
 
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -1,9 +1,11 @@
 #include <quetzal/gateway/caller_server.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <linux/sockios.h>
 #include <optional>
+#include <set>
 #include <sys/ioctl.h>
 #include <utility>
 
@@ -77,6 +79,7 @@
     std::size_t active_requests = 0;
     std::size_t open_connections = 0;
     std::size_t body_bytes = 0;
+    std::set<connection*> connections; // accepted and not closed
 };
 
 // A caller's connection. Writes its responses.
@@ -228,6 +231,13 @@
                           });
     }
 
+    // Whether bytes of a request have arrived that is not read completely yet.
+    bool has_unread_request()
+    {
+        boost::system::error_code error; // a closed socket has nothing to read
+        return awaiting_request && (buffer.size() > 0 || socket.available(error) > 0);
+    }
+
     // Ends the connection after its last response. Closing a connection with unread bytes resets
     // it, which destroys the part of the response that is still on its way.
     asio::awaitable<void> linger()
@@ -270,8 +280,9 @@
     bool watching = false;
     bool timed_out = false;
     bool writing = false;
-    bool reading = false;   // a request, whose timeout is answered
-    int unacknowledged = 0; // bytes when the time limit of the write was set
+    bool reading = false;         // a request, whose timeout is answered
+    bool awaiting_request = true; // no request was read completely since the last response
+    int unacknowledged = 0;       // bytes when the time limit of the write was set
 };
 
 asio::awaitable<void> caller_server::implementation::serve(std::shared_ptr<implementation> self,
@@ -333,6 +344,7 @@
                       {{"detail", outcome.detail}, {"head_complete", parser.is_header_done()}});
         }
         caller->timed_out = false;
+        caller->awaiting_request = false;
         if (outcome.closed) {
             break;
         }
@@ -366,6 +378,7 @@
                        {"reason", "overloaded"},
                        {"detail", "the memory limit for request bodies is reached"}});
             co_await caller->write_response(http_status::unavailable, "Retry-After: 0.5\r\n", {});
+            caller->awaiting_request = caller->persistent;
             continue;
         }
         self->body_bytes += body_size;
@@ -395,11 +408,14 @@
         if (!caller->response_complete) {
             break;
         }
+        caller->awaiting_request = caller->persistent;
     }
+    caller->awaiting_request = false;
     if (caller->response_complete && caller->socket.is_open()) {
         co_await caller->linger();
     }
     caller->close();
+    self->connections.erase(caller.get());
     --self->open_connections;
 }
 
@@ -432,6 +448,7 @@
     }
     configure_socket(socket);
     auto caller = std::make_shared<connection>(std::move(socket), *this);
+    connections.insert(caller.get());
     spawn(context, "serve", serve(shared_from_this(), std::move(caller)));
 }
 
@@ -487,6 +504,12 @@
     return self_->active_requests;
 }
 
+bool caller_server::has_unread_requests() const
+{
+    return std::any_of(self_->connections.begin(), self_->connections.end(),
+                       [](auto* caller) { return caller->has_unread_request(); });
+}
+
 std::size_t caller_server::open_connections() const
 {
     return self_->open_connections;
--- a/libs/gateway/src/caller_server_test.cpp
+++ b/libs/gateway/src/caller_server_test.cpp
@@ -156,3 +156,32 @@
               "the request is rejected before memory is allocated");
     });
 }
+
+// Guards against a stop that resets requests unread: they have arrived on accepted connections
+// while the process was held up, and no request is being served.
+Test(caller_server, requests_that_wait_to_be_read_are_not_overlooked)
+{
+    section("given a request that arrives while the process is held up", [] {
+        server_fixture connection;
+        connection.run(std::chrono::milliseconds(20));
+        asio::write(connection.caller, asio::buffer(get));
+        asio::ip::tcp::socket queued(connection.context);
+        queued.connect({asio::ip::make_address("127.0.0.1"), connection.server.port()});
+        asio::write(queued, asio::buffer(get));
+        connection.server.drain();
+        connection.server.stop_accepting();
+        section("when the port has been closed", [&] {
+            check(connection.server.active_requests() == 0, "no request is being served");
+            check(connection.server.has_unread_requests(), "the unread requests are known");
+        });
+        section("when the process runs again", [&] {
+            connection.run(std::chrono::milliseconds(60));
+            check(connection.served == 2, "the open and the queued connection are served");
+            check(!connection.server.has_unread_requests(), "nothing is left to be read");
+        });
+        section("when a caller sends bytes after its last response", [&] {
+            asio::write(queued, asio::buffer(get));
+            check(!connection.server.has_unread_requests(), "they do not hold up the stop");
+        });
+    });
+}
