Ask silent members for a reply before they count as failed

Cause: in a fleet of 295 instances a member's record reaches the others too rarely. On the large site each instance logged about 10 member_silent lines a second before any trouble.

Change: members of which nothing was heard for half of their timeout are asked for a reply, at most 16 a round, each at most twice; every message over TCP is a sign of life; a member to which a connection was lost gets no role before a sign of life that is newer than the loss (a dead coordinator was tried again after 1 s, before the fleet had noticed its death). Roles can belong to an availability zone (used by the division of the stages).

--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -61,11 +61,12 @@
 {
     aged_record sender;
     std::vector<aged_record> others;
+    bool wants_reply = false; // the sender has not heard of the receiver for some time
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(sender, others);
+        archive(sender, others, wants_reply);
     }
 };
 
@@ -90,10 +91,16 @@
     // An instance takes over roles this long after its start, or earlier if no other instance can.
     // A restarted instance thus does not take over roles that its peers still carry out.
     duration settling_delay = std::chrono::seconds(2);
-    // An instance to which a connection was lost gets no roles for this long.
+    // An instance to which a connection was lost gets no roles for this long, and not before there
+    // is a sign of life that is newer than the loss.
     duration unreliable_period = std::chrono::milliseconds(1000);
     std::size_t fanout = 6;       // peers that each heartbeat is sent to
     std::size_t max_records = 32; // records of other instances in one heartbeat
+    // Instances of which nothing was heard for this share of their timeout are asked for a reply:
+    // records that are passed on reach every instance of a large fleet too rarely to tell a silent
+    // instance from one whose records have not come by.
+    double suspicion_share = 0.5;
+    std::size_t max_probes = 16; // instances that are asked in one round
 };
 
 class member_table
@@ -133,6 +140,16 @@
     // above that of a former process whose wall clock was ahead.
     heartbeat make_reply(const std::string& address, time_point now, random_source& random) const;
 
+    // Records that a message of the instance at that address has arrived.
+    void record_contact(const std::string& address, time_point now);
+
+    // Returns a heartbeat that carries the record of this instance alone.
+    heartbeat make_probe(bool wants_reply) const;
+
+    // Returns the addresses of the live peers to ask for a reply now, those that were silent for
+    // the longest time first. Each of them is asked at most twice before it counts as failed.
+    std::vector<std::string> start_probes(time_point now);
+
     // Returns the addresses of random live peers to send the next heartbeat to.
     std::vector<std::string> choose_peers(time_point now, random_source& random) const;
 
@@ -157,12 +174,13 @@
     // live instances that have a configuration, are not leaving and are not excluded after a lost
     // connection; settled ones go first, then those on the machine with the highest capacity. Among
     // equals, the current holder keeps the role, so that a restart elsewhere does not move it, and
-    // otherwise the rendezvous score decides. Returns this instance if there is no candidate.
-    std::string role_owner(std::string_view key, time_point now) const;
+    // otherwise the rendezvous score decides. If `zone` is not empty, the instances of that
+    // availability zone go before all others. Returns this instance if there is no candidate.
+    std::string role_owner(std::string_view key, time_point now, std::string_view zone = {}) const;
 
     // Takes the role if this instance is settled and owns the role, and gives it up if another one
-    // owns it.
-    void update_role(std::string_view key, time_point now);
+    // owns it. An instance announces one role at a time.
+    void update_role(std::string_view key, time_point now, std::string_view zone = {});
 
     // Returns the addresses of up to `count` live instances of this instance's availability zone,
     // including this one: those with the highest capacity, and among equals those with the highest
@@ -178,18 +196,19 @@
     struct known_member
     {
         member_record record;
-        time_point last_alive; // latest time at which the instance is known to have been alive
+        time_point last_alive;    // latest time at which the instance is known to have been alive
+        time_point last_probed{}; // when it was last asked for a reply
     };
 
     void merge_record(const aged_record& update, time_point now);
     bool is_alive(const known_member& member, time_point now) const;
     duration current_failure_timeout() const;
-    bool is_reliable(const std::string& address, time_point now) const;
+    bool is_reliable(const std::string& address, const known_member& member, time_point now) const;
 
     member_table_options options_;
     member_record self_;
-    std::map<std::string, known_member> others_; // by address
-    std::map<std::string, time_point> unreliable_until_;
+    std::map<std::string, known_member> others_;         // by address
+    std::map<std::string, time_point> lost_connections_; // time of the last loss, by address
     time_point started_;
 };
 
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -60,13 +60,15 @@
 
 void member_table::mark_unreliable(const std::string& address, time_point now)
 {
-    unreliable_until_[address] = now + options_.unreliable_period;
+    lost_connections_[address] = now;
 }
 
-bool member_table::is_reliable(const std::string& address, time_point now) const
+bool member_table::is_reliable(const std::string& address, const known_member& member,
+                               time_point now) const
 {
-    const auto found = unreliable_until_.find(address);
-    return found == unreliable_until_.end() || found->second <= now;
+    const auto lost = lost_connections_.find(address);
+    return lost == lost_connections_.end() ||
+           (now - lost->second >= options_.unreliable_period && member.last_alive > lost->second);
 }
 
 void member_table::set_leaving()
@@ -114,7 +116,7 @@
         return;
     }
     auto [position, added] =
-        others_.try_emplace(update.record.address, known_member{update.record, seen});
+        others_.try_emplace(update.record.address, known_member{update.record, seen, {}});
     if (added) {
         return;
     }
@@ -133,7 +135,10 @@
 
 void member_table::expire(time_point now)
 {
-    std::erase_if(unreliable_until_, [&](const auto& entry) { return entry.second <= now; });
+    std::erase_if(lost_connections_, [&](const auto& entry) {
+        const auto member = others_.find(entry.first);
+        return member == others_.end() || is_reliable(entry.first, member->second, now);
+    });
     std::erase_if(others_, [&](const auto& entry) {
         return now - entry.second.last_alive > options_.retention;
     });
@@ -178,6 +183,46 @@
     return message;
 }
 
+void member_table::record_contact(const std::string& address, time_point now)
+{
+    if (const auto known = others_.find(address); known != others_.end()) {
+        known->second.last_alive = std::max(known->second.last_alive, now);
+    }
+}
+
+heartbeat member_table::make_probe(bool wants_reply) const
+{
+    heartbeat message;
+    message.sender.record = self_;
+    message.wants_reply = wants_reply;
+    return message;
+}
+
+std::vector<std::string> member_table::start_probes(time_point now)
+{
+    const duration timeout = current_failure_timeout();
+    const auto suspicion = duration(static_cast<duration::rep>(
+        static_cast<double>(timeout.count()) * options_.suspicion_share));
+    const duration probe_interval = (timeout - suspicion) / 2;
+    std::vector<std::pair<time_point, std::string>> silent; // by the last sign of life
+    for (const auto& [address, member] : others_) {
+        if (is_alive(member, now) && now - member.last_alive > suspicion &&
+            now - member.last_probed >= probe_interval)
+        {
+            silent.emplace_back(member.last_alive, address);
+        }
+    }
+    const std::size_t count = std::min(silent.size(), options_.max_probes);
+    std::partial_sort(silent.begin(), silent.begin() + static_cast<std::ptrdiff_t>(count),
+                      silent.end());
+    std::vector<std::string> addresses;
+    for (std::size_t index = 0; index < count; ++index) {
+        others_.at(silent[index].second).last_probed = now;
+        addresses.push_back(std::move(silent[index].second));
+    }
+    return addresses;
+}
+
 std::vector<std::string> member_table::choose_peers(time_point now, random_source& random) const
 {
     std::vector<std::string> addresses;
@@ -261,18 +306,20 @@
     return found != others_.end() && is_alive(found->second, now);
 }
 
-std::string member_table::role_owner(std::string_view key, time_point now) const
+std::string member_table::role_owner(std::string_view key, time_point now,
+                                     std::string_view zone) const
 {
     const std::uint64_t hash = stable_hash(key);
     std::string owner = self_.address;
     // Settled instances go first. An instance without a configuration is never chosen by others.
-    std::tuple<int, std::uint32_t, bool, std::uint64_t> best(0, 0, false, 0);
+    std::tuple<bool, int, std::uint32_t, bool, std::uint64_t> best(false, 0, 0, false, 0);
     const auto consider = [&](const member_record& candidate) {
         if (candidate.configuration == 0 || candidate.leaving) {
             return;
         }
-        const std::tuple rank(candidate.settled ? 2 : 1, candidate.capacity_score,
-                              candidate.role == key, rendezvous_score(hash, candidate.address));
+        const std::tuple rank(zone.empty() || candidate.zone == zone, candidate.settled ? 2 : 1,
+                              candidate.capacity_score, candidate.role == key,
+                              rendezvous_score(hash, candidate.address));
         if (rank > best) {
             best = rank;
             owner = candidate.address;
@@ -280,14 +327,14 @@
     };
     consider(self_);
     for (const auto& [address, member] : others_) {
-        if (is_alive(member, now) && is_reliable(address, now)) {
+        if (is_alive(member, now) && is_reliable(address, member, now)) {
             consider(member.record);
         }
     }
     return owner;
 }
 
-void member_table::update_role(std::string_view key, time_point now)
+void member_table::update_role(std::string_view key, time_point now, std::string_view zone)
 {
     const bool is_holder = self_.role == key;
     // A live holder to which a connection was lost is passed over for some time, but this instance
@@ -295,12 +342,12 @@
     const bool held_by_unreliable =
         std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
             return is_alive(entry.second, now) && entry.second.record.role == key &&
-                   !is_reliable(entry.first, now);
+                   !is_reliable(entry.first, entry.second, now);
         });
-    const bool owner = self_.settled && role_owner(key, now) == self_.address &&
+    const bool owner = self_.settled && role_owner(key, now, zone) == self_.address &&
                        (is_holder || !held_by_unreliable);
-    if (owner != is_holder) {
-        self_.role = owner ? key : std::string_view{};
+    if (const std::string_view role = owner ? key : std::string_view{}; self_.role != role) {
+        self_.role = role;
         ++self_.serial;
     }
 }
--- a/libs/gateway/src/member_table_test.cpp
+++ b/libs/gateway/src/member_table_test.cpp
@@ -1,4 +1,5 @@
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,12 @@
         }
     }
 
-    static std::string address(std::size_t index) { return "10.0.0." + std::to_string(index + 1); }
+    static std::string address(std::size_t index)
+    {
+        constexpr std::size_t subnet_size = 200;
+        return "10.0." + std::to_string(index / subnet_size) + "." +
+               std::to_string(index % subnet_size + 1);
+    }
 
     void restart(std::size_t index, time_point now, std::uint64_t incarnation)
     {
@@ -48,6 +54,24 @@
     // Sends one heartbeat round of every instance and delivers the messages at once.
     void send_heartbeat_round(time_point now)
     {
+        std::map<std::string, std::size_t> indexes;
+        for (const auto& [index, table] : tables_) {
+            indexes.emplace(address(index), index);
+        }
+        const auto deliver = [&](std::size_t from, const std::string& target,
+                                 const heartbeat& message) {
+            const auto found = indexes.find(target);
+            if (found == indexes.end() || found->second == from) {
+                return;
+            }
+            member_table& sender = tables_.at(from);
+            member_table& receiver = tables_.at(found->second);
+            if (receiver.merge_heartbeat(message, now)) {
+                sender.merge_heartbeat(receiver.make_reply(address(from), now, random_), now);
+            } else if (message.wants_reply) {
+                sender.merge_heartbeat(receiver.make_probe(false), now);
+            }
+        };
         for (auto& [index, table] : tables_) {
             table.expire(now);
             table.settle(now);
@@ -55,16 +79,15 @@
             const heartbeat message = table.make_heartbeat(now, random_);
             auto targets = table.choose_peers(now, random_);
             for (std::size_t seed = 0; seed < seeds_; ++seed) {
-                targets.push_back(address(seed));
+                if (now < start + seconds(1) || !table.is_live(address(seed), now)) {
+                    targets.push_back(address(seed));
+                }
             }
             for (const auto& target : targets) {
-                for (auto& [other, receiver] : tables_) {
-                    if (other != index && address(other) == target &&
-                        receiver.merge_heartbeat(message, now)) {
-                        table.merge_heartbeat(receiver.make_reply(address(index), now, random_),
-                                              now);
-                    }
-                }
+                deliver(index, target, message);
+            }
+            for (const auto& target : table.start_probes(now)) {
+                deliver(index, target, table.make_probe(true));
             }
         }
     }
@@ -140,6 +163,38 @@
     });
 }
 
+// Guards against jobs that are sent to a dead role owner again and again, until a large fleet has
+// noticed its death by the missing heartbeats.
+Test(member_table, lost_role_owner_is_excluded_until_it_shows_life)
+{
+    simulated_fleet fleet(40);
+    time_point now = fleet.run(start, seconds(6));
+    const std::string owner = fleet.at(0).role_owner("stages", now);
+    std::size_t index = 0;
+    while (simulated_fleet::address(index) != owner) {
+        ++index;
+    }
+    const std::size_t observer = index == 0 ? 1 : 0;
+    fleet.kill(index);
+    fleet.at(observer).mark_unreliable(owner, now);
+    now = fleet.run(now, milliseconds(1400));
+    check(fleet.at(observer).is_live(owner, now), "its heartbeats are not missed yet");
+    check(fleet.at(observer).role_owner("stages", now) != owner, "another instance has the role");
+}
+
+// Guards against a coordinator of an availability zone in another zone, which its endpoints and
+// callers reach later, and against a zone without a coordinator when all its instances are gone.
+Test(member_table, role_of_a_zone_is_owned_in_the_zone)
+{
+    simulated_fleet fleet(9);
+    const time_point now = fleet.run(start, seconds(4));
+    const member_table& table = fleet.at(0);
+    check(table.role_owner("stages/z", now, "z") == table.role_owner("stages/z", now),
+          "an instance of the zone has the role");
+    check(!table.role_owner("stages/y", now, "y").empty(),
+          "another instance has the role of a zone without instances");
+}
+
 // Guards against two instances that both hold a role after a restart, and against jobs that are
 // sent to a failed role owner again and again.
 Test(member_table, role_owner_is_stable_and_agreed)
@@ -224,3 +279,42 @@
         check(table.joined(start + milliseconds(450)), "it has joined after the join delay");
     });
 }
+
+// Guards against a large fleet in which instances that are alive count as failed, because their
+// records reach the others too rarely: jobs then move to a second coordinator beside the first one.
+Test(member_table, live_instances_of_a_large_fleet_are_not_taken_for_failed, .timeout = 120)
+{
+    for (const std::size_t size : {61, 295, 330}) {
+        simulated_fleet fleet(size);
+        time_point now = fleet.run(start, seconds(8));
+        std::size_t wrong = 0;
+        std::size_t views = 0;
+        constexpr std::size_t observed = 20; // tables that are compared in each round
+        for (int round = 0; round < 30; ++round) {
+            now = fleet.run(now, heartbeat_interval);
+            for (std::size_t observer = 0; observer < observed; ++observer) {
+                wrong += size - fleet.at(observer).live_size(now);
+                views += size;
+            }
+        }
+        std::fprintf(stderr, "| %zu instances | %zu of %zu views wrong |\n", size, wrong, views);
+        check(wrong == 0, "every live instance counts as live: " + std::to_string(wrong));
+    }
+}
+
+// Guards against a dead instance that stays in the tables because it is asked for signs of life.
+Test(member_table, dead_instances_of_a_large_fleet_are_noticed, .timeout = 60)
+{
+    constexpr std::size_t size = 295;
+    constexpr std::size_t killed = 145;
+    simulated_fleet fleet(size);
+    time_point now = fleet.run(start, seconds(8));
+    for (std::size_t index = size - killed; index < size; ++index) {
+        fleet.kill(index);
+    }
+    now = fleet.run(now, seconds(6));
+    for (const std::size_t observer : {0, 7, 100}) {
+        check(fleet.at(observer).live_size(now) == size - killed,
+              "half of the fleet is known to be dead after 6 s");
+    }
+}
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -119,10 +119,12 @@
                 continue;
             }
             const time_point now = boot_clock::now();
+            const std::string& sender = message->sender.record.address;
             if (self->members.merge_heartbeat(*message, now)) {
-                const std::string& sender = message->sender.record.address;
                 const auto reply = self->members.make_reply(sender, now, self->random);
                 self->send_heartbeat(sender, internal::encode(reply));
+            } else if (message->wants_reply) {
+                self->send_heartbeat(sender, internal::encode(self->members.make_probe(false)));
             }
         }
     }
@@ -157,6 +159,10 @@
         for (const auto& address : targets) {
             send_heartbeat(address, bytes);
         }
+        const std::string probe = internal::encode(members.make_probe(true));
+        for (const auto& address : members.start_probes(now)) {
+            send_heartbeat(address, probe);
+        }
     }
 
     static asio::awaitable<void> send_heartbeats(std::shared_ptr<implementation> self)
@@ -245,6 +251,7 @@
                 log_event("peer_message_malformed", {{"peer", peer->address}});
                 break;
             }
+            self->members.record_contact(peer->address, boot_clock::now());
             try {
                 self->handle_message(peer->address, std::move(*message));
             } catch (const std::exception& thrown) {
