--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -182,11 +182,11 @@
     // owns it. An instance announces one role at a time.
     void update_role(std::string_view key, time_point now, std::string_view zone = {});
 
-    // Returns the addresses of up to `count` live instances of this instance's availability zone,
-    // including this one: those with the highest capacity, and among equals those with the highest
-    // rendezvous score for the key.
-    std::vector<std::string> first_in_zone(std::string_view key, std::size_t count,
-                                           time_point now) const;
+    // Returns up to `count` live instances that are not leaving, spread evenly over the
+    // availability zones: of each zone those with the highest capacity, and among equals those with
+    // the highest rendezvous score for the key.
+    std::vector<member_record> first_across_zones(std::string_view key, std::size_t count,
+                                                  time_point now) const;
 
     // Returns the live peer that has seen the newest documents, if they are newer than those that
     // this instance has seen.
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -352,26 +352,40 @@
     }
 }
 
-std::vector<std::string> member_table::first_in_zone(std::string_view key, std::size_t count,
-                                                     time_point now) const
+std::vector<member_record> member_table::first_across_zones(std::string_view key, std::size_t count,
+                                                            time_point now) const
 {
+    struct ranked_member
+    {
+        std::size_t zone_rank = 0; // number of better instances of the same zone
+        std::uint32_t capacity_score = 0;
+        std::uint64_t score = 0;
+        member_record record;
+    };
     const std::uint64_t hash = stable_hash(key);
-    std::vector<std::pair<std::pair<std::uint32_t, std::uint64_t>, std::string>> ranked;
-    for (const member_record& member : live(now)) {
-        if (member.zone == self_.zone && !member.leaving) {
-            ranked.emplace_back(
-                std::pair(member.capacity_score, rendezvous_score(hash, member.address)),
-                member.address);
+    std::vector<ranked_member> ranked;
+    for (member_record& member : live(now)) {
+        if (!member.leaving) {
+            const std::uint64_t score = rendezvous_score(hash, member.address);
+            ranked.push_back({0, member.capacity_score, score, std::move(member)});
         }
     }
-    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    const auto goes_first = [](const ranked_member& left, const ranked_member& right) {
+        return std::tuple(left.zone_rank, right.capacity_score, right.score) <
+               std::tuple(right.zone_rank, left.capacity_score, left.score);
+    };
+    std::sort(ranked.begin(), ranked.end(), goes_first);
+    std::map<std::string, std::size_t> seen_in_zone;
+    for (ranked_member& member : ranked) {
+        member.zone_rank = seen_in_zone[member.record.zone]++;
+    }
+    std::sort(ranked.begin(), ranked.end(), goes_first);
     ranked.resize(std::min(ranked.size(), count));
-    std::vector<std::string> addresses;
-    addresses.reserve(ranked.size());
-    for (auto& [score, address] : ranked) {
-        addresses.push_back(std::move(address));
+    std::vector<member_record> chosen;
+    for (ranked_member& member : ranked) {
+        chosen.push_back(std::move(member.record));
     }
-    return addresses;
+    return chosen;
 }
 
 std::optional<member_record> member_table::most_up_to_date_peer(time_point now) const
--- a/libs/gateway/src/member_table_test.cpp
+++ b/libs/gateway/src/member_table_test.cpp
@@ -280,6 +280,39 @@
     });
 }
 
+// Guards against readers of the store that are all lost with one availability zone, and against
+// their number growing with the fleet.
+Test(member_table, first_members_are_spread_over_zones)
+{
+    const auto table_of = [](std::size_t size) {
+        member_record self;
+        self.address = "10.0.0.1";
+        self.zone = "a";
+        member_table table({}, self, start);
+        for (std::size_t index = 1; index < size; ++index) {
+            member_record other;
+            other.address = "10.0." + std::to_string(index / 100) + "." + std::to_string(index + 1);
+            other.zone = std::string(1, static_cast<char>('a' + index % 5));
+            other.capacity_score = index % 50 < 5 ? 8 : 1;
+            table.merge_heartbeat({{other, 0}, {}}, start);
+        }
+        return table;
+    };
+    for (const std::size_t size : {10, 300, 1000}) {
+        const auto first = table_of(size).first_across_zones("readers", 4, start);
+        std::set<std::string> zones;
+        for (const auto& member : first) {
+            zones.insert(member.zone);
+            check(member.capacity_score == 8, "the machines with the most capacity are chosen");
+        }
+        check(first.size() == 4 && zones.size() == 4, "each one is in another zone");
+    }
+    section("when there are fewer zones than instances wanted", [&] {
+        check(table_of(3).first_across_zones("readers", 4, start).size() == 3,
+              "all instances are chosen");
+    });
+}
+
 // Guards against a large fleet in which instances that are alive count as failed, because their
 // records reach the others too rarely: jobs then move to a second coordinator beside the first one.
 Test(member_table, live_instances_of_a_large_fleet_are_not_taken_for_failed, .timeout = 120)
