Divide the stages of a large fleet by availability zone

Cause: one coordinator scheduled the stages of all requests: some 6,600 pieces a second at the usual demand of the large site, on half a core. Its loss, and every doubt about who it is, stopped the stages of the whole fleet.

Change: above 64 stage endpoints each zone has a coordinator for its own endpoints, on a machine of that zone. A job goes to the zone where its results are needed, or to the instance's own; a zone with fewer endpoints than its part gives jobs to the others; a job that one zone refuses is offered to one more. An instance that hands jobs back is passed over until its successor is known. Smaller fleets keep one coordinator, whose calls are fuller.

--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -51,12 +51,13 @@
 struct job_submission
 {
     std::uint64_t ticket = 0;
+    std::string share; // part of the fleet's stages that schedules the job, see `stage_division`
     stage_job job;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(ticket, job);
+        archive(ticket, share, job);
     }
 };
 
--- a/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
@@ -1,10 +1,12 @@
 #ifndef QUETZAL_GATEWAY_STAGE_COORDINATOR_HPP
 #define QUETZAL_GATEWAY_STAGE_COORDINATOR_HPP
 
-// Carries out the decisions of the stage scheduler. One instance, the coordinator, schedules the
-// stages of the whole fleet; the member table chooses it among the live instances, and the others
-// send it their jobs. When the coordinator is lost, the jobs are sent to the next one. Every
-// instance accepts jobs from itself and from peers at any time.
+// Carries out the decisions of the stage schedulers. One instance, the coordinator, schedules the
+// stages of the whole fleet, or one in each availability zone those of its zone (see
+// `stage_division`). The member table chooses the coordinators among the live instances, and the
+// others send them their jobs. A job that one coordinator refuses is offered to another one. When a
+// coordinator is lost, its jobs are sent to its successor. Every instance accepts jobs of any share
+// from itself and from peers at any time.
 
 #include <cstdint>
 #include <functional>
@@ -20,6 +22,7 @@
 #include <quetzal/gateway/header_names.hpp>
 #include <quetzal/gateway/member_table.hpp>
 #include <quetzal/gateway/peer_link.hpp>
+#include <quetzal/gateway/stage_division.hpp>
 #include <quetzal/gateway/stage_protocol.hpp>
 #include <quetzal/gateway/stage_scheduler.hpp>
 
@@ -58,7 +61,7 @@
     void peer_lost(const std::string& address);
 
     // Returns the number of jobs that this instance schedules.
-    std::size_t open_jobs() const noexcept { return scheduler_.open_jobs(); }
+    std::size_t open_jobs() const;
 
     // Returns the number of jobs of other instances that are not finished.
     std::size_t unfinished_peer_jobs() const;
@@ -72,22 +75,35 @@
     {
         local_job job;
         completion done;
-        std::string coordinator;
+        std::vector<stage_share> candidates; // shares in the order in which to try them
+        std::size_t current = 0;             // index of the share that the job was sent to
+        std::string coordinator;             // address; empty: not sent yet
         bool answered = false;
     };
 
+    // A job that this instance schedules.
+    struct submission
+    {
+        std::string from; // address of the submitting instance; empty: this one
+        std::uint64_t ticket = 0;
+        stage_share share;
+    };
+
+    stage_scheduler& scheduler_of(const stage_share& share);
     void send_job(std::uint64_t ticket, open_job& job);
     void complete_local_job(std::uint64_t ticket, const job_outcome& outcome);
-    void perform(const scheduler_actions& actions);
-    void perform(const start_call& action);
-    void perform(const job_ended& action);
-    void perform(const release_results& action);
+    void perform(const stage_share& share, const scheduler_actions& actions);
+    void perform(const stage_share& share, const start_call& action);
+    void perform(const stage_share& share, const job_ended& action);
+    void perform(const stage_share& share, const release_results& action);
     void schedule_dispatch(duration delay);
-    boost::asio::awaitable<void> run_call(start_call call);
+    void dispatch_all(time_point now);
+    boost::asio::awaitable<void> run_call(stage_share share, start_call call);
     boost::asio::awaitable<result<std::vector<piece_outcome>>> exchange(const start_call& call);
-    boost::asio::awaitable<void> send_releases(std::string endpoint_address,
+    boost::asio::awaitable<void> send_releases(stage_share share, std::string endpoint_address,
                                                std::vector<std::string> handles);
     boost::asio::awaitable<void> watch_coordinators();
+    void update_roles(time_point now);
 
     boost::asio::io_context& context_;
     const catalog& view_;
@@ -96,15 +112,16 @@
     peer_link& peers_;
     header_names names_;
     stage_protocol protocol_;
-    stage_scheduler scheduler_;
+    retry_budget_options budget_;
+    stage_division division_;
+    std::map<stage_share, stage_scheduler> schedulers_; // created when a job arrives
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, open_job> open_; // by ticket
-    // Jobs that this instance schedules: address of the submitting instance (empty: itself) and its
-    // ticket.
-    std::map<job_number, std::pair<std::string, std::uint64_t>> submitters_;
+    std::map<job_number, submission> submissions_;
+    // By submitting instance and ticket.
     std::map<std::pair<std::string, std::uint64_t>, job_number> job_numbers_;
-    // Handles by endpoint address.
-    std::map<std::string, std::vector<std::string>> pending_releases_;
+    // Handles by share and endpoint address.
+    std::map<std::pair<stage_share, std::string>, std::vector<std::string>> pending_releases_;
     boost::asio::steady_timer dispatch_timer_;
     boost::asio::steady_timer release_timer_;
     boost::asio::steady_timer watch_timer_;
--- a/libs/gateway/src/stage_conductor_test.cpp
+++ b/libs/gateway/src/stage_conductor_test.cpp
@@ -29,10 +29,31 @@
         service.stage->call_time = milliseconds(200);
         configuration.services.push_back(service);
         view.apply(configuration);
-        endpoint value;
-        value.id = "e";
-        value.service = "s";
-        view.put_endpoint(value);
+        add_endpoints(1, "");
+    }
+
+    void add_endpoints(std::size_t count, const std::string& zone)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            endpoint value;
+            value.id = "e" + zone + std::to_string(index);
+            value.service = "s";
+            value.zone = zone;
+            view.put_endpoint(value);
+        }
+    }
+
+    // Submits a job of one piece whose results are needed in the zone within `time`.
+    void submit_job(const std::string& zone, milliseconds time)
+    {
+        local_job job;
+        job.content.request_id = "r" + std::to_string(++submitted);
+        job.content.zone = zone;
+        job.content.stages.push_back({"s", {}, 0, 1});
+        job.latency_deadline = job.deadline = boot_clock::now() + time;
+        coordinator.submit(std::move(job), [this](const job_outcome& outcome) {
+            refused += outcome.status == job_status::refused ? 1 : 0;
+        });
     }
 
     static member_record self()
@@ -60,6 +81,7 @@
     channel_pool channels;
     peer_link peers;
     stage_coordinator coordinator;
+    std::size_t submitted = 0;
     std::size_t refused = 0;
 };
 
@@ -87,13 +109,34 @@
     stage_job job;
     job.stages.push_back({"s", {}, 0, 1});
     job.latency_budget_ms = job.remaining_ms = 5000;
-    instance.coordinator.take("127.0.0.9", job_submission{7, job});
+    instance.coordinator.take("127.0.0.9", job_submission{7, whole_fleet, job});
     check(instance.coordinator.unfinished_peer_jobs() == 1, "a job of a peer counts");
-    instance.coordinator.take({}, job_submission{7, job});
+    instance.coordinator.take({}, job_submission{7, whole_fleet, job});
     check(instance.coordinator.unfinished_peer_jobs() == 1, "a job of this instance does not");
     instance.coordinator.take("127.0.0.9", job_release{7});
     check(instance.coordinator.unfinished_peer_jobs() == 0, "a released job does not");
     job.stages.front().pieces = 0;
-    instance.coordinator.take("127.0.0.9", job_submission{8, job});
+    instance.coordinator.take("127.0.0.9", job_submission{8, whole_fleet, job});
     check(instance.coordinator.unfinished_peer_jobs() == 0, "a finished job does not");
 }
+
+// Guards against requests that are refused because the endpoints of one availability zone have too
+// much work, while those of another zone are idle.
+Test(stage_coordinator, job_that_one_zone_refuses_is_offered_to_another_one)
+{
+    constexpr std::size_t endpoints_in_zone = 40;
+    started_instance instance;
+    instance.view.remove_endpoint("e0");
+    instance.add_endpoints(endpoints_in_zone, "a");
+    instance.add_endpoints(endpoints_in_zone, "b");
+    instance.context.run_for(milliseconds(1200)); // until it has joined as the only instance
+    // A call takes 200 ms: the endpoints of one zone can run 51 jobs in time, those of two zones 102.
+    for (std::size_t job = 0; job < 2 * endpoints_in_zone; ++job) {
+        instance.submit_job("a", milliseconds(450));
+    }
+    check(instance.refused == 0, "the second zone takes what the first one cannot run in time");
+    for (std::size_t job = 0; job < 2 * endpoints_in_zone; ++job) {
+        instance.submit_job("a", milliseconds(450));
+    }
+    check(instance.refused > endpoints_in_zone, "jobs that no zone can run in time are refused");
+}
--- a/libs/gateway/src/stage_coordinator.cpp
+++ b/libs/gateway/src/stage_coordinator.cpp
@@ -33,6 +33,13 @@
 constexpr std::size_t release_answer_limit = 16u << 10; // bytes
 constexpr std::string_view coordinator_role = "stages";
 
+// Returns the key of the role of coordinating a share.
+std::string role_of(const stage_share& share)
+{
+    std::string role(coordinator_role);
+    return share.empty() ? role : role + "/" + share;
+}
+
 std::string address_text(const asio::ip::tcp::endpoint& address)
 {
     return address.address().to_string() + ":" + std::to_string(address.port());
@@ -45,7 +52,7 @@
                                      peer_link& peers, header_names names, stage_protocol protocol,
                                      retry_budget_options budget)
     : context_(context), view_(view), channels_(channels), members_(members), peers_(peers),
-      names_(std::move(names)), protocol_(std::move(protocol)), scheduler_(view, budget),
+      names_(std::move(names)), protocol_(std::move(protocol)), budget_(budget), division_(view),
       dispatch_timer_(context), release_timer_(context), watch_timer_(context)
 {
     spawn(context_, "watch_conductors", watch_coordinators());
@@ -54,12 +61,31 @@
 std::uint64_t stage_coordinator::submit(local_job job, completion done)
 {
     const std::uint64_t ticket = next_number_++;
-    open_job& opened =
-        open_.emplace(ticket, open_job{std::move(job), std::move(done), {}, false}).first->second;
-    send_job(ticket, opened);
+    open_job opened;
+    opened.job = std::move(job);
+    opened.done = std::move(done);
+    send_job(ticket, open_.emplace(ticket, std::move(opened)).first->second);
     return ticket;
 }
 
+stage_scheduler& stage_coordinator::scheduler_of(const stage_share& share)
+{
+    const auto [found, added] = schedulers_.try_emplace(share, view_, budget_, share);
+    if (added) {
+        found->second.set_schedulers(division_.shares().size());
+    }
+    return found->second;
+}
+
+std::size_t stage_coordinator::open_jobs() const
+{
+    std::size_t jobs = 0;
+    for (const auto& [share, scheduler] : schedulers_) {
+        jobs += scheduler.open_jobs();
+    }
+    return jobs;
+}
+
 void stage_coordinator::send_job(std::uint64_t ticket, open_job& opened)
 {
     const time_point now = boot_clock::now();
@@ -67,16 +93,23 @@
         opened.coordinator.clear(); // sent later, when this instance knows its peers
         return;
     }
-    stage_job& content = opened.job.content;
-    content.latency_budget_ms =
+    if (opened.candidates.empty()) {
+        opened.candidates = division_.candidates(opened.job.content, members_.self().zone);
+    }
+    const stage_share share = opened.candidates[opened.current];
+    job_submission message{ticket, share, opened.job.content};
+    if (!share.empty()) {
+        message.job.zone = share;
+    }
+    message.job.latency_budget_ms =
         static_cast<std::int32_t>(whole_milliseconds(opened.job.latency_deadline - now));
-    content.remaining_ms = static_cast<std::uint32_t>(
+    message.job.remaining_ms = static_cast<std::uint32_t>(
         std::max<std::int64_t>(whole_milliseconds(opened.job.deadline - now), 0));
-    opened.coordinator = members_.role_owner(coordinator_role, now);
+    opened.coordinator = members_.role_owner(role_of(share), now, share);
     if (opened.coordinator == members_.self().address) {
-        take({}, job_submission{ticket, content});
+        take({}, message);
     } else {
-        peers_.send(opened.coordinator, job_submission{ticket, content});
+        peers_.send(opened.coordinator, message);
     }
 }
 
@@ -101,8 +134,18 @@
     if (found == open_.end() || found->second.answered) {
         return;
     }
+    open_job& opened = found->second;
     if (outcome.status == job_status::handed_back) {
-        send_job(ticket, found->second);
+        if (opened.coordinator != members_.self().address) {
+            // It knows of a successor that this instance has not heard of yet.
+            members_.mark_unreliable(opened.coordinator, boot_clock::now());
+        }
+        send_job(ticket, opened);
+        return;
+    }
+    if (outcome.status == job_status::refused && opened.current + 1 < opened.candidates.size()) {
+        ++opened.current;
+        send_job(ticket, opened);
         return;
     }
     found->second.answered = true;
@@ -116,9 +159,9 @@
 void stage_coordinator::take(const std::string& from, const job_submission& message)
 {
     const job_number number = next_number_++;
-    submitters_[number] = {from, message.ticket};
+    submissions_[number] = {from, message.ticket, message.share};
     job_numbers_[{from, message.ticket}] = number;
-    perform(scheduler_.add(number, message.job, boot_clock::now()));
+    perform(message.share, scheduler_of(message.share).add(number, message.job, boot_clock::now()));
     schedule_dispatch(batching_delay);
 }
 
@@ -130,8 +173,9 @@
     }
     const job_number number = found->second;
     job_numbers_.erase(found);
-    submitters_.erase(number);
-    perform(scheduler_.cancel(number));
+    const auto submitted = submissions_.extract(number);
+    const stage_share& share = submitted.mapped().share;
+    perform(share, scheduler_of(share).cancel(number));
 }
 
 void stage_coordinator::take(const std::string&, const job_answer& message)
@@ -167,9 +211,9 @@
 std::size_t stage_coordinator::unfinished_peer_jobs() const
 {
     const auto unfinished =
-        std::count_if(submitters_.begin(), submitters_.end(), [this](const auto& entry) {
-            const auto& [number, submitter] = entry;
-            return !submitter.first.empty() && scheduler_.is_running(number);
+        std::count_if(submissions_.begin(), submissions_.end(), [this](const auto& entry) {
+            const auto& [number, submitted] = entry;
+            return !submitted.from.empty() && schedulers_.at(submitted.share).is_running(number);
         });
     return static_cast<std::size_t>(unfinished);
 }
@@ -204,11 +248,44 @@
         for (const auto& address : lost_coordinators) {
             peer_lost(address);
         }
-        members_.update_role(coordinator_role, now);
-        if (members_.role_owner(coordinator_role, now) != members_.self().address) {
-            perform(scheduler_.hand_back_jobs(now));
+        update_roles(now);
+    }
+}
+
+void stage_coordinator::update_roles(time_point now)
+{
+    const auto shares = division_.shares();
+    const member_record& self = members_.self();
+    const bool own_zone = std::find(shares.begin(), shares.end(), self.zone) != shares.end();
+    const stage_share own_share = own_zone ? self.zone : shares.front();
+    members_.update_role(role_of(own_share), now, own_share);
+    std::vector<stage_share> lost_shares;
+    for (auto& [share, scheduler] : schedulers_) {
+        scheduler.set_schedulers(shares.size());
+        if (members_.role_owner(role_of(share), now, share) != self.address) {
+            lost_shares.push_back(share);
         }
     }
+    // Jobs of this instance that are handed back may be sent to a further share of this instance.
+    for (const stage_share& share : lost_shares) {
+        perform(share, scheduler_of(share).hand_back_jobs(now));
+    }
+}
+
+void stage_coordinator::dispatch_all(time_point now)
+{
+    std::vector<std::pair<stage_share, scheduler_actions>> decided;
+    for (auto& [share, scheduler] : schedulers_) {
+        decided.emplace_back(share, scheduler.dispatch(now));
+    }
+    for (const auto& [share, actions] : decided) {
+        perform(share, actions);
+    }
+    if (std::any_of(schedulers_.begin(), schedulers_.end(),
+                    [](const auto& entry) { return entry.second.has_work(); }))
+    {
+        schedule_dispatch(recheck_delay);
+    }
 }
 
 void stage_coordinator::schedule_dispatch(duration delay)
@@ -223,47 +300,44 @@
         if (error) {
             return;
         }
-        perform(scheduler_.dispatch(boot_clock::now()));
-        if (scheduler_.has_work()) {
-            schedule_dispatch(recheck_delay);
-        }
+        dispatch_all(boot_clock::now());
     });
 }
 
-void stage_coordinator::perform(const scheduler_actions& actions)
+void stage_coordinator::perform(const stage_share& share, const scheduler_actions& actions)
 {
     for (const auto& action : actions) {
-        std::visit([this](const auto& content) { perform(content); }, action);
+        std::visit([&](const auto& content) { perform(share, content); }, action);
     }
 }
 
-void stage_coordinator::perform(const start_call& action)
+void stage_coordinator::perform(const stage_share& share, const start_call& action)
 {
-    spawn(context_, "run_call", run_call(action));
+    spawn(context_, "run_call", run_call(share, action));
 }
 
-void stage_coordinator::perform(const job_ended& action)
+void stage_coordinator::perform(const stage_share&, const job_ended& action)
 {
-    const auto found = submitters_.find(action.job);
-    if (found == submitters_.end()) {
+    const auto found = submissions_.find(action.job);
+    if (found == submissions_.end()) {
         return;
     }
-    const auto submitter = found->second;
+    const submission submitted = found->second;
     if (action.outcome.status != job_status::done) {
-        submitters_.erase(found);
-        job_numbers_.erase(submitter);
+        submissions_.erase(found);
+        job_numbers_.erase({submitted.from, submitted.ticket});
     }
-    if (submitter.first.empty()) {
-        complete_local_job(submitter.second, action.outcome);
+    if (submitted.from.empty()) {
+        complete_local_job(submitted.ticket, action.outcome);
     } else {
-        peers_.send(submitter.first, job_answer{submitter.second, action.outcome});
+        peers_.send(submitted.from, job_answer{submitted.ticket, action.outcome});
     }
 }
 
-void stage_coordinator::perform(const release_results& action)
+void stage_coordinator::perform(const stage_share& share, const release_results& action)
 {
     for (const auto& handle : action.handles) {
-        pending_releases_[protocol_.endpoint_address_of(handle)].push_back(handle);
+        pending_releases_[{share, protocol_.endpoint_address_of(handle)}].push_back(handle);
     }
     if (release_scheduled_) {
         return;
@@ -275,13 +349,15 @@
         if (error) {
             return;
         }
-        for (auto& [endpoint_address, handles] : std::exchange(pending_releases_, {})) {
-            spawn(context_, "send_releases", send_releases(endpoint_address, std::move(handles)));
+        for (auto& [target, handles] : std::exchange(pending_releases_, {})) {
+            const auto& [released_share, endpoint_address] = target;
+            spawn(context_, "send_releases",
+                  send_releases(released_share, endpoint_address, std::move(handles)));
         }
     });
 }
 
-asio::awaitable<void> stage_coordinator::run_call(start_call call)
+asio::awaitable<void> stage_coordinator::run_call(stage_share share, start_call call)
 {
     const time_point started = boot_clock::now();
     const auto outcomes = co_await exchange(call);
@@ -307,7 +383,7 @@
                        {"without_room", rejected_results},
                        {"first_request", call.pieces.front().request_id}});
         }
-        perform(scheduler_.call_ended(call.call, *outcomes, now));
+        perform(share, scheduler_of(share).call_ended(call.call, *outcomes, now));
     } else {
         const failure& error = outcomes.error();
         log_event("stage_call_failed", {{"service", call.target.service},
@@ -316,10 +392,11 @@
                                         {"first_request", call.pieces.front().request_id},
                                         {"verdict", to_string(error.run)},
                                         {"detail", error.detail}});
-        perform(scheduler_.call_failed(call.call, error.run, error.why == reason::overloaded, now));
+        perform(share, scheduler_of(share).call_failed(call.call, error.run,
+                                                       error.why == reason::overloaded, now));
     }
-    perform(scheduler_.dispatch(now));
-    if (scheduler_.has_work()) {
+    perform(share, scheduler_of(share).dispatch(now));
+    if (scheduler_of(share).has_work()) {
         schedule_dispatch(recheck_delay);
     }
 }
@@ -369,7 +446,8 @@
     co_return std::move(*outcomes);
 }
 
-asio::awaitable<void> stage_coordinator::send_releases(std::string endpoint_address,
+asio::awaitable<void> stage_coordinator::send_releases(stage_share share,
+                                                       std::string endpoint_address,
                                                        std::vector<std::string> handles)
 {
     const auto& endpoints = view_.endpoints();
@@ -408,7 +486,7 @@
         co_return;
     }
     channels_.release(target, connection, boot_clock::now());
-    scheduler_.confirm_released(handles);
+    scheduler_of(share).confirm_released(handles);
     schedule_dispatch(duration::zero());
 }
 
