Recognize second copies of the responses of stage endpoints

Cause (reported by operators of similar systems, found by reading): a response to a stage call names no call. A second copy that arrives when the connection is in use again was taken for the next call's response, and each response after it for the one after: results of one request would become inputs of another.

Change: handles of results are unique, so the hash of a body tells a copy from a new response; a copy is logged as stray_answer and closes the connection, and its call is made again. A connection whose last response has no handle, or cannot be read, is not used again, as a copy of it could not be recognized.

Test: endless_stage/second_copy_of_a_response_is_not_taken_for_the_next_one; with the check taken out, the second job gets the first one's result (seen to fail).

--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -5,10 +5,12 @@
 // run. An endpoint may send bytes without end: what is buffered of a head, of a chunk header or of
 // a trailer is limited, and each timeout covers the whole operation however many bytes arrive.
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -63,6 +65,10 @@
     // connection and was not followed by further bytes.
     bool is_reusable() const;
 
+    // Records the hash of a response's body. Returns whether one of the last responses on this
+    // connection had the same body. Used for responses that name no request but never repeat.
+    bool record_body(std::uint64_t hash);
+
     // Whether a response has begun and is not complete.
     bool has_partial_response() const;
 
@@ -92,6 +98,7 @@
     std::shared_ptr<body_memory> memory_;
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
+    std::vector<std::uint64_t> recent_bodies_; // hashes, the newest last
     bool timed_out_ = false;
     bool failed_ = false;
 };
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -32,6 +32,7 @@
 // Bytes that wait to be parsed: a head, or the header, extension or trailer of a chunk. The parser
 // itself limits only the head.
 constexpr std::size_t max_unparsed_size = 40u << 10;
+constexpr std::size_t max_recent_bodies = 16; // hashes kept for each connection
 constexpr unsigned max_interim_responses = 8; // skipped before a response
 
 void set_socket_option(int socket, int level, int name, int value)
@@ -238,6 +239,18 @@
            parser_->get().keep_alive() && !parser_->get().need_eof() && buffer_.size() == 0;
 }
 
+bool channel::record_body(std::uint64_t hash)
+{
+    if (std::find(recent_bodies_.begin(), recent_bodies_.end(), hash) != recent_bodies_.end()) {
+        return true;
+    }
+    if (recent_bodies_.size() == max_recent_bodies) {
+        recent_bodies_.erase(recent_bodies_.begin());
+    }
+    recent_bodies_.push_back(hash);
+    return false;
+}
+
 bool channel::has_partial_response() const
 {
     return parser_ && !parser_->is_done() && (parser_->is_header_done() || buffer_.size() > 0);
--- a/libs/gateway/src/endless_stage_test.cpp
+++ b/libs/gateway/src/endless_stage_test.cpp
@@ -74,8 +74,8 @@
         made.encode_call = [](const std::vector<called_piece>&, time_point) { return "{}"; };
         made.decode_call = [](std::string_view body, std::size_t pieces) {
             std::optional<std::vector<piece_outcome>> outcomes;
-            if (body == "ok") {
-                outcomes.emplace(pieces, piece_outcome{piece_status::done, "handle"});
+            if (body.starts_with("ok")) {
+                outcomes.emplace(pieces, piece_outcome{piece_status::done, std::string(body)});
             }
             return outcomes;
         };
@@ -140,3 +140,41 @@
         }
     }
 }
+
+// Guards against a second copy of a response that arrives when the connection is in use again: the
+// next call would get results that belong to another request, and so would all calls after it.
+Test(endless_stage, second_copy_of_a_response_is_not_taken_for_the_next_one, .timeout = 60)
+{
+    const auto response = [](const std::string& body) {
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    std::atomic<unsigned> calls{0};
+    endless_server server([&](const std::string&, std::size_t position) {
+        const unsigned call = ++calls;
+        std::string bytes = response("ok-" + std::to_string(call));
+        if (position == 2) {
+            bytes = response("ok-" + std::to_string(call - 1)) + bytes;
+        }
+        return endless_bytes{bytes, {}, {}};
+    });
+    coordinating_instance instance({server.port()});
+    std::vector<std::string> results;
+    for (int number = 1; number <= 3; ++number) {
+        local_job job;
+        job.content.request_id = "r" + std::to_string(number);
+        job.content.stages.push_back({"s", {}, 0, 1});
+        job.latency_deadline = job.deadline = boot_clock::now() + job_time;
+        instance.coordinator.submit(std::move(job), [&](const job_outcome& ended) {
+            check(ended.status == job_status::done, "the job is done");
+            results.push_back(ended.results.front());
+            instance.context.stop();
+        });
+        instance.context.restart();
+        instance.context.run_for(job_time);
+    }
+    check(results.size() == 3, "every job ends");
+    check(results[0] == "ok-1", "the first job gets its own result");
+    // The second call on each connection gets the copy and is made again on another connection.
+    check(results[1] == "ok-3", "the second one gets that of the call that was made again");
+    check(results[2] == "ok-5", "the third one does, too");
+}
--- a/libs/gateway/src/stage_coordinator.cpp
+++ b/libs/gateway/src/stage_coordinator.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <quetzal/base/hash.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/spawn.hpp>
@@ -40,6 +41,13 @@
     return share.empty() ? role : role + "/" + share;
 }
 
+bool names_results(const std::vector<piece_outcome>& outcomes)
+{
+    return std::any_of(outcomes.begin(), outcomes.end(), [](const piece_outcome& outcome) {
+        return outcome.status == piece_status::done && !outcome.handle.empty();
+    });
+}
+
 std::string address_text(const asio::ip::tcp::endpoint& address)
 {
     return address.address().to_string() + ":" + std::to_string(address.port());
@@ -432,14 +440,28 @@
     if (!answer) {
         co_return tl::unexpected(answer.error());
     }
+    auto outcomes = *status == http_status::ok && !refused
+                        ? protocol_.decode_call(*answer, call.pieces.size())
+                        : std::nullopt;
+    // A response names no call. The handles of its results are unique, so that a second copy of an
+    // earlier response is recognized; a connection whose last response has none is not used again.
+    const bool repeated = connection->record_body(stable_hash(*answer));
+    if (repeated || !outcomes || !names_results(*outcomes)) {
+        connection->close();
+    }
     channels_.release(target, connection, boot_clock::now());
+    if (repeated) {
+        log_event("stray_answer", {{"endpoint", target.id},
+                                   {"service", target.service},
+                                   {"first_request", call.pieces.front().request_id}});
+        co_return may_have_run(reason::answer_mismatch,
+                               "second copy of an earlier response of the stage endpoint");
+    }
     const std::string detail = "stage endpoint responded with status " + std::to_string(*status);
     if (refused) {
         co_return not_run(
             *status == http_status::unavailable ? reason::overloaded : reason::no_endpoint, detail);
     }
-    auto outcomes = *status == http_status::ok ? protocol_.decode_call(*answer, call.pieces.size())
-                                               : std::nullopt;
     if (!outcomes) {
         co_return may_have_run(reason::endpoint_failed, detail);
     }
