Let requests wait for the configuration of a starting instance

Cause: after a restart of all, instances accept connections up to half a second before they have a configuration, and answered 503 at once.

Change: in the first 1.5 s of a process, a request waits for the configuration, for a third of the caller's time at most; later requests of an instance without one are refused at once, as before.

Test: request_flow/requests_wait_for_the_first_configuration (served when it comes, refused as not run in bounded time when it does not).

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -95,6 +95,9 @@
         bool retryable = false;
     };
 
+    // Waits until there is a configuration, if this instance has just started and can expect one.
+    boost::asio::awaitable<void> await_configuration(const running_request& request,
+                                                     response_writer& writer);
     std::optional<failure> admit(running_request& request, unsigned& status);
     std::optional<failure> resolve_route_and_customer(running_request& request, unsigned& status);
     boost::asio::awaitable<result<std::vector<std::string>>> run_stages(const request_ptr& request,
@@ -151,6 +154,7 @@
     const header_names& names_;
     fleet_retry_budget budget_;
     telemetry::metrics& metrics_;
+    time_point started_;
     drain_plan drain_;
     std::set<request_ptr> running_;
     std::uint64_t ended_ = 0;
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -24,6 +24,12 @@
 constexpr unsigned max_unreachable = 6;  // failed connections, for each request
 constexpr duration min_attempt_time = 20ms;
 constexpr duration default_retry_after = 300ms;
+// How long after its start an instance lets requests wait for the configuration. After a restart of
+// the whole fleet, callers would otherwise spend their retries on instances that are about to have
+// it.
+constexpr duration startup_time = 1500ms;
+// A request waits for the configuration for this part of the caller's time at most.
+constexpr int startup_time_divisor = 3;
 // Stage results of at least this many bytes are computed in the availability zone of the endpoint
 // that fetches them.
 constexpr std::uint64_t large_result_size = 256u << 10;
@@ -46,7 +52,8 @@
                            member_table& members, const header_names& names,
                            retry_budget_options budget, telemetry::metrics& metrics)
     : context_(context), view_(view), pools_(pools), channels_(channels), coordinator_(coordinator),
-      members_(members), names_(names), budget_(budget), metrics_(metrics)
+      members_(members), names_(names), budget_(budget), metrics_(metrics),
+      started_(boot_clock::now())
 {
 }
 
@@ -101,8 +108,30 @@
     return std::nullopt;
 }
 
+asio::awaitable<void> request_flow::await_configuration(const running_request& request,
+                                                        response_writer& writer)
+{
+    time_point until = started_ + startup_time;
+    if (request.message.caller_timeout) {
+        until =
+            std::min<time_point>(until, request.message.received +
+                                            *request.message.caller_timeout / startup_time_divisor);
+    }
+    asio::steady_timer timer(context_);
+    while (!view_.configured() && boot_clock::now() < until && !drain_.window() &&
+           !writer.caller_disconnected())
+    {
+        timer.expires_after(poll_interval);
+        boost::system::error_code ignored; // the timer is not cancelled
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 asio::awaitable<void> request_flow::serve(request_ptr request, response_writer& writer)
 {
+    if (!view_.configured()) {
+        co_await await_configuration(*request, writer);
+    }
     unsigned status = 0;
     if (const auto refused = admit(*request, status)) {
         co_await reject(*request, writer, status, *refused);
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -2,6 +2,8 @@
 
 #include "request_flow_fixture.hpp"
 
+#include <utility>
+
 #include <quetzal/testing/section.hpp>
 
 using namespace quetzal;
@@ -275,3 +277,52 @@
     check(thrown, "the exception reaches the caller of serve");
     check(gateway.flow.running() == 0, "the request is no longer being served");
 }
+
+// Guards against a restart of the whole fleet in which callers are refused, and spend their
+// retries, because the instances have accepted connections before they know the configuration.
+Test(request_flow, requests_wait_for_the_first_configuration)
+{
+    section("given an instance that gets its configuration soon after its start", [] {
+        gateway_fixture gateway(route_kind::non_idempotent, false, {{{response_with("1", "x")}}});
+        const catalog configured = std::exchange(gateway.view, catalog());
+        asio::steady_timer arrival(gateway.context, milliseconds(150));
+        arrival.async_wait([&](const boost::system::error_code&) { gateway.view = configured; });
+        const auto response = gateway.serve("1");
+        check(response.status_ == 200 && response.body_ == "x", "the request is served");
+    });
+    section("given an instance that gets none", [] {
+        gateway_fixture gateway(route_kind::non_idempotent, false, {{{response_with("1", "x")}}});
+        gateway.view = catalog();
+        const time_point started = boot_clock::now();
+        const auto first = gateway.serve("1");
+        check(first.status_ == 503, "the request is refused as not run");
+        check(boot_clock::now() - started < std::chrono::seconds(3), "the wait is bounded");
+        const time_point later = boot_clock::now();
+        check(gateway.serve("2").status_ == 503, "later requests are refused");
+        check(boot_clock::now() - later < milliseconds(700), "they are refused at once");
+    });
+    section("given a caller that waits for a short time only", [] {
+        gateway_fixture gateway(route_kind::non_idempotent, false, {{{response_with("1", "x")}}});
+        gateway.view = catalog();
+        auto message = gateway_fixture::make_message("1", "key", "/a/x");
+        message.caller_timeout = milliseconds(600);
+        const time_point started = boot_clock::now();
+        check(gateway.serve(std::move(message)).status_ == 503, "the request is refused");
+        check(boot_clock::now() - started < milliseconds(550),
+              "most of its time is left for another instance");
+    });
+}
+
+// Guards against a late copy of another caller's response that names no request and is taken for the
+// response to this one.
+Test(request_flow, success_without_the_id_of_the_request_is_not_forwarded)
+{
+    const std::string anonymous = "HTTP/1.1 200 OK\r\nSign: s\r\nContent-Length: 5\r\n\r\nother";
+    for (const route_kind kind : {route_kind::non_idempotent, route_kind::stream}) {
+        gateway_fixture gateway(kind, false, {{{anonymous}}});
+        const auto response = gateway.serve("1");
+        check(response.status_ == 502, "the request may have run");
+        check(response.body_.find("other") == std::string::npos, "no byte of it is forwarded");
+        check(gateway.received_requests() == 1, "the request is sent once");
+    }
+}
