Forward no success that does not name its request

Cause: a success without the id of its request was forwarded. Endpoints echo the id, so such a response is none of theirs to this request, such as a late copy without a head of its own.

Change: it counts as lost, the request may have run.

--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -299,6 +299,13 @@
     const bool has_signature = !header_value(headers, names_.signature).empty();
     const bool encoded = headers.find("Content-Encoding") != headers.end();
     const bool success = status >= 200 && status < 300;
+    if (success && header_value(headers, names_.request_id).empty()) {
+        connection->close();
+        co_return attempt_failure{{verdict::may_have_run,
+                                   reason::answer_mismatch,
+                                   "response does not name its request",
+                                   {}}};
+    }
     const bool rejected =
         headers.find(names_.not_run) != headers.end() || status == http_status::misdirected;
     if (success && (!has_signature || encoded)) {
