--- /dev/null
+++ b/libs/gateway/src/peer_codec_test.cpp
@@ -0,0 +1,100 @@
+// Tests the messages between instances against malformed bytes.
+
+#include <quetzal/base/random.hpp>
+#include <quetzal/gateway/peer_link.hpp>
+#include <quetzal/testing/endless_server.hpp>
+#include <quetzal/testing/section.hpp>
+
+#include "peer_codec.hpp"
+
+using namespace quetzal;
+using namespace quetzal::gateway;
+using quetzal::testing::check;
+using quetzal::testing::memory_growth;
+using quetzal::testing::section;
+
+namespace {
+
+constexpr std::size_t growth_limit_kib = 4u << 10;
+
+heartbeat sample_heartbeat()
+{
+    heartbeat message;
+    message.sender.record.address = "10.0.0.1";
+    message.sender.record.zone = "zone-a";
+    message.sender.record.role = "stages/zone-a";
+    for (int number = 0; number < 32; ++number) {
+        aged_record other = message.sender;
+        other.record.address = "10.0.1." + std::to_string(number);
+        other.age_ms = 100;
+        message.others.push_back(other);
+    }
+    message.wants_reply = true;
+    return message;
+}
+
+peer_message sample_submission()
+{
+    stage_job job;
+    job.request_id = "r";
+    job.stages.push_back({"s", {0, 1}, 1500000, 4});
+    return job_submission{7, "zone-a", job};
+}
+
+} // namespace
+
+// Guards against a decoder that does not read what the encoder writes.
+Test(peer_codec, messages_are_read_as_they_were_written)
+{
+    const auto beat = internal::decode<heartbeat>(internal::encode(sample_heartbeat()));
+    check(beat && beat->others.size() == 32 && beat->others[31].record.address == "10.0.1.31" &&
+              beat->sender.record.role == "stages/zone-a" && beat->wants_reply,
+          "a heartbeat is complete");
+    const auto message = internal::decode<peer_message>(internal::encode(sample_submission()));
+    const auto* submission = message ? std::get_if<job_submission>(&*message) : nullptr;
+    check(submission != nullptr && submission->share == "zone-a" &&
+              submission->job.stages.front().after == std::vector<std::uint32_t>{0, 1} &&
+              submission->job.stages.front().result_size == 1500000,
+          "a submission is complete");
+}
+
+// Guards against one datagram or message whose counts make the process allocate all its memory.
+Test(peer_codec, announced_counts_are_bounded_by_the_bytes, .timeout = 60)
+{
+    const std::string beat = internal::encode(sample_heartbeat());
+    const std::string submission = internal::encode(sample_submission());
+    const memory_growth growth;
+    for (const std::string& bytes : {beat, submission}) {
+        for (std::size_t at = 0; at + 8 <= bytes.size(); ++at) {
+            std::string malformed = bytes;
+            // 100 million, as a count of 8 bytes.
+            malformed.replace(at, 8, std::string("\x00\xe1\xf5\x05\x00\x00\x00\x00", 8));
+            (void)internal::decode<heartbeat>(malformed);
+            (void)internal::decode<peer_message>(malformed);
+        }
+    }
+    check(growth.kib() < growth_limit_kib,
+          "memory stays bounded: " + std::to_string(growth.kib()) + " KiB");
+}
+
+// Guards against bytes that are read beyond their end or end the process.
+Test(peer_codec, malformed_bytes_are_dropped, .timeout = 60)
+{
+    random_source random(1);
+    constexpr int rounds = 20000;
+    const std::string beat = internal::encode(sample_heartbeat());
+    const std::string submission = internal::encode(sample_submission());
+    section("bytes that are changed or cut off", [&] {
+        for (int round = 0; round < rounds; ++round) {
+            std::string bytes = random.below(2) == 0 ? beat : submission;
+            for (std::uint64_t changes = random.below(4); changes > 0; --changes) {
+                bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+            }
+            bytes.resize(random.below(bytes.size() + 1));
+            (void)internal::decode<heartbeat>(bytes);
+            (void)internal::decode<peer_message>(bytes);
+        }
+    });
+    check(!internal::decode<heartbeat>(""), "nothing is no message");
+    check(!internal::decode<heartbeat>(beat.substr(0, beat.size() / 2)), "half of one is none");
+}
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -37,6 +37,7 @@
 constexpr std::size_t frame_read_size = 64u << 10;          // bytes allocated before they arrive
 constexpr duration frame_timeout = std::chrono::seconds(5); // from its length to its last byte
 constexpr std::size_t queued_bytes_limit = 8u << 20; // per peer; above, the connection is closed
+constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
 // Bytes of the length before each TCP message.
 constexpr std::size_t length_prefix_size = sizeof(std::uint32_t);
 
@@ -189,7 +190,12 @@
                 co_return;
             }
             if (error) {
-                continue; // the peer closed the connection before it was accepted
+                // Without a pause a lasting error, such as no free descriptor, would use the
+                // processor alone.
+                log_event("peer_accept_failed", {{"error", error.message()}});
+                asio::steady_timer pause(self->context, accept_pause);
+                co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+                continue;
             }
             const auto remote = socket.remote_endpoint(error);
             if (error) {
