Let large machines take roles at once when the fleet starts

Cause: an instance waited two seconds for roles if any settled peer was known. At a start of all, small machines could settle first and coordinated the stages of the returning herd on 0.12 of a core for these two seconds, then handed them over.

Change: only settled peers with as much capacity count.

Test: member_table/large_machine_takes_roles_at_the_start_of_the_fleet.

--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -127,7 +127,7 @@
     void mark_unreliable(const std::string& address, time_point now);
 
     // Lets this instance take over roles once it has joined and has a configuration, and either has
-    // run for long enough or knows no live peer that is settled.
+    // run for long enough or knows no live peer that is settled and has as much capacity.
     void settle(time_point now);
 
     // Removes instances that have not been known to be alive for longer than the retention time.
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -50,7 +50,8 @@
         return;
     }
     const bool others_settled = std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
-        return is_alive(entry.second, now) && entry.second.record.settled;
+        return is_alive(entry.second, now) && entry.second.record.settled &&
+               entry.second.record.capacity_score >= self_.capacity_score;
     });
     if (!others_settled || now - started_ >= options_.settling_delay) {
         self_.settled = true;
--- a/libs/gateway/src/member_table_test.cpp
+++ b/libs/gateway/src/member_table_test.cpp
@@ -36,12 +36,14 @@
                std::to_string(index % subnet_size + 1);
     }
 
-    void restart(std::size_t index, time_point now, std::uint64_t incarnation)
+    void restart(std::size_t index, time_point now, std::uint64_t incarnation,
+                 std::uint32_t capacity_score = 1)
     {
         member_record record;
         record.address = address(index);
         record.incarnation = incarnation;
         record.zone = "z";
+        record.capacity_score = capacity_score;
         tables_.insert_or_assign(index, member_table({}, record, now));
         tables_.at(index).set_versions(1, 1);
         tables_.at(index).set_ready(true);
@@ -351,3 +353,18 @@
               "half of the fleet is known to be dead after 6 s");
     }
 }
+
+// Guards against a start of the whole fleet after which the smallest machines coordinate the stages
+// for two seconds, since they were the first to settle, and then hand them over.
+Test(member_table, large_machine_takes_roles_at_the_start_of_the_fleet)
+{
+    constexpr std::size_t large = 5;
+    simulated_fleet fleet(12);
+    fleet.kill(large);
+    time_point now = fleet.run(start, milliseconds(700));
+    fleet.restart(large, now, 5000, 8);
+    now = fleet.run(now, milliseconds(1200));
+    check(fleet.at(0).role_owner("stages", now) == simulated_fleet::address(large),
+          "the machine with the most capacity has the role");
+    check(fleet.agrees_on_owner(now), "all instances agree on it");
+}
