Give up a silent coordinator after a second, and agree on roles at the start of the fleet

Two causes with one effect, the stages of a fleet without a coordinator that all agree on: A dead coordinator was noticed by missing heartbeats only, after 1.7 s in a fleet of 9 and 3.7 s in one of 295. Now an instance that has jobs there asks it after 250 ms of silence and sends them elsewhere after 1 s; silence before the first job does not count, and an instance does not hand jobs back to an owner that is silent itself. After a restart of all, what heartbeats told of the others was older than what an instance knew of itself (settled, configured), so that each took itself for the coordinator: thirteen traced instances of zone a logged calls of eight coordinators, 535 of them refused by full endpoints. Now instances that start together take each other for ready, and heartbeats carry the machines with the most capacity, to which roles go.

--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -100,6 +100,10 @@
     // records that are passed on reach every instance of a large fleet too rarely to tell a silent
     // instance from one whose records have not come by.
     double suspicion_share = 0.5;
+    // While the whole fleet starts, instances that started within this time of each other take each
+    // other for ready to carry out roles: what heartbeats tell of their progress is outdated, and
+    // each instance would otherwise choose itself.
+    duration fleet_start_time = std::chrono::seconds(3);
     std::size_t max_probes = 16; // instances that are asked in one round
 };
 
@@ -140,6 +144,10 @@
     // above that of a former process whose wall clock was ahead.
     heartbeat make_reply(const std::string& address, time_point now, random_source& random) const;
 
+    // Returns how long ago the instance was known to be alive; zero for this instance, and the
+    // retention time for an unknown one.
+    duration silence(const std::string& address, time_point now) const;
+
     // Records that a message of the instance at that address has arrived.
     void record_contact(const std::string& address, time_point now);
 
@@ -203,6 +211,10 @@
     void merge_record(const aged_record& update, time_point now);
     bool is_alive(const known_member& member, time_point now) const;
     duration current_failure_timeout() const;
+    // Whether this instance has started recently and knows no settled instance that is older.
+    bool fleet_is_starting(time_point now) const;
+    // Whether the process of the record started at about the same time as this one.
+    bool started_together(const member_record& record) const;
     bool is_reliable(const std::string& address, const known_member& member, time_point now) const;
 
     member_table_options options_;
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -159,6 +159,9 @@
     // together. If the connection cannot be opened, the loss handler is called.
     void send(const std::string& address, const peer_message& message);
 
+    // Asks an instance for a sign of life.
+    void probe(const std::string& address);
+
     // Sends a heartbeat now, so that peers learn of a change of this instance's record at once.
     void announce();
 
--- a/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <quetzal/gateway/catalog.hpp>
 #include <quetzal/gateway/channel_pool.hpp>
+#include <quetzal/gateway/coordinator_watch.hpp>
 #include <quetzal/gateway/header_names.hpp>
 #include <quetzal/gateway/member_table.hpp>
 #include <quetzal/gateway/peer_link.hpp>
@@ -103,6 +104,8 @@
     boost::asio::awaitable<void> send_releases(stage_share share, std::string endpoint_address,
                                                std::vector<std::string> handles);
     boost::asio::awaitable<void> watch_coordinators();
+    // Asks a silent coordinator for a sign of life, or sends its jobs elsewhere.
+    void check_contact(const std::string& coordinator, time_point now);
     void update_roles(time_point now);
 
     boost::asio::io_context& context_;
@@ -115,6 +118,7 @@
     retry_budget_options budget_;
     stage_division division_;
     std::map<stage_share, stage_scheduler> schedulers_; // created when a job arrives
+    coordinator_watch contacts_;
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, open_job> open_; // by ticket
     std::map<job_number, submission> submissions_;
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -158,13 +158,20 @@
     for (std::size_t index = 0; index + 1 < chosen.size(); ++index) {
         std::swap(chosen[index], chosen[index + random.below(chosen.size() - index)]);
     }
-    // Half of the records are the most recent ones and the others are random, so that every record
-    // is sent eventually.
+    // Half of the records are the most recent ones. A quarter are those of the machines with the
+    // most capacity, to which roles go, so that all instances choose among the same ones soon after
+    // a start. The others are random, so that every record is sent eventually.
     const std::size_t freshest = std::min(chosen.size(), options_.max_records / 2);
     std::partial_sort(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(freshest),
                       chosen.end(), [](const known_member* left, const known_member* right) {
                           return left->last_alive > right->last_alive;
                       });
+    const std::size_t largest = std::min(chosen.size() - freshest, options_.max_records / 4);
+    const auto others = chosen.begin() + static_cast<std::ptrdiff_t>(freshest);
+    std::partial_sort(others, others + static_cast<std::ptrdiff_t>(largest), chosen.end(),
+                      [](const known_member* left, const known_member* right) {
+                          return left->record.capacity_score > right->record.capacity_score;
+                      });
     chosen.resize(std::min(chosen.size(), options_.max_records));
     for (const known_member* member : chosen) {
         const auto age = whole_milliseconds(now - member->last_alive);
@@ -184,6 +191,15 @@
     return message;
 }
 
+duration member_table::silence(const std::string& address, time_point now) const
+{
+    if (address == self_.address) {
+        return duration::zero();
+    }
+    const auto known = others_.find(address);
+    return known == others_.end() ? options_.retention : now - known->second.last_alive;
+}
+
 void member_table::record_contact(const std::string& address, time_point now)
 {
     if (const auto known = others_.find(address); known != others_.end()) {
@@ -307,6 +323,22 @@
     return found != others_.end() && is_alive(found->second, now);
 }
 
+bool member_table::started_together(const member_record& record) const
+{
+    const auto range = static_cast<std::uint64_t>(whole_milliseconds(options_.fleet_start_time));
+    return record.incarnation + range >= self_.incarnation &&
+           self_.incarnation + range >= record.incarnation;
+}
+
+bool member_table::fleet_is_starting(time_point now) const
+{
+    return now - started_ < options_.fleet_start_time &&
+           std::none_of(others_.begin(), others_.end(), [&](const auto& entry) {
+               return is_alive(entry.second, now) && entry.second.record.settled &&
+                      !started_together(entry.second.record);
+           });
+}
+
 std::string member_table::role_owner(std::string_view key, time_point now,
                                      std::string_view zone) const
 {
@@ -314,13 +346,15 @@
     std::string owner = self_.address;
     // Settled instances go first. An instance without a configuration is never chosen by others.
     std::tuple<bool, int, std::uint32_t, bool, std::uint64_t> best(false, 0, 0, false, 0);
+    const bool starting = fleet_is_starting(now);
     const auto consider = [&](const member_record& candidate) {
-        if (candidate.configuration == 0 || candidate.leaving) {
+        const bool is_starting = starting && started_together(candidate);
+        if ((candidate.configuration == 0 && !is_starting) || candidate.leaving) {
             return;
         }
-        const std::tuple rank(zone.empty() || candidate.zone == zone, candidate.settled ? 2 : 1,
-                              candidate.capacity_score, candidate.role == key,
-                              rendezvous_score(hash, candidate.address));
+        const std::tuple rank(zone.empty() || candidate.zone == zone,
+                              candidate.settled || is_starting ? 2 : 1, candidate.capacity_score,
+                              candidate.role == key, rendezvous_score(hash, candidate.address));
         if (rank > best) {
             best = rank;
             owner = candidate.address;
--- a/libs/gateway/src/member_table_test.cpp
+++ b/libs/gateway/src/member_table_test.cpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include <quetzal/gateway/coordinator_watch.hpp>
 #include <quetzal/gateway/member_table.hpp>
 #include <quetzal/testing/section.hpp>
 
@@ -368,3 +369,76 @@
           "the machine with the most capacity has the role");
     check(fleet.agrees_on_owner(now), "all instances agree on it");
 }
+
+// Guards against jobs that wait for a dead coordinator until a large fleet has noticed its death,
+// and against jobs that move although the coordinator was only silent for a moment.
+Test(member_table, jobs_leave_a_dead_coordinator_within_a_second)
+{
+    constexpr duration watch_interval = milliseconds(100);
+    simulated_fleet fleet(295);
+    time_point now = fleet.run(start, seconds(8));
+    const std::string coordinator = fleet.at(0).role_owner("stages", now);
+    std::size_t index = 0;
+    while (simulated_fleet::address(index) != coordinator) {
+        ++index;
+    }
+    const std::size_t submitter = index == 7 ? 8 : 7;
+    coordinator_watch watch;
+    const auto judge = [&] {
+        return watch.judge(coordinator, fleet.at(submitter).silence(coordinator, now), now);
+    };
+    section("while it lives, a submitter that asks it never gives it up", [&] {
+        for (int step = 0; step < 50; ++step) {
+            now += watch_interval;
+            const auto contact = judge();
+            check(contact != coordinator_contact::lost, "the coordinator is in contact");
+            if (contact == coordinator_contact::ask) {
+                fleet.at(submitter).record_contact(coordinator, now); // its reply
+            }
+        }
+    });
+    section("when it dies, the submitter gives it up", [&] {
+        fleet.kill(index);
+        const time_point died = now;
+        while (judge() != coordinator_contact::lost) {
+            now += watch_interval;
+        }
+        check(now - died <= milliseconds(1000), "after a second at most");
+        check(fleet.at(submitter).is_live(coordinator, now), "before the fleet knows of its death");
+        fleet.at(submitter).mark_unreliable(coordinator, now);
+        check(fleet.at(submitter).role_owner("stages", now) != coordinator,
+              "its jobs go to another instance");
+    });
+    section("when nobody has asked a coordinator for some time, it is asked first", [&] {
+        coordinator_watch first_job;
+        check(first_job.judge(coordinator, milliseconds(3000), now) == coordinator_contact::ask,
+              "silence before the first job does not count");
+    });
+}
+
+// Guards against a restart of a large fleet after which dozens of instances coordinate the stages
+// at the same time, since each knows of its own progress only, and fill the endpoints with each
+// other's calls.
+Test(member_table, starting_fleet_agrees_on_roles_at_once, .timeout = 60)
+{
+    constexpr std::size_t size = 295;
+    constexpr std::size_t large_machines = 15;
+    simulated_fleet fleet(size);
+    time_point now = fleet.run(start, seconds(8));
+    for (std::size_t index = 0; index < size; ++index) {
+        fleet.restart(index, now, 100000 + index, index % 20 == 7 && index < 300 ? 8 : 1);
+    }
+    now = fleet.run(now, milliseconds(800));
+    std::map<std::string, std::size_t> owners;
+    for (std::size_t index = 0; index < size; ++index) {
+        ++owners[fleet.at(index).role_owner("stages", now)];
+    }
+    std::size_t most = 0;
+    for (const auto& [owner, count] : owners) {
+        most = std::max(most, count);
+    }
+    std::fprintf(stderr, "| %zu owners, the first one for %zu of %zu |\n", owners.size(), most,
+                 size);
+    check(owners.size() <= large_machines / 3, "few instances are taken for the owner");
+    check(most >= size * 9 / 10, "nine of ten agree on one");
+}
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -430,6 +430,11 @@
     self_->send_message(address, message);
 }
 
+void peer_link::probe(const std::string& address)
+{
+    self_->send_heartbeat(address, internal::encode(self_->members.make_probe(true)));
+}
+
 void peer_link::announce()
 {
     self_->send_heartbeat_round();
--- a/libs/gateway/src/stage_coordinator.cpp
+++ b/libs/gateway/src/stage_coordinator.cpp
@@ -1,6 +1,7 @@
 #include <quetzal/gateway/stage_coordinator.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -237,15 +238,12 @@
         }
         const time_point now = boot_clock::now();
         std::vector<std::uint64_t> unsent;
-        std::vector<std::string> lost_coordinators;
+        std::set<std::string> coordinators; // that have jobs of this instance
         for (const auto& [ticket, job] : open_) {
             if (job.coordinator.empty()) {
                 unsent.push_back(ticket);
-            } else if (!job.answered && !members_.is_live(job.coordinator, now) &&
-                       std::find(lost_coordinators.begin(), lost_coordinators.end(),
-                                 job.coordinator) == lost_coordinators.end())
-            {
-                lost_coordinators.push_back(job.coordinator);
+            } else if (!job.answered) {
+                coordinators.insert(job.coordinator);
             }
         }
         // A job that is refused at once is removed from `open_`, which the loop above iterates
@@ -253,13 +251,32 @@
         for (const std::uint64_t ticket : unsent) {
             send_job(ticket, open_.at(ticket));
         }
-        for (const auto& address : lost_coordinators) {
-            peer_lost(address);
+        contacts_.keep_only(coordinators);
+        for (const auto& address : coordinators) {
+            check_contact(address, now);
         }
         update_roles(now);
     }
 }
 
+void stage_coordinator::check_contact(const std::string& coordinator, time_point now)
+{
+    const duration silence = members_.silence(coordinator, now);
+    switch (contacts_.judge(coordinator, silence, now)) {
+    case coordinator_contact::fresh:
+        break;
+    case coordinator_contact::ask:
+        peers_.probe(coordinator);
+        break;
+    case coordinator_contact::lost:
+        log_event("coordinator_silent",
+                  {{"address", coordinator}, {"silence_ms", whole_milliseconds(silence)}});
+        members_.mark_unreliable(coordinator, now);
+        peer_lost(coordinator);
+        break;
+    }
+}
+
 void stage_coordinator::update_roles(time_point now)
 {
     const auto shares = division_.shares();
@@ -270,7 +287,9 @@
     std::vector<stage_share> lost_shares;
     for (auto& [share, scheduler] : schedulers_) {
         scheduler.set_schedulers(shares.size());
-        if (members_.role_owner(role_of(share), now, share) != self.address) {
+        const std::string owner = members_.role_owner(role_of(share), now, share);
+        // Peers may have noticed the loss of a silent owner before this instance.
+        if (owner != self.address && members_.silence(owner, now) < coordinator_watch::lost_after) {
             lost_shares.push_back(share);
         }
     }
