--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -313,8 +313,8 @@
     });
 }
 
-// Guards against a late copy of another caller's response that names no request and is taken for the
-// response to this one.
+// Guards against a late copy of another caller's response that names no request and is taken for
+// the response to this one.
 Test(request_flow, success_without_the_id_of_the_request_is_not_forwarded)
 {
     const std::string anonymous = "HTTP/1.1 200 OK\r\nSign: s\r\nContent-Length: 5\r\n\r\nother";
--- a/libs/gateway/src/stage_conductor_test.cpp
+++ b/libs/gateway/src/stage_conductor_test.cpp
@@ -130,7 +130,8 @@
     instance.add_endpoints(endpoints_in_zone, "a");
     instance.add_endpoints(endpoints_in_zone, "b");
     instance.context.run_for(milliseconds(1200)); // until it has joined as the only instance
-    // A call takes 200 ms: the endpoints of one zone can run 51 jobs in time, those of two zones 102.
+    // A call takes 200 ms: the endpoints of one zone can run 51 jobs in time, those of two zones
+    // 102.
     for (std::size_t job = 0; job < 2 * endpoints_in_zone; ++job) {
         instance.submit_job("a", milliseconds(450));
     }
