--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -417,6 +417,7 @@
     std::sort(ranked.begin(), ranked.end(), goes_first);
     ranked.resize(std::min(ranked.size(), count));
     std::vector<member_record> chosen;
+    chosen.reserve(ranked.size());
     for (ranked_member& member : ranked) {
         chosen.push_back(std::move(member.record));
     }
