Log the shared parts of a prompt and the begin of a response with failed attempts

`attempt_failed` now has `parts` (all parts of the prompt but the last) and `has_content`. No decision is changed.

--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -21,6 +21,16 @@
 
 namespace quetzal::gateway {
 
+// One part of a prompt, in the order of the prompt.
+struct prompt_part
+{
+    std::string id;         // as the caller wrote it
+    std::uint64_t hash = 0; // of the id
+};
+
+// Returns the ids of the parts, separated by commas.
+std::string to_string(const std::vector<prompt_part>& parts);
+
 // A caller's request, including its complete body.
 struct caller_request
 {
@@ -35,6 +45,9 @@
     std::string piece_counts;
     std::string last_event_id;
     std::vector<serving::prompt_prefix> prefixes; // prompt prefixes, shortest first
+    // Parts of the prompt that other requests may share: all but the last one, which belongs to the
+    // request or to its session.
+    std::vector<prompt_part> shared_parts;
     time_point received;
     std::optional<duration> caller_timeout; // how long the caller waits, counted from `received`
 
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -93,6 +93,8 @@
         unsigned unreachable = 0;                    // attempts that could not connect
         std::optional<saved_response> last_response; // sent if no later attempt succeeds
         bool retryable = false;
+        // An event of a stream, or another response, was received whole in the current attempt.
+        bool has_content = false;
     };
 
     // Waits until there is a configuration, if this instance has just started and can expect one.
@@ -116,8 +118,9 @@
                                                    const chosen_endpoint& chosen);
     // Logs an attempt that may have run and failed, with the limit that the response exceeded.
     // `broke_off` means that the deadline passed in the middle of the response.
-    static void log_failed_attempt(const running_request& request, const chosen_endpoint& chosen,
-                                   const attempt_result& ended, bool broke_off);
+    static void log_failed_attempt(const running_request& request, const attempt_state& state,
+                                   const chosen_endpoint& chosen, const attempt_result& ended,
+                                   bool broke_off);
     boost::asio::awaitable<attempt_result> exchange(const request_ptr& request,
                                                     response_writer& writer, attempt_state& state,
                                                     const chosen_endpoint& chosen,
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -76,12 +76,19 @@
     return lower_case(host.substr(0, host.rfind(':')));
 }
 
-// Parses "ID:TOKENS,ID:TOKENS,..." and returns the two longest prefixes: that of the whole prompt
-// and the next shorter one, which the requests of a session share. Shorter prefixes are shared by
-// so many sessions that every endpoint caches them.
-std::optional<std::vector<serving::prompt_prefix>> read_prompt_parts(std::string_view text)
+struct parsed_prompt
 {
     std::vector<serving::prompt_prefix> prefixes;
+    std::vector<prompt_part> shared_parts;
+};
+
+// Parses "ID:TOKENS,ID:TOKENS,...". Returns the two longest prefixes: that of the whole prompt and
+// the next shorter one, which the requests of a session share. Shorter prefixes are shared by so
+// many sessions that every endpoint caches them.
+std::optional<parsed_prompt> read_prompt_parts(std::string_view text)
+{
+    std::vector<serving::prompt_prefix> prefixes;
+    std::vector<prompt_part> parts;
     std::uint64_t hash = 0;
     std::uint32_t tokens = 0;
     while (!text.empty()) {
@@ -94,15 +101,21 @@
         if (!count || prefixes.size() >= max_prompt_parts) {
             return std::nullopt;
         }
-        hash = combine_hash(hash, stable_hash(part.substr(0, colon)));
+        const std::string_view id = part.substr(0, colon);
+        const std::uint64_t id_hash = stable_hash(id);
+        hash = combine_hash(hash, id_hash);
         tokens += *count;
         prefixes.push_back({hash, tokens});
+        parts.push_back({std::string(id), id_hash});
+    }
+    if (!parts.empty()) {
+        parts.pop_back();
     }
     constexpr std::size_t kept_prefixes = 2;
     if (prefixes.size() > kept_prefixes) {
         prefixes.erase(prefixes.begin(), prefixes.end() - kept_prefixes);
     }
-    return prefixes;
+    return parsed_prompt{std::move(prefixes), std::move(parts)};
 }
 
 void append_line(std::string& lines, std::string_view name, std::string_view value)
@@ -115,6 +128,15 @@
 
 } // namespace
 
+std::string to_string(const std::vector<prompt_part>& parts)
+{
+    std::string text;
+    for (const prompt_part& part : parts) {
+        text += text.empty() ? part.id : "," + part.id;
+    }
+    return text;
+}
+
 std::string_view to_string(request_phase value) noexcept
 {
     switch (value) {
@@ -174,11 +196,12 @@
         request.caller_timeout = std::chrono::milliseconds(*milliseconds);
     }
     if (const auto text = value_of(names.prompt_parts); !text.empty()) {
-        auto prefixes = read_prompt_parts(text);
-        if (!prefixes) {
+        auto prompt = read_prompt_parts(text);
+        if (!prompt) {
             return not_run(reason::invalid_request, "the parts of the prompt are malformed");
         }
-        request.prefixes = std::move(*prefixes);
+        request.prefixes = std::move(prompt->prefixes);
+        request.shared_parts = std::move(prompt->shared_parts);
     }
     const auto options = connection_options(headers);
     const auto dropped = [&](std::string_view name) {
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -196,13 +196,14 @@
     } else {
         const std::shared_ptr<channel> connection = *taken;
         request->set_abort_handler([connection] { connection->close(); });
+        state.has_content = false;
         ended = co_await exchange(request, writer, state, chosen, connection, outcome);
         request->set_abort_handler({});
         broke_off = request->abort_reason() &&
                     request->abort_reason()->why == reason::deadline_passed &&
                     (request->phase == request_phase::stream ? state.events.has_partial_event()
                                                              : connection->has_partial_response());
-        log_failed_attempt(*request, chosen, ended, broke_off);
+        log_failed_attempt(*request, state, chosen, ended, broke_off);
         channels_.release(chosen.target, connection, boot_clock::now());
     }
     outcome.success = std::holds_alternative<delivered>(ended);
@@ -213,8 +214,9 @@
     co_return ended;
 }
 
-void request_flow::log_failed_attempt(const running_request& request, const chosen_endpoint& chosen,
-                                      const attempt_result& ended, bool broke_off)
+void request_flow::log_failed_attempt(const running_request& request, const attempt_state& state,
+                                      const chosen_endpoint& chosen, const attempt_result& ended,
+                                      bool broke_off)
 {
     const auto* failed = std::get_if<attempt_failure>(&ended);
     if (failed == nullptr || failed->error.run == verdict::not_run) {
@@ -231,6 +233,8 @@
                {"reason", to_string(why.why)},
                {"detail", why.detail},
                {"within_response", broke_off},
+               {"has_content", state.has_content},
+               {"parts", to_string(request.message.shared_parts)},
                {"after_ms", whole_milliseconds(boot_clock::now() - chosen.started)}});
 }
 
@@ -345,6 +349,7 @@
     if (!body) {
         co_return silence.describe(body.error());
     }
+    state.has_content = true;
     // A stream that has started cannot end as another response.
     const bool stream_started = writer.has_started_stream();
     if (status >= 500 || stream_started) {
@@ -376,7 +381,6 @@
     const time_point started = boot_clock::now() - outcome.latency;
     silence_watch silence(*this, *request, state, chosen, writer, *connection);
     silence.start(stream_stall_timeout);
-    bool first = true;
     while (true) {
         std::string bytes;
         const duration timeout = request->deadline - boot_clock::now() + 100ms;
@@ -399,8 +403,8 @@
         }
         if (!events.empty() || last) {
             silence.stop(); // restarted only by an event, not by every byte
-            if (first) {
-                first = false;
+            if (!state.has_content) {
+                state.has_content = true;
                 outcome.latency = boot_clock::now() - started;
                 coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
             }
