--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -73,14 +73,19 @@
 public:
     fake_endpoint(asio::io_context& context, std::vector<scripted_response> responses)
         : context_(context), acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}),
-          responses_(responses.begin(), responses.end())
+          address_(acceptor_.local_endpoint()), responses_(responses.begin(), responses.end())
     {
         asio::co_spawn(context_, accept_loop(), asio::detached);
     }
 
-    tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    tcp::endpoint address() const { return address_; }
     const std::vector<std::string>& requests() const { return requests_; }
 
+    // From now on the endpoint crashes when it receives a request that contains `text`: it closes
+    // its connections and its port.
+    void crash_on(std::string text) { crash_text_ = std::move(text); }
+    bool has_crashed() const { return crashed_; }
+
 private:
     asio::awaitable<void> accept_loop()
     {
@@ -110,6 +115,12 @@
                                    asio::buffers_begin(buffer.data()) +
                                        static_cast<std::ptrdiff_t>(size));
             buffer.consume(size);
+            if (!crash_text_.empty() && requests_.back().find(crash_text_) != std::string::npos) {
+                crashed_ = true;
+                acceptor_.close();
+                open_sockets_.clear();
+                co_return;
+            }
             const scripted_response next = responses_.front();
             responses_.pop_front();
             if (next.silent) {
@@ -133,6 +144,9 @@
 
     asio::io_context& context_;
     tcp::acceptor acceptor_;
+    tcp::endpoint address_;
+    std::string crash_text_;
+    bool crashed_ = false;
     std::deque<scripted_response> responses_;
     std::vector<std::string> requests_;
     std::vector<std::shared_ptr<tcp::socket>> open_sockets_; // kept open without sending
