Quarantine parts of prompts that crash endpoints

`part_quarantine` keeps the evidence: a part is suspected at each crash under a request without content, cleared by any response that begins, and quarantined after two crashes that did not happen at once; the instances exchange it with their heartbeats, a new crash at once. A lost connection counts only if the endpoint refuses a new one. Requests with a quarantined part are refused as not run; one request at a time tests it after the quarantine.

--- a/libs/base/include/quetzal/base/verdict.hpp
+++ b/libs/base/include/quetzal/base/verdict.hpp
@@ -43,6 +43,7 @@
     cancelled,
     stopping,
     not_found,
+    quarantined, // the content of the request is suspected of crashing endpoints
     internal_error
 };
 
--- a/libs/base/src/verdict.cpp
+++ b/libs/base/src/verdict.cpp
@@ -54,6 +54,8 @@
         return "cancelled";
     case reason::stopping:
         return "stopping";
+    case reason::quarantined:
+        return "quarantined";
     case reason::not_found:
         return "not_found";
     case reason::internal_error:
--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -21,16 +21,6 @@
 
 namespace quetzal::gateway {
 
-// One part of a prompt, in the order of the prompt.
-struct prompt_part
-{
-    std::string id;         // as the caller wrote it
-    std::uint64_t hash = 0; // of the id
-};
-
-// Returns the ids of the parts, separated by commas.
-std::string to_string(const std::vector<prompt_part>& parts);
-
 // A caller's request, including its complete body.
 struct caller_request
 {
@@ -46,8 +36,9 @@
     std::string last_event_id;
     std::vector<serving::prompt_prefix> prefixes; // prompt prefixes, shortest first
     // Parts of the prompt that other requests may share: all but the last one, which belongs to the
-    // request or to its session.
-    std::vector<prompt_part> shared_parts;
+    // request or to its session. Hashes of their ids, and the ids themselves for the log.
+    std::vector<std::uint64_t> shared_parts;
+    std::string shared_part_ids; // separated by commas
     time_point received;
     std::optional<duration> caller_timeout; // how long the caller waits, counted from `received`
 
--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -69,6 +69,9 @@
     // connection had the same body. Used for responses that name no request but never repeat.
     bool record_body(std::uint64_t hash);
 
+    // Whether the endpoint ended the connection, or refused it, before an operation was complete.
+    bool was_lost() const noexcept { return lost_; }
+
     // Whether a response has begun and is not complete.
     bool has_partial_response() const;
 
@@ -92,6 +95,8 @@
     std::string read_error(std::string_view what, const boost::system::error_code& error,
                            duration timeout) const;
     failure connection_failure(std::string detail);
+    // Records whether the error shows that the endpoint ended the connection.
+    void record_loss(const boost::system::error_code& error);
 
     boost::asio::ip::tcp::socket socket_;
     lazy_deadline timeout_;
@@ -101,6 +106,7 @@
     std::vector<std::uint64_t> recent_bodies_; // hashes, the newest last
     bool timed_out_ = false;
     bool failed_ = false;
+    bool lost_ = false;
 };
 
 // Sets the options of every gateway connection: no delay of small writes, and keep-alive probes and
--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -14,6 +14,7 @@
 
 #include <quetzal/base/random.hpp>
 #include <quetzal/base/time.hpp>
+#include <quetzal/gateway/suspect_record.hpp>
 
 namespace quetzal::gateway {
 
@@ -61,12 +62,13 @@
 {
     aged_record sender;
     std::vector<aged_record> others;
+    std::vector<suspect_record> suspects{}; // see `part_quarantine`
     bool wants_reply = false; // the sender has not heard of the receiver for some time
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(sender, others, wants_reply);
+        archive(sender, others, suspects, wants_reply);
     }
 };
 
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <quetzal/base/verdict.hpp>
 #include <quetzal/gateway/member_table.hpp>
+#include <quetzal/gateway/part_quarantine.hpp>
 #include <quetzal/gateway/stage_job.hpp>
 
 namespace quetzal::gateway {
@@ -149,6 +150,9 @@
     peer_link(boost::asio::io_context& context, peer_link_options options, member_table& members);
     ~peer_link();
 
+    // Exchanges the evidence of the quarantine with the heartbeats from now on.
+    void share(part_quarantine& quarantine);
+
     void on_message(message_handler handler);
     void on_loss(loss_handler handler);
 
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -6,6 +6,7 @@
 // means that no endpoint started to run it.
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -21,6 +22,7 @@
 #include <quetzal/gateway/event_splitter.hpp>
 #include <quetzal/gateway/fleet_retry_budget.hpp>
 #include <quetzal/gateway/member_table.hpp>
+#include <quetzal/gateway/part_quarantine.hpp>
 #include <quetzal/gateway/stage_coordinator.hpp>
 #include <quetzal/telemetry/metrics.hpp>
 
@@ -31,8 +33,8 @@
 public:
     request_flow(boost::asio::io_context& context, const catalog& view, endpoint_pools& pools,
                  channel_pool& channels, stage_coordinator& coordinator, member_table& members,
-                 const header_names& names, retry_budget_options budget,
-                 telemetry::metrics& metrics);
+                 part_quarantine& quarantine, const header_names& names,
+                 retry_budget_options budget, telemetry::metrics& metrics);
 
     // Serves one request and writes its response, or closes the connection.
     boost::asio::awaitable<void> serve(std::shared_ptr<running_request> request,
@@ -41,6 +43,10 @@
     // Returns the number of requests being served.
     std::size_t running() const noexcept { return running_.size(); }
 
+    // Sets what is called when there is new evidence about parts that crash endpoints, so that it
+    // reaches the other instances without delay.
+    void on_evidence(std::function<void()> handler) { handle_evidence_ = std::move(handler); }
+
     // Begins a planned stop. From now on a request is sent to an endpoint only if its response is
     // expected to be complete before the end of the window; others are refused with 503 at once.
     void begin_drain(drain_window window);
@@ -132,6 +138,13 @@
                  serving::attempt_outcome& outcome);
     std::string request_head(const running_request& request, const attempt_state& state,
                              const chosen_endpoint& chosen, time_point now) const;
+    // Returns the refusal of a request with a part that is quarantined, if any. `sending` means
+    // that the request is sent if it is not refused, and may serve as the test of a part.
+    std::optional<failure> quarantine_refusal(const running_request& request, bool sending);
+    // Checks whether the endpoint has crashed, after it ended the connection of a request without
+    // any content of a response, and records the evidence.
+    boost::asio::awaitable<void> examine_loss(const running_request& request,
+                                              const chosen_endpoint& chosen);
     // Whether a request that is being run by an endpoint could be sent to another one now.
     bool can_retry_elsewhere(const running_request& request, const attempt_state& state,
                              const chosen_endpoint& chosen, bool started_stream, time_point now);
@@ -154,6 +167,8 @@
     channel_pool& channels_;
     stage_coordinator& coordinator_;
     member_table& members_;
+    part_quarantine& quarantine_;
+    std::function<void()> handle_evidence_ = [] {};
     const header_names& names_;
     fleet_retry_budget budget_;
     telemetry::metrics& metrics_;
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -79,7 +79,8 @@
 struct parsed_prompt
 {
     std::vector<serving::prompt_prefix> prefixes;
-    std::vector<prompt_part> shared_parts;
+    std::vector<std::uint64_t> shared_parts;
+    std::string shared_part_ids;
 };
 
 // Parses "ID:TOKENS,ID:TOKENS,...". Returns the two longest prefixes: that of the whole prompt and
@@ -88,7 +89,9 @@
 std::optional<parsed_prompt> read_prompt_parts(std::string_view text)
 {
     std::vector<serving::prompt_prefix> prefixes;
-    std::vector<prompt_part> parts;
+    std::vector<std::uint64_t> parts;
+    std::string part_ids;
+    std::size_t last_id_size = 0; // with its comma
     std::uint64_t hash = 0;
     std::uint32_t tokens = 0;
     while (!text.empty()) {
@@ -106,16 +109,20 @@
         hash = combine_hash(hash, id_hash);
         tokens += *count;
         prefixes.push_back({hash, tokens});
-        parts.push_back({std::string(id), id_hash});
+        parts.push_back(id_hash);
+        const std::size_t before = part_ids.size();
+        part_ids.append(part_ids.empty() ? "" : ",").append(id);
+        last_id_size = part_ids.size() - before;
     }
     if (!parts.empty()) {
         parts.pop_back();
+        part_ids.resize(part_ids.size() - last_id_size);
     }
     constexpr std::size_t kept_prefixes = 2;
     if (prefixes.size() > kept_prefixes) {
         prefixes.erase(prefixes.begin(), prefixes.end() - kept_prefixes);
     }
-    return parsed_prompt{std::move(prefixes), std::move(parts)};
+    return parsed_prompt{std::move(prefixes), std::move(parts), std::move(part_ids)};
 }
 
 void append_line(std::string& lines, std::string_view name, std::string_view value)
@@ -128,15 +135,6 @@
 
 } // namespace
 
-std::string to_string(const std::vector<prompt_part>& parts)
-{
-    std::string text;
-    for (const prompt_part& part : parts) {
-        text += text.empty() ? part.id : "," + part.id;
-    }
-    return text;
-}
-
 std::string_view to_string(request_phase value) noexcept
 {
     switch (value) {
@@ -202,6 +200,7 @@
         }
         request.prefixes = std::move(prompt->prefixes);
         request.shared_parts = std::move(prompt->shared_parts);
+        request.shared_part_ids = std::move(prompt->shared_part_ids);
     }
     const auto options = connection_options(headers);
     const auto dropped = [&](std::string_view name) {
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -103,6 +103,7 @@
     timeout_.clear();
     if (error) {
         failed_ = true;
+        record_loss(error);
         co_return not_run(reason::endpoint_failed,
                           timed_out_ ? "connection timed out" : error.message());
     }
@@ -119,6 +120,7 @@
     co_await asio::async_write(socket_, parts, asio::redirect_error(asio::use_awaitable, error));
     timeout_.clear();
     if (error) {
+        record_loss(error);
         co_return tl::unexpected(connection_failure(
             timed_out_ ? "sending timed out" : "sending failed: " + error.message()));
     }
@@ -138,6 +140,7 @@
                                          asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             timeout_.clear();
+            record_loss(error);
             co_return tl::unexpected(
                 connection_failure(read_error("the response's head", error, timeout)));
         }
@@ -179,6 +182,7 @@
                                    asio::redirect_error(asio::use_awaitable, error));
     into.resize(before + body_read_size - body.size);
     if (error && error != http::error::need_buffer) {
+        record_loss(error);
         co_return tl::unexpected(
             connection_failure(read_error("the response's body", error, duration::zero())));
     }
@@ -308,6 +312,13 @@
     return subject + " ended early: " + error.message();
 }
 
+void channel::record_loss(const boost::system::error_code& error)
+{
+    lost_ = error == asio::error::connection_refused || error == asio::error::connection_reset ||
+            error == asio::error::broken_pipe || error == asio::error::eof ||
+            error == http::error::end_of_stream || error == http::error::partial_message;
+}
+
 failure channel::connection_failure(std::string detail)
 {
     failed_ = true;
--- a/libs/gateway/src/crashing_part_test.cpp
+++ b/libs/gateway/src/crashing_part_test.cpp
@@ -38,7 +38,7 @@
     {
         caller_request message = make_message(id, "key", "/a/x");
         for (const std::string& part : parts) {
-            message.shared_parts.push_back({part, stable_hash(part)});
+            message.shared_parts.push_back(stable_hash(part));
             message.forwarded_headers += "Part: " + part + "\r\n";
         }
         return message;
--- a/libs/gateway/src/endless_gateway.hpp
+++ b/libs/gateway/src/endless_gateway.hpp
@@ -133,7 +133,7 @@
           pools({"z", {}, 1}), channels(context.get_executor()),
           peers(context, {"127.0.0.1", 0, 0, {}}, members),
           coordinator(context, view, channels, members, peers, names, {}, {}),
-          flow(context, view, pools, channels, coordinator, members, names,
+          flow(context, view, pools, channels, coordinator, members, quarantine, names,
                {0.2, 500, std::chrono::seconds(10)}, metrics),
           normal(context, [](const std::string& head, std::size_t) {
               return endless_bytes{complete_response(head), {}, {}};
@@ -228,6 +228,7 @@
     telemetry::metrics metrics;
     endpoint_pools pools;
     channel_pool channels;
+    part_quarantine quarantine;
     peer_link peers;
     stage_coordinator coordinator;
     request_flow flow;
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -121,8 +121,10 @@
             }
             const time_point now = boot_clock::now();
             const std::string& sender = message->sender.record.address;
+            self->merge_suspects(*message, now);
             if (self->members.merge_heartbeat(*message, now)) {
-                const auto reply = self->members.make_reply(sender, now, self->random);
+                auto reply = self->members.make_reply(sender, now, self->random);
+                self->add_suspects(reply, now);
                 self->send_heartbeat(sender, internal::encode(reply));
             } else if (message->wants_reply) {
                 self->send_heartbeat(sender, internal::encode(self->members.make_probe(false)));
@@ -130,6 +132,24 @@
         }
     }
 
+    void add_suspects(heartbeat& message, time_point now)
+    {
+        if (quarantine != nullptr) {
+            message.suspects = quarantine->records(now, random);
+        }
+    }
+
+    void merge_suspects(const heartbeat& message, time_point now)
+    {
+        if (quarantine == nullptr) {
+            return;
+        }
+        for (const std::uint64_t part : quarantine->merge(message.suspects, now)) {
+            log_event("part_quarantined",
+                      {{"part_hash", part}, {"peer", message.sender.record.address}});
+        }
+    }
+
     void send_heartbeat(const std::string& address, const std::string& bytes)
     {
         boost::system::error_code error;
@@ -147,7 +167,12 @@
         const time_point now = boot_clock::now();
         members.expire(now);
         members.settle(now);
-        const std::string bytes = internal::encode(members.make_heartbeat(now, random));
+        if (quarantine != nullptr) {
+            quarantine->expire(now);
+        }
+        heartbeat message = members.make_heartbeat(now, random);
+        add_suspects(message, now);
+        const std::string bytes = internal::encode(message);
         std::set<std::string> targets;
         for (auto& address : members.choose_peers(now, random)) {
             targets.insert(std::move(address));
@@ -389,6 +414,7 @@
     std::map<std::string, std::shared_ptr<connection>> connections; // by peer address
     message_handler handle_message;
     loss_handler handle_loss;
+    part_quarantine* quarantine = nullptr;
 };
 
 peer_link::peer_link(asio::io_context& context, peer_link_options options, member_table& members)
@@ -406,6 +432,11 @@
     self_->handle_loss = [](const std::string&) {};
 }
 
+void peer_link::share(part_quarantine& quarantine)
+{
+    self_->quarantine = &quarantine;
+}
+
 void peer_link::on_message(message_handler handler)
 {
     self_->handle_message = std::move(handler);
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -49,10 +49,11 @@
 
 request_flow::request_flow(asio::io_context& context, const catalog& view, endpoint_pools& pools,
                            channel_pool& channels, stage_coordinator& coordinator,
-                           member_table& members, const header_names& names,
-                           retry_budget_options budget, telemetry::metrics& metrics)
+                           member_table& members, part_quarantine& quarantine,
+                           const header_names& names, retry_budget_options budget,
+                           telemetry::metrics& metrics)
     : context_(context), view_(view), pools_(pools), channels_(channels), coordinator_(coordinator),
-      members_(members), names_(names), budget_(budget), metrics_(metrics),
+      members_(members), quarantine_(quarantine), names_(names), budget_(budget), metrics_(metrics),
       started_(boot_clock::now())
 {
 }
@@ -100,6 +101,10 @@
     if (auto refused = resolve_route_and_customer(request, status)) {
         return refused;
     }
+    if (auto refused = quarantine_refusal(request, false)) {
+        status = http_status::unavailable;
+        return refused;
+    }
     const route& matched = *request.matched;
     const time_point received = request.message.received;
     const duration caller_timeout = request.message.caller_timeout.value_or(matched.timeout);
@@ -430,7 +435,8 @@
                              const attempt_failure& failed, bool started_stream, time_point now)
 {
     const bool ran = failed.error.run != verdict::not_run;
-    if (!may_send_again(request, state, started_stream, now) ||
+    if (failed.error.why == reason::quarantined ||
+        !may_send_again(request, state, started_stream, now) ||
         (ran && (!state.retryable || state.runs >= request.matched->max_attempts)))
     {
         return false;
--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -198,7 +198,8 @@
         : members({}, self(), boot_clock::now() - std::chrono::seconds(10)), pools({"z", {}, 1}),
           channels(context.get_executor()), peers(context, {"127.0.0.1", 0, 0, {}}, members),
           coordinator(context, view, channels, members, peers, names, {}, {}),
-          flow(context, view, pools, channels, coordinator, members, names, budget, metrics)
+          flow(context, view, pools, channels, coordinator, members, quarantine, names, budget,
+               metrics)
     {
         configuration.version = 1;
         route matched;
@@ -291,6 +292,7 @@
     telemetry::metrics metrics;
     endpoint_pools pools;
     channel_pool channels;
+    part_quarantine quarantine;
     peer_link peers;
     stage_coordinator coordinator;
     request_flow flow;
--- a/libs/node/src/caller_api.cpp
+++ b/libs/node/src/caller_api.cpp
@@ -126,6 +126,7 @@
     case reason::no_endpoint:
     case reason::stale_view:
     case reason::stopping:
+    case reason::quarantined:
         return 503;
     }
     return 500;
