Charge every request that an endpoint received to the retry budget

A request that an endpoint answered 421, or 409 because the result of a stage had expired, was resent without a charge, since only its reason (no_endpoint) was looked at; endpoints that restart under another id answer so. Now whether bytes were sent decides, for the budget and for the limits of refusals and unreachable endpoints.

request_flow_test every_arrival_after_the_first_is_charged failed before (two further arrivals without any budget).

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -99,7 +99,9 @@
         unsigned unreachable = 0;                    // attempts that could not connect
         std::optional<saved_response> last_response; // sent if no later attempt succeeds
         bool retryable = false;
-        // An event of a stream, or another response, was received whole in the current attempt.
+        // Of the current attempt: whether bytes of the request were sent, and whether an event of a
+        // stream, or another response, was received whole.
+        bool was_sent = false;
         bool has_content = false;
     };
 
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -172,6 +172,8 @@
     }
     auto taken = co_await channels_.acquire(chosen.target, connect_limit);
     attempt_result ended = attempt_failure{};
+    state.was_sent = false;
+    state.has_content = false;
     bool broke_off = false; // the deadline passed in the middle of a response
     if (!taken) {
         pools_.mark_unreachable(chosen, boot_clock::now());
@@ -203,7 +205,7 @@
     } else {
         const std::shared_ptr<channel> connection = *taken;
         request->set_abort_handler([connection] { connection->close(); });
-        state.has_content = false;
+        state.was_sent = true;
         ended = co_await exchange(request, writer, state, chosen, connection, outcome);
         request->set_abort_handler({});
         broke_off = request->abort_reason() &&
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -377,8 +377,7 @@
         auto& failed = std::get<attempt_failure>(ended);
         state.tried_endpoints.push_back(chosen->target.id);
         const bool ran = failed.error.run != verdict::not_run;
-        const bool unreachable = !ran && failed.error.why == reason::no_endpoint;
-        (ran ? state.runs : unreachable ? state.unreachable : state.refusals) += 1;
+        (ran ? state.runs : state.was_sent ? state.refusals : state.unreachable) += 1;
         if (state.runs == 0) {
             request->sent.reset(); // no endpoint works on it, so a stop may still refuse it
         }
@@ -386,13 +385,14 @@
             state.last_response = std::move(failed.response);
         }
         const time_point now = boot_clock::now();
-        if (failed.inputs_expired) {
-            co_return not_run(reason::answer_mismatch, "the result of a stage has expired");
-        }
         if (request->abort_reason()) {
             continue;
         }
-        if (!may_retry(*request, state, failed, writer.has_started_stream(), now)) {
+        const bool again = may_retry(*request, state, failed, writer.has_started_stream(), now);
+        if (again && failed.inputs_expired) {
+            co_return not_run(reason::answer_mismatch, "the result of a stage has expired");
+        }
+        if (!again) {
             if (state.last_response && !writer.has_started_stream()) {
                 co_return co_await send_saved_response(request, writer, state);
             }
@@ -441,8 +441,8 @@
     {
         return false;
     }
-    if (failed.error.why == reason::no_endpoint) {
-        return true; // no endpoint received the request
+    if (!state.was_sent) {
+        return true;
     }
     return budget_.try_retry(select_service(request), members_.recent_size(now), now);
 }
--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -111,6 +111,39 @@
           "the request to the second service is retried within that service's budget");
 }
 
+// Guards against resent requests that are missing in the retry budget although endpoints received
+// them, so that the fleet exceeds it while many endpoints restart.
+Test(request_flow, every_arrival_after_the_first_is_charged)
+{
+    const retry_budget_options no_retries{0, 0, std::chrono::seconds(10)};
+    section("given endpoints that were replaced by others at their addresses", [&] {
+        const std::string misdirected = response_with("1", "", "421 Misdirected Request");
+        gateway_fixture gateway(route_kind::idempotent, false,
+                                {{{misdirected}}, {{misdirected}}, {{misdirected}}}, no_retries);
+        const auto response = gateway.serve("1");
+        check(gateway.received_requests() == 1, "the request is not resent without a budget");
+        check(response.status_ == 503, "it is refused as not run");
+    });
+    section("given an endpoint that misses the results of stages", [&] {
+        const std::string conflict = response_with("1", "", "409 Conflict", "Not-Run: 1\r\n");
+        gateway_fixture gateway(route_kind::idempotent, false,
+                                {{{conflict}, {conflict}}, {{conflict}, {conflict}}}, no_retries);
+        gateway.serve("1");
+        check(gateway.received_requests() == 1, "the request is not resent without a budget");
+    });
+    section("given an endpoint that cannot be reached", [&] {
+        gateway_fixture gateway(route_kind::idempotent, false,
+                                {{{response_with("1", "x")}}, {{response_with("1", "x")}}},
+                                no_retries);
+        auto absent = *gateway.view.find_endpoint("e1");
+        absent.address.port(1);
+        gateway.view.put_endpoint(absent);
+        gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+        const auto response = gateway.serve("1");
+        check(response.status_ == 200, "another one gets the request, which none received before");
+    });
+}
+
 // Guards against responses that are not from the endpoint, incomplete, or to another request.
 Test(request_flow, forwards_only_valid_responses)
 {
