Trust no refusal without a name on a connection that was used before

It could happen here: a refusal that names its request was matched, but one without a name was taken for the current request on any connection, and so was a signed error. Only the first response on a connection may come without a name now; otherwise the request may have run.

--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -69,8 +69,15 @@
     // connection had the same body. Used for responses that name no request but never repeat.
     bool record_body(std::uint64_t hash);
 
-    // Whether the endpoint ended the connection, or refused it, before an operation was complete.
-    bool was_lost() const noexcept { return lost_; }
+    // Whether the endpoint refused or ended the connection, except between two responses.
+    bool was_lost() const { return lost_ || (parser_ && !has_length() && parser_->is_done()); }
+
+    // Whether the response states where it ends, by its length or in chunks. Otherwise it ends with
+    // the connection. Valid after `read_head`.
+    bool has_length() const { return !parser_->get().need_eof(); }
+
+    // Returns the number of responses whose heads were read so far.
+    std::uint64_t responses() const noexcept { return responses_; }
 
     // Whether a response has begun and is not complete.
     bool has_partial_response() const;
@@ -105,6 +112,7 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
     std::vector<std::uint64_t> recent_bodies_; // hashes, the newest last
     bool timed_out_ = false;
+    std::uint64_t responses_ = 0;
     bool failed_ = false;
     bool lost_ = false;
 };
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -147,6 +147,7 @@
         const unsigned status = parser_->get().result_int();
         if (status >= http_status::ok) {
             timeout_.clear();
+            ++responses_;
             co_return status;
         }
     }
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -368,7 +368,10 @@
     const bool has_signature = !header_value(headers, names_.signature).empty();
     const bool encoded = headers.find("Content-Encoding") != headers.end();
     const bool success = status >= 200 && status < 300;
-    if (success && header_value(headers, names_.request_id).empty()) {
+    // Without a name, a refusal or an error may be an earlier one that the endpoint repeats; only
+    // the first response on a connection cannot.
+    if (header_value(headers, names_.request_id).empty() &&
+        (success || connection->responses() > 1)) {
         connection->close();
         co_return attempt_failure{{verdict::may_have_run,
                                    reason::answer_mismatch,
--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -73,7 +73,8 @@
 public:
     fake_endpoint(asio::io_context& context, std::vector<scripted_response> responses)
         : context_(context), acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}),
-          address_(acceptor_.local_endpoint()), responses_(responses.begin(), responses.end())
+          address_(acceptor_.local_endpoint()),
+          script_(std::make_shared<script>(responses.begin(), responses.end()))
     {
         asio::co_spawn(context_, accept_loop(), asio::detached);
     }
@@ -86,7 +87,13 @@
     void crash_on(std::string text) { crash_text_ = std::move(text); }
     bool has_crashed() const { return crashed_; }
 
+    // From now on both endpoints send the responses of the other one's script in turn, whichever
+    // is asked first.
+    void share_script(const fake_endpoint& other) { script_ = other.script_; }
+
 private:
+    using script = std::deque<scripted_response>;
+
     asio::awaitable<void> accept_loop()
     {
         while (true) {
@@ -104,7 +111,7 @@
     asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
     {
         asio::streambuf buffer;
-        while (!responses_.empty()) {
+        while (!script_->empty()) {
             boost::system::error_code error;
             const std::size_t size = co_await asio::async_read_until(
                 *socket, buffer, "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
@@ -121,8 +128,8 @@
                 open_sockets_.clear();
                 co_return;
             }
-            const scripted_response next = responses_.front();
-            responses_.pop_front();
+            const scripted_response next = script_->front();
+            script_->pop_front();
             if (next.silent) {
                 open_sockets_.push_back(socket);
                 co_return;
@@ -147,7 +154,7 @@
     tcp::endpoint address_;
     std::string crash_text_;
     bool crashed_ = false;
-    std::deque<scripted_response> responses_;
+    std::shared_ptr<script> script_;
     std::vector<std::string> requests_;
     std::vector<std::shared_ptr<tcp::socket>> open_sockets_; // kept open without sending
 };
