Take a stream without a length that ends inside an event for broken off

Three ways in which a stream could end as if it were complete, or hold more than its events: a stream without a length that ended inside an event was ended as complete with the rest of the event; so was one that ended before its first event, as after a crash; and a 2xx status other than 200 of the endpoint that continues a stream ended it as complete. The first two are failures now, which another endpoint may resume and which count for the crash check; only a 200 continues a stream.

--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -387,7 +387,7 @@
                                    "response is unsigned or has a content encoding",
                                    {}}};
     }
-    if (success && request->matched->kind == route_kind::stream) {
+    if (status == http_status::ok && request->matched->kind == route_kind::stream) {
         co_return co_await relay_stream(request, writer, state, chosen, connection, outcome);
     }
     std::string response_headers = forwarded_response_headers(headers);
@@ -462,10 +462,15 @@
         state.events.add(bytes);
         bool last = !*more;
         std::string events = state.events.take_complete_events();
-        if (last) {
+        std::string broken;
+        if (last && !connection->has_length() &&
+            (state.events.has_partial_event() || (events.empty() && !state.has_content)))
+        {
+            broken = "the connection ended inside an event or before the first one";
+            last = false;
+        } else if (last) {
             events += state.events.take_remainder();
         }
-        std::string broken;
         if (state.events.is_malformed()) {
             broken = "the stream contains bytes that are no event";
             last = false;
