--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -94,9 +94,10 @@
 
     void start_loops()
     {
-        spawn(context, "receive_datagrams", receive_datagrams(shared_from_this()));
-        spawn(context, "accept_peers", accept_peers(shared_from_this()));
-        spawn(context, "send_heartbeats", send_heartbeats(shared_from_this()));
+        const auto self = shared_from_this();
+        spawn_persistent(context, "receive_datagrams", [self] { return receive_datagrams(self); });
+        spawn_persistent(context, "accept_peers", [self] { return accept_peers(self); });
+        spawn_persistent(context, "send_heartbeats", [self] { return send_heartbeats(self); });
     }
 
     static asio::awaitable<void> receive_datagrams(std::shared_ptr<implementation> self)
