Obey the leaving and the pauses that endpoints announce

New contracts: a replica that leaves says so in its answers, and one that turns a request away with 503 may say for how long it wants nothing. Neither header was read: until the store listed the replica as draining, requests went on to reach it, and a refusal only counted as overload.

The catalog records both for the incarnation; `accepts_work`, which is asked before every send of a request, a call of a stage or a release, honours them. Requests are refused at once with the end of the pause when no endpoint will accept work within their latency target.

--- a/libs/gateway/include/quetzal/gateway/catalog.hpp
+++ b/libs/gateway/include/quetzal/gateway/catalog.hpp
@@ -154,6 +154,19 @@
     // of a returned zone count as cold for the cold period of their service.
     void set_evacuated(const std::string& zone, bool evacuated, time_point now);
 
+    // Record what an endpoint announces in a response: that it leaves, or that it wants no requests
+    // until a time. An incarnation that has announced its leaving gets no more work. Ignored unless
+    // that incarnation is listed.
+    void record_leaving(const endpoint& value, time_point now);
+    void record_pause(const endpoint& value, time_point until, time_point now);
+
+    // Ends the pauses that are over and drops old announcements of endpoints that are no longer
+    // listed. Returns whether a pause has ended.
+    bool end_pauses(time_point now);
+
+    // Returns when the first pause of an endpoint of the service ends that accepts work otherwise.
+    std::optional<time_point> next_pause_end(const std::string& service) const;
+
     bool configured() const noexcept { return configuration_ != nullptr; }
     std::uint64_t version() const noexcept { return configured() ? configuration_->version : 0; }
     const caller_limits& limits() const noexcept;
@@ -181,12 +194,24 @@
     const std::map<std::string, endpoint>& endpoints() const noexcept { return endpoints_; }
 
 private:
+    struct announcement
+    {
+        endpoint source;
+        bool leaving = false;
+        std::optional<time_point> paused_until;
+        time_point received;
+    };
+
+    announcement* announcement_of(const endpoint& value, time_point now);
+    bool is_listed_for_work(const endpoint& value) const;
+
     std::shared_ptr<const published_configuration> configuration_;
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
     std::unordered_map<std::string, std::size_t> customers_by_key_;
     std::unordered_map<std::string, std::size_t> services_;
     std::map<std::string, endpoint> endpoints_;
     std::set<std::string> evacuated_;
+    std::map<std::string, announcement> announcements_; // by endpoint id
 };
 
 } // namespace quetzal::gateway
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -31,7 +31,7 @@
 class request_flow
 {
 public:
-    request_flow(boost::asio::io_context& context, const catalog& view, endpoint_pools& pools,
+    request_flow(boost::asio::io_context& context, catalog& view, endpoint_pools& pools,
                  channel_pool& channels, stage_coordinator& coordinator, member_table& members,
                  part_quarantine& quarantine, const header_names& names,
                  retry_budget_options budget, telemetry::metrics& metrics);
@@ -164,7 +164,7 @@
     failure drain_refusal(time_point now) const;
 
     boost::asio::io_context& context_;
-    const catalog& view_;
+    catalog& view_;
     endpoint_pools& pools_;
     channel_pool& channels_;
     stage_coordinator& coordinator_;
--- a/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
@@ -42,7 +42,7 @@
 public:
     using completion = std::function<void(job_outcome outcome)>;
 
-    stage_coordinator(boost::asio::io_context& context, const catalog& view, channel_pool& channels,
+    stage_coordinator(boost::asio::io_context& context, catalog& view, channel_pool& channels,
                       member_table& members, peer_link& peers, header_names names,
                       stage_protocol protocol, retry_budget_options budget);
 
@@ -109,7 +109,7 @@
     void update_roles(time_point now);
 
     boost::asio::io_context& context_;
-    const catalog& view_;
+    catalog& view_;
     channel_pool& channels_;
     member_table& members_;
     peer_link& peers_;
--- a/libs/gateway/src/catalog.cpp
+++ b/libs/gateway/src/catalog.cpp
@@ -5,6 +5,14 @@
 
 namespace quetzal::gateway {
 
+namespace {
+
+// How long an announcement is kept of an endpoint that is not listed. Its entry may be missing for
+// some time while the platform's store has an outage.
+constexpr duration announcement_retention = std::chrono::minutes(5);
+
+} // namespace
+
 bool catalog::apply(published_configuration configuration)
 {
     if (configured() && configuration.version <= configuration_->version) {
@@ -104,7 +112,81 @@
     return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+catalog::announcement* catalog::announcement_of(const endpoint& value, time_point now)
+{
+    const endpoint* current = find_endpoint(value.id);
+    if (current == nullptr || !current->same_incarnation(value)) {
+        return nullptr;
+    }
+    announcement& known = announcements_[value.id];
+    if (!known.source.same_incarnation(value)) {
+        known = {};
+        known.source = value;
+    }
+    known.received = now;
+    return &known;
+}
+
+void catalog::record_leaving(const endpoint& value, time_point now)
+{
+    if (announcement* known = announcement_of(value, now)) {
+        known->leaving = true;
+    }
+}
+
+void catalog::record_pause(const endpoint& value, time_point until, time_point now)
+{
+    if (announcement* known = announcement_of(value, now)) {
+        known->paused_until = std::max(known->paused_until.value_or(until), until);
+    }
+}
+
+bool catalog::end_pauses(time_point now)
+{
+    bool ended = false;
+    for (auto& entry : announcements_) {
+        auto& until = entry.second.paused_until;
+        if (until && *until <= now) {
+            until.reset();
+            ended = true;
+        }
+    }
+    std::erase_if(announcements_, [&](const auto& entry) {
+        const announcement& known = entry.second;
+        const endpoint* current = find_endpoint(entry.first);
+        const bool listed = current != nullptr && current->same_incarnation(known.source);
+        const bool empty = !known.leaving && !known.paused_until;
+        return empty || (!listed && now - known.received > announcement_retention);
+    });
+    return ended;
+}
+
+std::optional<time_point> catalog::next_pause_end(const std::string& service) const
+{
+    std::optional<time_point> first;
+    for (const auto& entry : announcements_) {
+        const announcement& known = entry.second;
+        if (known.source.service == service && !known.leaving && known.paused_until &&
+            is_listed_for_work(known.source) && (!first || *known.paused_until < *first))
+        {
+            first = known.paused_until;
+        }
+    }
+    return first;
+}
+
 bool catalog::accepts_work(const endpoint& value) const
+{
+    if (const auto found = announcements_.find(value.id); found != announcements_.end()) {
+        const announcement& known = found->second;
+        if (known.source.same_incarnation(value) && (known.leaving || known.paused_until)) {
+            return false;
+        }
+    }
+    return is_listed_for_work(value);
+}
+
+bool catalog::is_listed_for_work(const endpoint& value) const
 {
     const endpoint* current = find_endpoint(value.id);
     return current != nullptr && current->same_incarnation(value) && !current->leaving &&
--- a/libs/gateway/src/catalog_test.cpp
+++ b/libs/gateway/src/catalog_test.cpp
@@ -46,6 +46,55 @@
 
 } // namespace
 
+// Guards against requests that are sent to an endpoint after it has announced that it leaves, or
+// while it has asked for a pause.
+Test(catalog, announcements_of_endpoints)
+{
+    const time_point start{std::chrono::seconds(100)};
+    const auto make = [](std::uint64_t started) {
+        endpoint value;
+        value.id = "e";
+        value.service = "s";
+        value.zone = "z";
+        value.started = started;
+        return value;
+    };
+    catalog view;
+    view.put_endpoint(make(1));
+    section("given an endpoint that announces that it leaves", [=]() mutable {
+        view.record_leaving(make(1), start);
+        check(!view.accepts_work(make(1)), "it gets no more work");
+        view.put_endpoint(make(1));
+        check(!view.accepts_work(make(1)), "also when it is listed again without the announcement");
+        view.remove_endpoint("e");
+        view.put_endpoint(make(1));
+        check(!view.accepts_work(make(1)), "or after its entry was missing for some time");
+        view.put_endpoint(make(2));
+        check(view.accepts_work(make(2)), "its next incarnation gets work");
+    });
+    section("given the announcement of a former incarnation", [=]() mutable {
+        view.put_endpoint(make(2));
+        view.record_leaving(make(1), start);
+        check(view.accepts_work(make(2)), "it does not concern the current one");
+    });
+    section("given an endpoint that asks for a pause", [=]() mutable {
+        view.record_pause(make(1), start + std::chrono::seconds(2), start);
+        check(!view.accepts_work(make(1)) && view.usable_endpoints("s").empty(), "it gets no work");
+        check(view.next_pause_end("s") == start + std::chrono::seconds(2),
+              "the end of the pause is known");
+        check(!view.end_pauses(start + std::chrono::seconds(1)), "the pause lasts");
+        check(view.end_pauses(start + std::chrono::seconds(2)), "and ends");
+        check(view.accepts_work(make(1)) && !view.next_pause_end("s"), "it gets work again");
+    });
+    section("given many announcements of endpoints that are gone", [=]() mutable {
+        view.record_leaving(make(1), start);
+        view.remove_endpoint("e");
+        view.end_pauses(start + std::chrono::minutes(10));
+        view.put_endpoint(make(1));
+        check(view.accepts_work(make(1)), "they are dropped in the end");
+    });
+}
+
 Test(catalog, applies_newer_configurations)
 {
     catalog view;
--- a/libs/gateway/src/endless_stage_test.cpp
+++ b/libs/gateway/src/endless_stage_test.cpp
@@ -1,4 +1,5 @@
-// Tests the calls of stages against endpoints that send bytes without end.
+// Tests the calls of stages against endpoints that send bytes without end, repeat responses, or
+// announce that they want no further calls.
 
 #include <boost/asio/io_context.hpp>
 #include <quetzal/gateway/stage_coordinator.hpp>
@@ -178,3 +179,48 @@
     check(results[1] == "ok-3", "the second one gets that of the call that was made again");
     check(results[2] == "ok-5", "the third one does, too");
 }
+
+// Guards against calls to a stage endpoint after it has announced that it leaves, or while it has
+// asked for a pause.
+Test(endless_stage, announcements_of_stage_endpoints, .timeout = 60)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+                                "Retry-After: 30\r\nContent-Length: 0\r\n\r\n";
+    const std::string last = head + "Leaving: 1\r\nContent-Length: 2\r\n\r\nok";
+    for (const std::string& announcing : {refusal, last}) {
+        std::atomic<unsigned> announced{0};
+        std::atomic<unsigned> other{0};
+        endless_server first([&](const std::string&, std::size_t) {
+            ++announced;
+            return endless_bytes{announcing, {}, {}};
+        });
+        endless_server second([&](const std::string&, std::size_t) {
+            const std::string body = "ok-" + std::to_string(++other);
+            return endless_bytes{head + "Content-Length: " + std::to_string(body.size()) +
+                                     "\r\n\r\n" + body,
+                                 {},
+                                 {}};
+        });
+        coordinating_instance instance({first.port(), second.port()});
+        unsigned done = 0;
+        for (unsigned number = 1; number <= 8; ++number) {
+            local_job job;
+            job.content.request_id = "r" + std::to_string(number);
+            job.content.stages.push_back({"s", {}, 0, 1});
+            job.latency_deadline = job.deadline = boot_clock::now() + job_time;
+            instance.coordinator.submit(std::move(job), [&, number](const job_outcome& ended) {
+                done += ended.status == job_status::done ? 1 : 0;
+                if (done == number) {
+                    instance.context.stop();
+                }
+            });
+            if (number > 1)
+            { // the first two are submitted together, so that both endpoints get one
+                instance.context.restart();
+                instance.context.run_for(job_time);
+            }
+        }
+        check(announced == 1, "it gets one call: " + announcing);
+        check(done == 8, "all jobs are done: " + announcing);
+    }
+}
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -6,6 +6,7 @@
 
 #include <quetzal/base/hash.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/endpoint_announcement.hpp>
 #include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/request_flow.hpp>
 
@@ -338,6 +339,9 @@
             co_return silence.describe(got.error());
         }
         status = *got;
+        record_announcement(view_, chosen.target,
+                            read_announcement(connection->headers(), status, names_),
+                            boot_clock::now());
         const auto echoed = header_value(connection->headers(), names_.request_id);
         if (echoed.empty() || echoed == request->message.id) {
             break;
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -24,6 +24,7 @@
 constexpr unsigned max_unreachable = 6;  // failed connections, for each request
 constexpr duration min_attempt_time = 20ms;
 constexpr duration default_retry_after = 300ms;
+constexpr std::chrono::milliseconds no_endpoint_retry_after{500};
 // How long after its start an instance lets requests wait for the configuration. After a restart of
 // the whole fleet, callers would otherwise spend their retries on instances that are about to have
 // it.
@@ -47,7 +48,7 @@
 
 } // namespace
 
-request_flow::request_flow(asio::io_context& context, const catalog& view, endpoint_pools& pools,
+request_flow::request_flow(asio::io_context& context, catalog& view, endpoint_pools& pools,
                            channel_pool& channels, stage_coordinator& coordinator,
                            member_table& members, part_quarantine& quarantine,
                            const header_names& names, retry_budget_options budget,
@@ -327,8 +328,15 @@
             co_return tl::unexpected(why);
         }
         if (!pools_.has_usable_endpoint(view_, service)) {
-            co_return not_run(reason::no_endpoint, "no endpoint accepts work",
-                              std::chrono::milliseconds(500));
+            const auto pause_end = view_.next_pause_end(service);
+            if (!pause_end) {
+                co_return not_run(reason::no_endpoint, "no endpoint accepts work",
+                                  no_endpoint_retry_after);
+            }
+            if (*pause_end > wait_until) {
+                co_return not_run(reason::overloaded, "all endpoints have asked for a pause",
+                                  std::chrono::ceil<std::chrono::milliseconds>(*pause_end - now));
+            }
         }
         if (now >= wait_until || state.last_response) {
             co_return not_run(reason::overloaded, "all endpoints are full");
--- a/libs/gateway/src/stage_coordinator.cpp
+++ b/libs/gateway/src/stage_coordinator.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <quetzal/base/hash.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/endpoint_announcement.hpp>
 #include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/spawn.hpp>
 
@@ -56,7 +57,7 @@
 
 } // namespace
 
-stage_coordinator::stage_coordinator(asio::io_context& context, const catalog& view,
+stage_coordinator::stage_coordinator(asio::io_context& context, catalog& view,
                                      channel_pool& channels, member_table& members,
                                      peer_link& peers, header_names names, stage_protocol protocol,
                                      retry_budget_options budget)
@@ -452,6 +453,8 @@
     if (!status) {
         co_return tl::unexpected(status.error());
     }
+    record_announcement(view_, target, read_announcement(connection->headers(), *status, names_),
+                        boot_clock::now());
     const bool refused =
         connection->headers().find(names_.not_run) != connection->headers().end() ||
         *status == http_status::misdirected;
@@ -517,10 +520,13 @@
         log_failure(sent.error());
         co_return;
     }
-    if (const auto status = co_await connection->read_head(send_timeout); !status) {
+    const auto status = co_await connection->read_head(send_timeout);
+    if (!status) {
         log_failure(status.error());
         co_return;
     }
+    record_announcement(view_, target, read_announcement(connection->headers(), *status, names_),
+                        boot_clock::now());
     const auto answer = co_await connection->read_whole_body(release_answer_limit, send_timeout);
     if (!answer) {
         log_failure(answer.error());
--- a/libs/gateway/src/test_names.hpp
+++ b/libs/gateway/src/test_names.hpp
@@ -24,6 +24,7 @@
     names.signature = "Sign";
     names.not_run = "Not-Run";
     names.load = "Load";
+    names.leaving = "Leaving";
     names.reserved = {"Hold", "Kv-From"};
     return names;
 }
