Do not claim 'not run' after a run whose stages have to run once more

Read in the code while the retry charges were mended: after a retry found that the result of a stage had expired, a failure of the stages in the second round was reported as not run, although the first attempt may have run. No test fails without the change: the gateway fixture cannot fail the second round alone. The test that is added guards the stop at the same place, and passed before.

--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -334,3 +334,41 @@
     check(response.status_ == 200 && response.body_ == "late",
           "the response is forwarded, not status " + std::to_string(response.status_));
 }
+
+// Guards against a claim that a request has not run, although an endpoint ran it, when its stages
+// would have to run once more and the stop leaves no time for them.
+Test(request_drain, request_that_ran_before_its_stages_expired)
+{
+    const scripted_response failed{response_with("1", "no", "500 Error", "")};
+    const scripted_response expired{response_with("1", "", "409 Conflict", "Not-Run: 1\r\n")};
+    const std::vector<scripted_response> script{failed, expired, expired};
+    gateway_fixture gateway(route_kind::idempotent, false, {script, script, script});
+    for (const auto& endpoint : gateway.endpoints) {
+        endpoint->share_script(*gateway.endpoints.front());
+    }
+    route& matched = gateway.configuration.routes.front();
+    matched.stages.push_back({"stage", {}, 1});
+    matched.max_attempts = 3;
+    service_definition stages;
+    stages.name = "stage";
+    stages.stage.emplace();
+    gateway.configuration.services.push_back(stages);
+    ++gateway.configuration.version;
+    gateway.view.apply(gateway.configuration);
+    gateway.coordinator.refresh();
+    recorded_response response;
+    auto message = gateway_fixture::make_message("1", "key", "/a/x");
+    message.piece_counts = "0"; // its stages are done at once
+    gateway.request = std::make_shared<running_request>(std::move(message));
+    asio::co_spawn(gateway.context, gateway.flow.serve(gateway.request, response), asio::detached);
+    for (int step = 0; step < 400 && gateway.received_requests() < 2; ++step) {
+        gateway.context.restart();
+        gateway.context.run_one_for(milliseconds(5));
+    }
+    check(gateway.received_requests() == 2, "the request ran, then the results had expired");
+    gateway.flow.begin_drain(stop_in(milliseconds(0)));
+    run_for(gateway, milliseconds(800));
+    check(response.status_ == 502 || response.status_ == 500,
+          "the response does not claim that the request has not run: " +
+              std::to_string(response.status_));
+}
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -162,6 +162,9 @@
                 auto inputs = co_await run_stages(request, state.stage_ticket);
                 if (!inputs) {
                     outcome = tl::unexpected(inputs.error());
+                    if (state.runs > 0) { // in the first round
+                        outcome.error().run = verdict::may_have_run;
+                    }
                     break;
                 }
                 state.inputs = std::move(*inputs);
