Mend a test of announcements that stopped too early, and a captured binding

endless_stage_test announcements failed once in a run of all tests, and 16 of 20 times beside a build: its loop stopped at the end of the job whose number was that of the finished ones, so the last job could be left running.

--- a/libs/gateway/src/endless_stage_test.cpp
+++ b/libs/gateway/src/endless_stage_test.cpp
@@ -203,18 +203,19 @@
         });
         coordinating_instance instance({first.port(), second.port()});
         unsigned done = 0;
-        for (unsigned number = 1; number <= 8; ++number) {
+        unsigned submitted = 0;
+        while (submitted < 8) {
             local_job job;
-            job.content.request_id = "r" + std::to_string(number);
+            job.content.request_id = "r" + std::to_string(++submitted);
             job.content.stages.push_back({"s", {}, 0, 1});
             job.latency_deadline = job.deadline = boot_clock::now() + job_time;
-            instance.coordinator.submit(std::move(job), [&, number](const job_outcome& ended) {
+            instance.coordinator.submit(std::move(job), [&](const job_outcome& ended) {
                 done += ended.status == job_status::done ? 1 : 0;
-                if (done == number) {
+                if (done == submitted) {
                     instance.context.stop();
                 }
             });
-            if (number > 1)
+            if (submitted > 1)
             { // the first two are submitted together, so that both endpoints get one
                 instance.context.restart();
                 instance.context.run_for(job_time);
--- a/libs/gateway/src/part_quarantine.cpp
+++ b/libs/gateway/src/part_quarantine.cpp
@@ -135,7 +135,8 @@
                            [&](const crash& known) { return known.endpoint == counted.endpoint; });
     };
     return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto& entry) {
-        const auto& [part, other] = entry;
+        const std::uint64_t part = entry.first;
+        const suspect& other = entry.second;
         return &other != &known && std::find(parts.begin(), parts.end(), part) == parts.end() &&
                quarantine_end(other, now) &&
                std::all_of(known.crashes.begin(), known.crashes.end(),
