--- a/libs/gateway/include/quetzal/gateway/event_splitter.hpp
+++ b/libs/gateway/include/quetzal/gateway/event_splitter.hpp
@@ -28,6 +28,12 @@
     // Whether bytes of an incomplete event are buffered.
     bool has_partial_event() const noexcept { return !pending_.empty(); }
 
+    // Whether more than empty lines are buffered.
+    bool is_inside_event() const noexcept
+    {
+        return pending_.find_first_not_of("\r\n") != std::string::npos;
+    }
+
     // Returns the number of buffered bytes.
     std::size_t pending_size() const noexcept { return pending_.size(); }
 
--- a/libs/gateway/src/misplaced_response_test.cpp
+++ b/libs/gateway/src/misplaced_response_test.cpp
@@ -118,6 +118,12 @@
         const auto response = gateway.serve("1");
         check(response.body_ == event(0) + event(1) && response.complete_, "it is complete");
     });
+    section("given a stream that ends with additional empty lines", [] {
+        gateway_fixture gateway(route_kind::stream, true,
+                                {{{unframed_head("1") + event(0) + "\n", true}}});
+        const auto response = gateway.serve("1");
+        check(response.body_.starts_with(event(0)) && response.complete_, "it is complete");
+    });
     for (const std::string& rest : {std::string("id: 1\nda"), std::string("id: 1\ndata: e1\n")}) {
         section("given a stream that ends inside an event", [&] {
             gateway_fixture gateway(route_kind::stream, false,
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -239,8 +239,8 @@
     if (const auto* found = std::get_if<part_quarantine::quarantined>(&decision)) {
         const auto position = std::find(parts.begin(), parts.end(), found->part) - parts.begin();
         return failure{verdict::not_run, reason::quarantined,
-                       "endpoints crashed under part " + std::to_string(position + 1) + " of " +
-                           request.message.shared_part_ids,
+                       "endpoints crashed under part " + std::to_string(position + 1) +
+                           " of the prompt parts " + request.message.shared_part_ids,
                        std::chrono::ceil<std::chrono::milliseconds>(found->left)};
     }
     if (const auto* tested = std::get_if<part_quarantine::retest>(&decision); tested && sending) {
@@ -257,7 +257,7 @@
     if (parts.empty()) {
         co_return;
     }
-    // An endpoint that still accepts connections has ended only this one.
+    // An endpoint that still accepts connections has not crashed.
     const auto probe = std::make_shared<channel>(context_.get_executor());
     const auto opened = co_await probe->open(chosen.target.address, crash_check_timeout);
     const bool crashed = !opened && probe->was_lost();
@@ -468,7 +468,7 @@
         std::string events = state.events.take_complete_events();
         std::string broken;
         if (last && !connection->has_length() &&
-            (state.events.has_partial_event() || (events.empty() && !state.has_content)))
+            (state.events.is_inside_event() || (events.empty() && !state.has_content)))
         {
             broken = "the connection ended inside an event or before the first one";
             last = false;
