Leave the time of other processes out of the durations of the endless tests

The tests now read how long their thread was ready while others had the processor (the kernel's count), subtract that and print it: on an idle machine, where it is 0 to 7 ms, the limits are as strict as before.

--- a/libs/gateway/src/endless_gateway.hpp
+++ b/libs/gateway/src/endless_gateway.hpp
@@ -3,7 +3,8 @@
 
 // A gateway whose endpoints send bytes without end, at full speed or so slowly that each read
 // succeeds. Every variant prints one line with its outcome, its duration in ms, the growth of
-// memory in KiB, and the duration in ms of another request that is served meanwhile.
+// memory in KiB, the duration in ms of another request that is served meanwhile, and for both how
+// long other processes had the processor, which the durations do not include.
 
 #include <algorithm>
 #include <atomic>
@@ -15,6 +16,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <quetzal/gateway/request_flow.hpp>
+#include <quetzal/testing/runqueue_wait.hpp>
 #include <quetzal/testing/section.hpp>
 
 #include "driven_endless_server.hpp"
@@ -119,7 +121,9 @@
 {
     recorded_response response;
     time_point started = boot_clock::now();
-    std::optional<duration> took;
+    duration waited_before = quetzal::testing::runqueue_wait();
+    std::optional<duration> took; // without the time that other processes had the processor
+    duration waited{};            // that time
 };
 
 // A gateway with the route /a/ to the given endpoints, and the route /n/ to an endpoint that always
@@ -203,11 +207,12 @@
         message.forwarded_headers = "Host: h\r\nId: " + message.id + "\r\n";
         message.received = boot_clock::now();
         auto started = std::make_shared<exchange>();
-        asio::co_spawn(context,
-                       flow.serve(std::make_shared<running_request>(message), started->response),
-                       [started](const std::exception_ptr&) {
-                           started->took = boot_clock::now() - started->started;
-                       });
+        asio::co_spawn(
+            context, flow.serve(std::make_shared<running_request>(message), started->response),
+            [started](const std::exception_ptr&) {
+                started->waited = quetzal::testing::runqueue_wait() - started->waited_before;
+                started->took = boot_clock::now() - started->started - started->waited;
+            });
         return started;
     }
 
@@ -294,14 +299,16 @@
     const auto& response = running->response;
     const auto took = running->took.value_or(route_timeout * 3);
     const auto other_took = other->took.value_or(route_timeout * 3);
-    std::fprintf(stderr, "| %s | %s | %s | %u%s, %zu bytes | %lld | %zu | %lld |\n",
+    std::fprintf(stderr, "| %s | %s | %s | %u%s, %zu bytes | %lld | %zu | %lld | %lld, %lld |\n",
                  played.name.c_str(), how.pause.count() == 0 ? "full speed" : "trickle",
                  stream                               ? (how.resumable ? "resumable" : "stream")
                  : how.kind == route_kind::idempotent ? "idempotent"
                                                       : "not idempotent",
                  response.status_, response.complete_ ? "" : " incomplete", response.body_.size(),
                  static_cast<long long>(whole_milliseconds(took)), growth_kib,
-                 static_cast<long long>(whole_milliseconds(other_took)));
+                 static_cast<long long>(whole_milliseconds(other_took)),
+                 static_cast<long long>(whole_milliseconds(running->waited)),
+                 static_cast<long long>(whole_milliseconds(other->waited)));
     all.expect(running->took && took < how.timeout + timeout_tolerance,
                "the request ends within its timeout");
     all.expect(other->response.body_ == "good" && other_took < normal_request_limit,
