--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include <quetzal/base/hash.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/endpoint_announcement.hpp>
 #include <quetzal/gateway/http_status.hpp>
@@ -35,8 +34,6 @@
 // A resumable stream that completes no event for this time is resumed at another endpoint, if one
 // may take it.
 constexpr duration stream_stall_timeout = 1500ms;
-// For a connection that shows whether an endpoint has crashed.
-constexpr duration crash_check_timeout = 200ms;
 constexpr duration silence_recheck = 50ms; // while no endpoint may take the request
 
 // Parses the running and waiting requests of "RUNNING,WAITING,SLOTS".
@@ -227,59 +224,6 @@
     co_return ended;
 }
 
-std::optional<failure> request_flow::quarantine_refusal(const running_request& request,
-                                                        bool sending)
-{
-    const auto& parts = request.message.shared_parts;
-    const time_point now = boot_clock::now();
-    const auto rank = [&](std::uint64_t part) {
-        return members_.rank_for(std::to_string(part), now);
-    };
-    const auto decision = quarantine_.check(parts, rank, now);
-    if (const auto* found = std::get_if<part_quarantine::quarantined>(&decision)) {
-        const auto position = std::find(parts.begin(), parts.end(), found->part) - parts.begin();
-        return failure{verdict::not_run, reason::quarantined,
-                       "endpoints crashed under part " + std::to_string(position + 1) +
-                           " of the prompt parts " + request.message.shared_part_ids,
-                       std::chrono::ceil<std::chrono::milliseconds>(found->left)};
-    }
-    if (const auto* tested = std::get_if<part_quarantine::retest>(&decision); tested && sending) {
-        log_event("part_tested", {{"request", request.message.id}, {"part_hash", tested->part}});
-        quarantine_.start_retest(tested->part, now);
-    }
-    return std::nullopt;
-}
-
-asio::awaitable<void> request_flow::examine_loss(const running_request& request,
-                                                 const chosen_endpoint& chosen)
-{
-    const auto& parts = request.message.shared_parts;
-    if (parts.empty()) {
-        co_return;
-    }
-    // An endpoint that still accepts connections has not crashed.
-    const auto probe = std::make_shared<channel>(context_.get_executor());
-    const auto opened = co_await probe->open(chosen.target.address, crash_check_timeout);
-    const bool crashed = !opened && probe->was_lost();
-    probe->close();
-    if (!crashed) {
-        co_return;
-    }
-    const time_point now = boot_clock::now();
-    pools_.mark_unreachable(chosen, now);
-    const std::uint64_t incarnation =
-        combine_hash(stable_hash(chosen.target.id), chosen.target.started);
-    const auto added = quarantine_.record_crash(parts, incarnation, chosen.started, now);
-    log_event("endpoint_crashed", {{"request", request.message.id},
-                                   {"endpoint", chosen.target.id},
-                                   {"parts", request.message.shared_part_ids},
-                                   {"suspects", quarantine_.suspects()}});
-    for (const std::uint64_t part : added) {
-        log_event("part_quarantined", {{"part_hash", part}, {"request", request.message.id}});
-    }
-    handle_evidence_();
-}
-
 void request_flow::log_failed_attempt(const running_request& request, const attempt_state& state,
                                       const chosen_endpoint& chosen, const attempt_result& ended,
                                       bool broke_off)
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -19,12 +19,11 @@
 
 namespace {
 
-constexpr duration poll_interval = 15ms; // while no endpoint has free capacity
+constexpr duration poll_interval = 15ms; // while there is no configuration
 constexpr unsigned max_refusals = 3;     // attempts that endpoints may refuse, for each request
 constexpr unsigned max_unreachable = 6;  // failed connections, for each request
 constexpr duration min_attempt_time = 20ms;
 constexpr duration default_retry_after = 300ms;
-constexpr std::chrono::milliseconds no_endpoint_retry_after{500};
 // How long after its start an instance lets requests wait for the configuration. After a restart of
 // the whole fleet, callers would otherwise spend their retries on instances that are about to have
 // it.
@@ -312,44 +311,6 @@
                               boot_clock::now());
 }
 
-asio::awaitable<result<chosen_endpoint>> request_flow::choose_endpoint(const request_ptr& request,
-                                                                       const attempt_state& state)
-{
-    const std::string service = select_service(*request);
-    request->phase = request_phase::endpoint;
-    endpoint_requirements requirements{request->message.prefixes, state.tried_endpoints};
-    const time_point wait_until = std::min(request->target_deadline, request->deadline);
-    while (true) {
-        const time_point now = boot_clock::now();
-        auto chosen = pools_.start_request(view_, service, requirements, members_, now);
-        if (chosen) {
-            co_return std::move(*chosen);
-        }
-        if (request->abort_reason()) {
-            failure why = *request->abort_reason();
-            why.run = verdict::not_run;
-            co_return tl::unexpected(why);
-        }
-        if (!pools_.has_usable_endpoint(view_, service)) {
-            const auto pause_end = view_.next_pause_end(service);
-            if (!pause_end) {
-                co_return not_run(reason::no_endpoint, "no endpoint accepts work",
-                                  no_endpoint_retry_after);
-            }
-            if (*pause_end > wait_until) {
-                co_return not_run(reason::overloaded, "all endpoints have asked for a pause",
-                                  std::chrono::ceil<std::chrono::milliseconds>(*pause_end - now));
-            }
-        }
-        if (now >= wait_until || state.last_response) {
-            co_return not_run(reason::overloaded, "all endpoints are full");
-        }
-        asio::steady_timer timer(context_, poll_interval);
-        boost::system::error_code ignored; // the timer is not cancelled
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-}
-
 asio::awaitable<result<void>> request_flow::run_attempts(const request_ptr& request,
                                                          response_writer& writer,
                                                          attempt_state& state)
