--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-flags=(-std=c++20 -O1 -pthread -Wall -Wextra -Wno-mismatched-new-delete)
-for package in base config peer telemetry serving net; do
+flags=(-std=c++20 -O1 -pthread -Wall -Wextra -Wno-mismatched-new-delete -Iplatform/include)
+for package in base config peer telemetry serving net gateway; do
     flags+=("-Ilibs/$package/include")
 done
 jobs=()
@@ -24,8 +24,8 @@
 for job in "${jobs[@]}"; do
     wait "$job"
 done
-libraries=()
-for package in net config peer telemetry serving base; do
+libraries=(target/platform/libquetzal_platform.a)
+for package in gateway net config peer telemetry serving base; do
     libraries+=("target/libs/$package/libquetzal_$package.a")
 done
 standins=(review/bin/{client,documents_text,endpoint_standin,exchange,fleet,oracle,process_control,store_standin}.o)
