--- a/review/1/foreign_inputs.cpp
+++ b/review/1/foreign_inputs.cpp
@@ -14,6 +14,7 @@
 #include "../../platform/soak/fleet.hpp"
 #include "../../platform/soak/work_folder.hpp"
 #include "../support/case_log.hpp"
+#include "../support/end_of_run.hpp"
 
 namespace {
 
@@ -191,6 +192,7 @@
     review::case_log log(argv[2]);
     const work_folder folder;
     asio::io_context context(1);
+    const review::end_of_run guard(context);
     history observed;
     fleet_options options;
     options.binary = argv[1];
--- a/review/2/body_memory.cpp
+++ b/review/2/body_memory.cpp
@@ -33,6 +33,7 @@
 #include "../../platform/soak/store_standin.hpp"
 #include "../../platform/soak/work_folder.hpp"
 #include "../support/case_log.hpp"
+#include "../support/end_of_run.hpp"
 
 namespace {
 
@@ -346,6 +347,7 @@
     review::case_log log(argv[2]);
     const work_folder folder;
     asio::io_context context(1);
+    const review::end_of_run guard(context);
     const auto id = static_cast<unsigned>(::getpid());
     const std::string network =
         "127." + std::to_string(64 + (id >> 8) % 128) + "." + std::to_string(id % 256) + ".";
