--- a/review/2/lost_places.cpp
+++ b/review/2/lost_places.cpp
@@ -40,9 +40,9 @@
 using asio::ip::tcp;
 
 constexpr std::size_t instances = 8;
-constexpr std::size_t endpoints = 3; // of the service of the added route
+constexpr std::size_t endpoints = 4; // of the service of the added route
 constexpr unsigned channels = 51;    // `max-connections` of that service
-constexpr std::size_t events = 18;   // one endpoint at a time loses its power
+constexpr std::size_t events = 20;   // one endpoint at a time loses its power
 constexpr duration dark_time = 2s;
 constexpr duration pause = 1s;          // between two of them
 constexpr duration reset_after = 500ms; // the host's reset of old channels, when it is back
@@ -50,7 +50,7 @@
 constexpr duration judged_time = 12s;
 constexpr duration work_time = 100ms;      // of a request
 constexpr duration heartbeat = 1200ms;     // `heartbeat-ms` of the endpoints
-constexpr duration added_interval = 40ms;  // of requests of the added route, at each instance
+constexpr duration added_interval = 30ms;  // of requests of the added route, at each instance
 constexpr duration first_interval = 200ms; // of requests of a first route
 constexpr std::uint32_t time_limit_ms = 3000;
 constexpr std::size_t least_requests = 20;
