--- a/review/1/foreign_inputs.cpp
+++ b/review/1/foreign_inputs.cpp
@@ -23,7 +23,7 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-constexpr std::size_t instances = 3;
+constexpr std::size_t instances = 10;
 constexpr std::uint32_t pieces = 2;
 constexpr std::size_t requests_at_once = 6;
 constexpr duration call_time = 400ms;
--- a/review/5/split_fleet.cpp
+++ b/review/4/split_fleet.cpp
@@ -44,7 +44,7 @@
 
 constexpr std::size_t seed_count = 3;  // instances 0, 1 and 2
 constexpr std::size_t restarted = 3;   // the instance that comes back
-constexpr std::size_t instances = 7;   // those after it run all the while
+constexpr std::size_t instances = 9;   // those after it run all the while
 constexpr duration dark_time = 2s;     // until the restarted instance is back
 constexpr duration seed_lag = 3s;      // `seed-lag-s`
 constexpr duration settled_time = 36s; // the code counts instances that it saw in the last 30 s
@@ -207,7 +207,7 @@
             }
         }
         co_await sleep_for(seed_lag - dark_time);
-        log.line("the settings of instances 3 to 6 name 3, 4 and 5 as the seeds; SIGHUP");
+        log.line("the settings of instances 3 to 8 name 3, 4 and 5 as the seeds; SIGHUP");
         for (std::size_t index = restarted; index < instances; ++index) {
             change_seeds(index, {restarted, restarted + 1, restarted + 2});
         }
