Name a submission of a job by its process, ticket and attempt

Cause: a job was named by a ticket that every process counts from 1, and a coordinator answers an address. A restarted instance took the results of its former process's jobs for those of its own.

Change: a submission is named by the random number of its process, the ticket and the count of its submissions; answers to any other submission are logged and their results released. Connections between instances begin with a greeting that names the process. The same belief on related paths: the end of a former process's connection dropped the jobs of the restarted instance; a connection of a process that had lost power was kept for sending to the next one; jobs at a coordinator that had restarted waited for their deadline; a moved job was still run at its former coordinator, and its late refusal was taken.

Each test was seen to fail with its check taken out: the comparison of the submission, of the process in peer_lost, of the coordinator's process; the peer_link test fails without record_process.

--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -25,6 +25,9 @@
     std::string address;           // numeric IP address; identifies the instance
     std::uint64_t incarnation = 0; // start of the process, wall clock in milliseconds
     std::uint64_t serial = 0;
+    // Random number that differs between any two processes, even if the wall clock was set back in
+    // between. Unlike the incarnation it never changes while the process runs. 0: unknown.
+    std::uint64_t process = 0;
     std::string zone;
     std::uint16_t caller_port = 0;
     bool ready = false;   // accepts callers
@@ -41,7 +44,7 @@
     void serialize(Archive& archive)
     {
         archive(address, incarnation, serial, zone, caller_port, ready, leaving, settled, role,
-                capacity_score, revision, configuration);
+                capacity_score, revision, configuration, process);
     }
 };
 
@@ -177,6 +180,9 @@
 
     bool is_live(const std::string& address, time_point now) const;
 
+    // Returns the process that was last heard at the address; 0 if none is known.
+    std::uint64_t process_at(const std::string& address) const;
+
     // Returns the number of live instances whose rendezvous score for the key is above this one's.
     std::size_t rank_for(std::string_view key, time_point now) const;
 
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -48,41 +48,52 @@
     }
 };
 
-// Messages over TCP. A ticket identifies a job at the instance that serves its request.
+// The first message over TCP in each direction of a connection: the process that sends on it.
+struct peer_greeting
+{
+    std::uint64_t process = 0; // see `member_record`
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(process);
+    }
+};
+
 struct job_submission
 {
-    std::uint64_t ticket = 0;
+    submission_id id;
     std::string share; // part of the fleet's stages that schedules the job, see `stage_division`
     stage_job job;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(ticket, share, job);
+        archive(id, share, job);
     }
 };
 
 // Cancels a job, or releases its results if it is finished.
 struct job_release
 {
-    std::uint64_t ticket = 0;
+    submission_id id;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(ticket);
+        archive(id);
     }
 };
 
 struct job_answer
 {
-    std::uint64_t ticket = 0;
+    submission_id id;
     job_outcome outcome;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(ticket, outcome);
+        archive(id, outcome);
     }
 };
 
@@ -127,8 +138,9 @@
     }
 };
 
-using peer_message = std::variant<job_submission, job_release, job_answer, snapshot_request,
-                                  document_snapshot, document_subscription, document_changes>;
+using peer_message =
+    std::variant<job_submission, job_release, job_answer, snapshot_request, document_snapshot,
+                 document_subscription, document_changes, peer_greeting>;
 
 struct peer_link_options
 {
@@ -144,8 +156,9 @@
     // Called for each message over TCP. `from` is the address of the sending instance.
     using message_handler = std::function<void(const std::string& from, peer_message message)>;
     // Called when the connection to an instance is lost or cannot be opened. Messages that were
-    // sent and not answered may be lost too. Runs from the event loop, never within `send`.
-    using loss_handler = std::function<void(const std::string& address)>;
+    // sent and not answered may be lost too. `process` is the peer's process at the other end, 0 if
+    // it has not greeted. Runs from the event loop, never within `send`.
+    using loss_handler = std::function<void(const std::string& address, std::uint64_t process)>;
 
     peer_link(boost::asio::io_context& context, peer_link_options options, member_table& members);
     ~peer_link();
--- a/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
@@ -58,8 +58,9 @@
     void take(const std::string& from, const job_release& message);
     void take(const std::string& from, const job_answer& message);
 
-    // Resends the jobs that a lost peer was scheduling, and cancels those that it had submitted.
-    void peer_lost(const std::string& address);
+    // Called when a connection to a peer was lost. Resends the jobs that the peer was scheduling,
+    // and cancels those that the process at the other end had submitted.
+    void peer_lost(const std::string& address, std::uint64_t process);
 
     // Returns the number of jobs that this instance schedules.
     std::size_t open_jobs() const;
@@ -79,6 +80,8 @@
         std::vector<stage_share> candidates; // shares in the order in which to try them
         std::size_t current = 0;             // index of the share that the job was sent to
         std::string coordinator;             // address; empty: not sent yet
+        std::uint64_t process = 0;           // of the coordinator, as known when the job was sent
+        std::uint32_t attempt = 0;           // number of submissions
         bool answered = false;
     };
 
@@ -86,13 +89,19 @@
     struct submission
     {
         std::string from; // address of the submitting instance; empty: this one
-        std::uint64_t ticket = 0;
+        submission_id id;
         stage_share share;
     };
 
     stage_scheduler& scheduler_of(const stage_share& share);
     void send_job(std::uint64_t ticket, open_job& job);
-    void complete_local_job(std::uint64_t ticket, const job_outcome& outcome);
+    submission_id current_submission(std::uint64_t ticket, const open_job& opened) const;
+    void send_release(const std::string& coordinator, const submission_id& id);
+    // Sends a job to the present coordinator, and withdraws it from the former one.
+    void move_job(std::uint64_t ticket);
+    void resend_jobs_of(const std::string& coordinator);
+    // `from` is the coordinator; empty: this instance.
+    void complete_job(const std::string& from, const submission_id& id, const job_outcome& outcome);
     void perform(const stage_share& share, const scheduler_actions& actions);
     void perform(const stage_share& share, const start_call& action);
     void perform(const stage_share& share, const job_ended& action);
@@ -122,8 +131,8 @@
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, open_job> open_; // by ticket
     std::map<job_number, submission> submissions_;
-    // By submitting instance and ticket.
-    std::map<std::pair<std::string, std::uint64_t>, job_number> job_numbers_;
+    // By address of the submitting instance.
+    std::map<std::pair<std::string, submission_id>, job_number> job_numbers_;
     // Handles by share and endpoint address.
     std::map<std::pair<stage_share, std::string>, std::vector<std::string>> pending_releases_;
     boost::asio::steady_timer dispatch_timer_;
--- a/libs/gateway/include/quetzal/gateway/stage_job.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_job.hpp
@@ -3,12 +3,31 @@
 
 // The stages of one request, as the instances of the fleet send them to each other.
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace quetzal::gateway {
 
+// Identifies one submission of a job to the instance that schedules it. Neither a restart of the
+// submitting instance nor a further submission of the job yields an identifier a second time, so
+// that a late message about another submission is recognized.
+struct submission_id
+{
+    std::uint64_t process = 0; // that serves the request, see `member_record`
+    std::uint64_t ticket = 0;  // identifies the job in that process
+    std::uint32_t attempt = 0; // number of this submission of the job, from 1
+
+    auto operator<=>(const submission_id&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(process, ticket, attempt);
+    }
+};
+
 // One stage of a job.
 struct job_stage
 {
--- a/libs/gateway/src/endless_peer_message_test.cpp
+++ b/libs/gateway/src/endless_peer_message_test.cpp
@@ -50,7 +50,7 @@
           link(context, {"127.0.0.1", test_port, test_port, {}}, members)
     {
         link.on_message([this](const std::string&, const peer_message&) { ++received; });
-        link.on_loss([](const std::string&) {});
+        link.on_loss([](const std::string&, std::uint64_t) {});
         check(link.start().has_value(), "the ports are opened");
     }
 
@@ -76,10 +76,12 @@
 
 bool is_closed(tcp::socket& socket)
 {
-    char byte = 0;
     boost::system::error_code error;
-    socket.read_some(asio::buffer(&byte, 1), error);
-    return error && error != asio::error::would_block;
+    while (!error) {
+        char byte = 0; // of the greeting
+        socket.read_some(asio::buffer(&byte, 1), error);
+    }
+    return error != asio::error::would_block;
 }
 
 } // namespace
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -323,6 +323,15 @@
     return found != others_.end() && is_alive(found->second, now);
 }
 
+std::uint64_t member_table::process_at(const std::string& address) const
+{
+    if (address == self_.address) {
+        return self_.process;
+    }
+    const auto found = others_.find(address);
+    return found == others_.end() ? 0 : found->second.record.process;
+}
+
 bool member_table::started_together(const member_record& record) const
 {
     const auto range = static_cast<std::uint64_t>(whole_milliseconds(options_.fleet_start_time));
--- a/libs/gateway/src/peer_codec_test.cpp
+++ b/libs/gateway/src/peer_codec_test.cpp
@@ -38,7 +38,7 @@
     stage_job job;
     job.request_id = "r";
     job.stages.push_back({"s", {0, 1}, 1500000, 4});
-    return job_submission{7, "zone-a", job};
+    return job_submission{{5, 7, 1}, "zone-a", job};
 }
 
 } // namespace
@@ -52,7 +52,8 @@
           "a heartbeat is complete");
     const auto message = internal::decode<peer_message>(internal::encode(sample_submission()));
     const auto* submission = message ? std::get_if<job_submission>(&*message) : nullptr;
-    check(submission != nullptr && submission->share == "zone-a" &&
+    check(submission != nullptr && submission->id == submission_id{5, 7, 1} &&
+              submission->share == "zone-a" &&
               submission->job.stages.front().after == std::vector<std::uint32_t>{0, 1} &&
               submission->job.stages.front().result_size == 1500000,
           "a submission is complete");
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -55,7 +55,8 @@
 
         tcp::socket socket;
         std::string address;
-        std::string outgoing; // bytes that wait for the next write
+        std::uint64_t process = 0; // of the peer, 0 until it has greeted
+        std::string outgoing;      // bytes that wait for the next write
         bool writing = false;
         bool open = true;
     };
@@ -230,6 +231,7 @@
             auto opened =
                 std::make_shared<connection>(std::move(socket), remote.address().to_string());
             configure_socket(opened->socket);
+            self->greet(opened);
             self->connections.try_emplace(opened->address, opened);
             spawn(self->context, "read_messages", read_messages(self, opened));
         }
@@ -284,6 +286,10 @@
                 break;
             }
             self->members.record_contact(peer->address, boot_clock::now());
+            if (const auto* greeting = std::get_if<peer_greeting>(&*message)) {
+                self->record_process(peer, greeting->process);
+                continue;
+            }
             try {
                 self->handle_message(peer->address, std::move(*message));
             } catch (const std::exception& thrown) {
@@ -295,6 +301,26 @@
         self->close_connection(peer);
     }
 
+    void greet(const std::shared_ptr<connection>& peer)
+    {
+        queue_message(peer, peer_greeting{members.self().process});
+    }
+
+    // Closes the connection that is used for sending to the peer if another process of the peer has
+    // opened it: that process has ended, and a loss of power may have left its connection open.
+    void record_process(const std::shared_ptr<connection>& peer, std::uint64_t process)
+    {
+        peer->process = process;
+        const auto found = connections.find(peer->address);
+        if (found == connections.end() || found->second->process == 0 ||
+            found->second->process == process) {
+            return;
+        }
+        log_event("peer_restarted", {{"peer", peer->address}});
+        close_connection(std::shared_ptr(found->second));
+        connections.emplace(peer->address, peer);
+    }
+
     void close_connection(const std::shared_ptr<connection>& peer)
     {
         if (!peer->open) {
@@ -312,16 +338,14 @@
         }
         members.mark_unreliable(peer->address, boot_clock::now());
         // Not called here: a caller of `send` may be iterating over what the handler changes.
-        asio::post(context, [self = shared_from_this(), address = peer->address] {
-            self->handle_loss(address);
-        });
+        asio::post(context, [self = shared_from_this(), address = peer->address,
+                             process = peer->process] { self->handle_loss(address, process); });
     }
 
     static asio::awaitable<void> connect(std::shared_ptr<implementation> self,
                                          std::shared_ptr<connection> peer)
     {
         boost::system::error_code error;
-        peer->writing = true; // prevents writes before the connection is established
         const auto target = asio::ip::make_address(peer->address, error);
         if (!error) {
             peer->socket.open(tcp::v4(), error);
@@ -383,20 +407,26 @@
         }
         auto peer = std::make_shared<connection>(tcp::socket(context), address);
         connections.emplace(address, peer);
+        peer->writing = true; // prevents writes before the connection is established
+        greet(peer);
         spawn(context, "connect", connect(shared_from_this(), peer));
         return peer;
     }
 
     void send_message(const std::string& address, const peer_message& message)
     {
-        const auto peer = connection_to(address);
+        queue_message(connection_to(address), message);
+    }
+
+    void queue_message(const std::shared_ptr<connection>& peer, const peer_message& message)
+    {
         const std::string bytes = internal::encode(message);
         const auto length =
             boost::endian::native_to_little(static_cast<std::uint32_t>(bytes.size()));
         peer->outgoing.append(reinterpret_cast<const char*>(&length), length_prefix_size);
         peer->outgoing += bytes;
         if (peer->outgoing.size() > queued_bytes_limit) {
-            log_event("peer_too_slow", {{"peer", address}});
+            log_event("peer_too_slow", {{"peer", peer->address}});
             close_connection(peer);
             return;
         }
@@ -430,7 +460,7 @@
     self_->acceptor.close(ignored);
     self_->heartbeat_timer.cancel();
     self_->handle_message = [](const std::string&, const peer_message&) {};
-    self_->handle_loss = [](const std::string&) {};
+    self_->handle_loss = [](const std::string&, std::uint64_t) {};
 }
 
 void peer_link::share(part_quarantine& quarantine)
--- a/libs/gateway/src/peer_link_test.cpp
+++ b/libs/gateway/src/peer_link_test.cpp
@@ -45,7 +45,10 @@
                 throw std::runtime_error("failed");
             }
         });
-        link.on_loss([this](const std::string& lost) { losses.push_back(lost); });
+        link.on_loss([this](const std::string& lost, std::uint64_t process) {
+            losses.push_back(lost);
+            lost_processes.push_back(process);
+        });
         const auto started = link.start();
         check(started.has_value(), started ? "" : started.error());
     }
@@ -58,9 +61,9 @@
         return socket;
     }
 
-    void send(asio::ip::tcp::socket& socket)
+    void send(asio::ip::tcp::socket& socket, const peer_message& message = snapshot_request{1})
     {
-        const std::string bytes = internal::encode(peer_message(snapshot_request{1}));
+        const std::string bytes = internal::encode(message);
         const auto length =
             boost::endian::native_to_little(static_cast<std::uint32_t>(bytes.size()));
         asio::write(socket, asio::buffer(&length, sizeof(length)));
@@ -76,11 +79,13 @@
 
     bool is_closed(asio::ip::tcp::socket& socket)
     {
-        char byte = 0;
         boost::system::error_code error;
         socket.non_blocking(true);
-        socket.read_some(asio::buffer(&byte, 1), error);
-        return error && error != asio::error::would_block;
+        while (!error) {
+            char byte = 0;
+            received += socket.read_some(asio::buffer(&byte, 1), error);
+        }
+        return error != asio::error::would_block;
     }
 
     asio::io_context context{1};
@@ -90,6 +95,8 @@
     int messages = 0;
     bool fail = false;
     std::vector<std::string> losses;
+    std::vector<std::uint64_t> lost_processes;
+    std::size_t received = 0; // bytes that `is_closed` has read from the link
 };
 
 } // namespace
@@ -123,3 +130,32 @@
     check(fixture.losses == std::vector{address}, "the loss is reported");
     check(!fixture.is_closed(first), "the first connection stays open");
 }
+
+// Guards against results that are lost after a peer has lost power and started again: its former
+// connection is still open, and messages to the new process are written to it.
+Test(peer_link, second_process_of_a_peer)
+{
+    link_fixture fixture(19884);
+    auto former = fixture.connect();
+    fixture.send(former, peer_greeting{5});
+    auto further = fixture.connect();
+    section("when the same process opens a further connection", [&] {
+        fixture.send(further, peer_greeting{5});
+        check(!fixture.is_closed(former) && fixture.losses.empty(), "both stay open");
+    });
+    section("when another process at the address opens a connection", [&] {
+        auto restarted = fixture.connect();
+        fixture.send(restarted, peer_greeting{6});
+        check(fixture.is_closed(former), "the connection of the former process is closed");
+        check(fixture.lost_processes == std::vector<std::uint64_t>{5},
+              "the loss of the former process is reported");
+        section("then a message to the peer", [&] {
+            check(!fixture.is_closed(restarted), "the new connection stays open");
+            const std::size_t greeted = fixture.received;
+            fixture.link.send(address, job_release{{1, 2, 3}});
+            fixture.run();
+            check(!fixture.is_closed(restarted), "the new connection is not closed");
+            check(fixture.received > greeted, "goes to the new process");
+        });
+    });
+}
--- a/libs/gateway/src/stage_conductor_test.cpp
+++ b/libs/gateway/src/stage_conductor_test.cpp
@@ -1,4 +1,5 @@
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <quetzal/gateway/stage_coordinator.hpp>
 #include <quetzal/testing/section.hpp>
 
@@ -12,15 +13,23 @@
 
 namespace {
 
+constexpr std::uint64_t own_process = 2;
+const std::string peer_address = "127.0.0.9";
+constexpr std::uint16_t peer_port = 19890; // used by no other test
+
 // An instance that has just started and knows no peers yet, with one stage endpoint.
 class started_instance
 {
 public:
-    started_instance()
+    explicit started_instance(std::uint16_t peer_port = 0)
         : members({}, self(), boot_clock::now()), channels(context.get_executor()),
-          peers(context, {"127.0.0.1", 0, 0, {}}, members),
+          peers(context, {"127.0.0.1", 0, peer_port, {}}, members),
           coordinator(context, view, channels, members, peers, test_names(), {}, {})
     {
+        peers.on_message([](const std::string&, const peer_message&) {});
+        peers.on_loss([this](const std::string& address, std::uint64_t process) {
+            coordinator.peer_lost(address, process);
+        });
         published_configuration configuration;
         configuration.version = 1;
         service_definition service;
@@ -53,14 +62,30 @@
         job.latency_deadline = job.deadline = boot_clock::now() + time;
         coordinator.submit(std::move(job), [this](const job_outcome& outcome) {
             refused += outcome.status == job_status::refused ? 1 : 0;
+            done += outcome.status == job_status::done ? 1 : 0;
         });
     }
 
+    // Receives a heartbeat of the peer, which is the coordinator if it is settled.
+    void hear_peer(std::uint64_t incarnation, std::uint64_t process, bool settled)
+    {
+        heartbeat message;
+        member_record& peer = message.sender.record;
+        peer.address = peer_address;
+        peer.incarnation = incarnation;
+        peer.process = process;
+        peer.settled = settled;
+        peer.configuration = settled ? 1 : 0;
+        peer.capacity_score = 1000;
+        members.merge_heartbeat(message, boot_clock::now());
+    }
+
     static member_record self()
     {
         member_record record;
         record.address = "127.0.0.1";
         record.configuration = 1;
+        record.process = own_process;
         return record;
     }
 
@@ -83,6 +108,7 @@
     stage_coordinator coordinator;
     std::size_t submitted = 0;
     std::size_t refused = 0;
+    std::size_t done = 0;
 };
 
 } // namespace
@@ -109,14 +135,14 @@
     stage_job job;
     job.stages.push_back({"s", {}, 0, 1});
     job.latency_budget_ms = job.remaining_ms = 5000;
-    instance.coordinator.take("127.0.0.9", job_submission{7, whole_fleet, job});
+    instance.coordinator.take("127.0.0.9", job_submission{{5, 7, 1}, whole_fleet, job});
     check(instance.coordinator.unfinished_peer_jobs() == 1, "a job of a peer counts");
-    instance.coordinator.take({}, job_submission{7, whole_fleet, job});
+    instance.coordinator.take({}, job_submission{{5, 7, 1}, whole_fleet, job});
     check(instance.coordinator.unfinished_peer_jobs() == 1, "a job of this instance does not");
-    instance.coordinator.take("127.0.0.9", job_release{7});
+    instance.coordinator.take("127.0.0.9", job_release{{5, 7, 1}});
     check(instance.coordinator.unfinished_peer_jobs() == 0, "a released job does not");
     job.stages.front().pieces = 0;
-    instance.coordinator.take("127.0.0.9", job_submission{8, whole_fleet, job});
+    instance.coordinator.take("127.0.0.9", job_submission{{5, 8, 1}, whole_fleet, job});
     check(instance.coordinator.unfinished_peer_jobs() == 0, "a finished job does not");
 }
 
@@ -141,3 +167,62 @@
     }
     check(instance.refused > endpoints_in_zone, "jobs that no zone can run in time are refused");
 }
+
+// Guards against results of another request: a restarted instance counts its jobs from 1 again, and
+// took the answers to the jobs of its former process for answers to its own.
+Test(stage_coordinator, answer_to_another_submission_is_not_taken)
+{
+    started_instance instance(peer_port);
+    instance.context.run_for(milliseconds(500)); // until it takes its peers for known
+    instance.hear_peer(10000, 5, true);
+    instance.submit_job("", milliseconds(5000));
+    job_outcome outcome;
+    outcome.status = job_status::done;
+    const auto answer = [&](std::uint64_t process, std::uint64_t ticket, std::uint32_t attempt) {
+        instance.coordinator.take(peer_address, job_answer{{process, ticket, attempt}, outcome});
+    };
+    answer(own_process - 1, 1, 1);
+    check(instance.done == 0, "an answer to a job of the former process is not taken");
+    answer(own_process, 1, 2);
+    check(instance.done == 0, "an answer to another submission of the job is not taken");
+    answer(own_process, 1, 1);
+    check(instance.done == 1, "the answer to this submission is taken");
+    answer(own_process, 1, 1);
+    check(instance.done == 1, "a second copy of the answer is not taken");
+}
+
+// Guards against requests that wait until their deadline: when a coordinator noticed that the
+// former process of an instance had ended, it dropped the jobs of the restarted one.
+Test(stage_coordinator, end_of_a_former_process_leaves_the_jobs_of_the_next_one)
+{
+    started_instance instance;
+    stage_job job;
+    job.stages.push_back({"s", {}, 0, 1});
+    job.latency_budget_ms = job.remaining_ms = 5000;
+    instance.coordinator.take(peer_address, job_submission{{5, 1, 1}, whole_fleet, job});
+    instance.coordinator.take(peer_address, job_submission{{6, 1, 1}, whole_fleet, job});
+    check(instance.coordinator.unfinished_peer_jobs() == 2, "both processes have a job");
+    instance.coordinator.peer_lost(peer_address, 5);
+    check(instance.coordinator.unfinished_peer_jobs() == 1, "the job of the former one is dropped");
+    instance.coordinator.take(peer_address, job_release{{5, 1, 1}});
+    check(instance.coordinator.unfinished_peer_jobs() == 1, "a late release changes nothing");
+    instance.coordinator.take(peer_address, job_release{{6, 1, 1}});
+    check(instance.coordinator.unfinished_peer_jobs() == 0, "the other job is that of the process");
+}
+
+// Guards against requests that wait until their deadline for a coordinator that has lost power and
+// started again: its new process is alive, and knows nothing of the jobs of the former one.
+Test(stage_coordinator, jobs_of_a_restarted_coordinator_are_sent_again)
+{
+    started_instance instance(peer_port);
+    boost::asio::ip::tcp::acceptor peer(instance.context,
+                                        {boost::asio::ip::make_address(peer_address), peer_port});
+    instance.context.run_for(milliseconds(500)); // until it takes its peers for known
+    instance.hear_peer(10000, 5, true);
+    instance.submit_job("", milliseconds(5000));
+    instance.context.run_for(milliseconds(150));
+    check(instance.coordinator.open_jobs() == 0, "the job is at the peer");
+    instance.hear_peer(20000, 6, false);
+    instance.context.run_for(milliseconds(150));
+    check(instance.coordinator.open_jobs() == 1, "the job is sent to the next coordinator");
+}
--- a/libs/gateway/src/stage_coordinator.cpp
+++ b/libs/gateway/src/stage_coordinator.cpp
@@ -98,6 +98,7 @@
 
 void stage_coordinator::send_job(std::uint64_t ticket, open_job& opened)
 {
+    ++opened.attempt;
     const time_point now = boot_clock::now();
     if (!members_.joined(now)) {
         opened.coordinator.clear(); // sent later, when this instance knows its peers
@@ -107,7 +108,7 @@
         opened.candidates = division_.candidates(opened.job.content, members_.self().zone);
     }
     const stage_share share = opened.candidates[opened.current];
-    job_submission message{ticket, share, opened.job.content};
+    job_submission message{current_submission(ticket, opened), share, opened.job.content};
     if (!share.empty()) {
         message.job.zone = share;
     }
@@ -116,6 +117,7 @@
     message.job.remaining_ms = static_cast<std::uint32_t>(
         std::max<std::int64_t>(whole_milliseconds(opened.job.deadline - now), 0));
     opened.coordinator = members_.role_owner(role_of(share), now, share);
+    opened.process = members_.process_at(opened.coordinator);
     if (opened.coordinator == members_.self().address) {
         take({}, message);
     } else {
@@ -130,18 +132,61 @@
         return;
     }
     const std::string coordinator = found->second.coordinator;
+    const submission_id id = current_submission(ticket, found->second);
     open_.erase(found);
+    if (!coordinator.empty()) {
+        send_release(coordinator, id);
+    }
+}
+
+submission_id stage_coordinator::current_submission(std::uint64_t ticket,
+                                                    const open_job& opened) const
+{
+    return {members_.self().process, ticket, opened.attempt};
+}
+
+void stage_coordinator::send_release(const std::string& coordinator, const submission_id& id)
+{
     if (coordinator == members_.self().address) {
-        take({}, job_release{ticket});
+        take({}, job_release{id});
     } else {
-        peers_.send(coordinator, job_release{ticket});
+        peers_.send(coordinator, job_release{id});
+    }
+}
+
+void stage_coordinator::move_job(std::uint64_t ticket)
+{
+    const auto found = open_.find(ticket);
+    if (found == open_.end()) {
+        return; // ended by the outcome of another job
     }
+    open_job& opened = found->second;
+    const std::string former = opened.coordinator;
+    const submission_id withdrawn = current_submission(ticket, opened);
+    log_event("job_moved",
+              {{"request", opened.job.content.request_id}, {"lost_conductor", former}});
+    if (members_.is_live(former, boot_clock::now())) {
+        send_release(former, withdrawn);
+    }
+    send_job(ticket, opened);
 }
 
-void stage_coordinator::complete_local_job(std::uint64_t ticket, const job_outcome& outcome)
+void stage_coordinator::complete_job(const std::string& from, const submission_id& id,
+                                     const job_outcome& outcome)
 {
+    const std::uint64_t ticket = id.ticket;
     const auto found = open_.find(ticket);
-    if (found == open_.end() || found->second.answered) {
+    if (found == open_.end() || id != current_submission(ticket, found->second)) {
+        log_event("stale_job_answer", {{"coordinator", from},
+                                       {"ticket", ticket},
+                                       {"attempt", id.attempt},
+                                       {"own_process", id.process == members_.self().process}});
+        if (outcome.status == job_status::done) {
+            send_release(from.empty() ? members_.self().address : from, id);
+        }
+        return;
+    }
+    if (found->second.answered) {
         return;
     }
     open_job& opened = found->second;
@@ -169,15 +214,15 @@
 void stage_coordinator::take(const std::string& from, const job_submission& message)
 {
     const job_number number = next_number_++;
-    submissions_[number] = {from, message.ticket, message.share};
-    job_numbers_[{from, message.ticket}] = number;
+    submissions_[number] = {from, message.id, message.share};
+    job_numbers_[{from, message.id}] = number;
     perform(message.share, scheduler_of(message.share).add(number, message.job, boot_clock::now()));
     schedule_dispatch(batching_delay);
 }
 
 void stage_coordinator::take(const std::string& from, const job_release& message)
 {
-    const auto found = job_numbers_.find({from, message.ticket});
+    const auto found = job_numbers_.find({from, message.id});
     if (found == job_numbers_.end()) {
         return;
     }
@@ -188,33 +233,39 @@
     perform(share, scheduler_of(share).cancel(number));
 }
 
-void stage_coordinator::take(const std::string&, const job_answer& message)
+void stage_coordinator::take(const std::string& from, const job_answer& message)
 {
-    complete_local_job(message.ticket, message.outcome);
+    complete_job(from, message.id, message.outcome);
 }
 
-void stage_coordinator::peer_lost(const std::string& address)
+void stage_coordinator::resend_jobs_of(const std::string& coordinator)
 {
-    std::vector<std::uint64_t> resubmitted;
+    std::vector<std::uint64_t> moved;
     for (const auto& [ticket, job] : open_) {
-        if (job.coordinator == address && !job.answered) {
-            resubmitted.push_back(ticket);
+        if (job.coordinator == coordinator && !job.answered) {
+            moved.push_back(ticket);
         }
     }
-    for (const std::uint64_t ticket : resubmitted) {
-        open_job& job = open_.at(ticket);
-        log_event("job_moved",
-                  {{"request", job.job.content.request_id}, {"lost_conductor", address}});
-        send_job(ticket, job);
+    for (const std::uint64_t ticket : moved) {
+        move_job(ticket);
     }
-    std::vector<std::pair<std::string, std::uint64_t>> abandoned_jobs;
-    for (const auto& [submitter, number] : job_numbers_) {
-        if (submitter.first == address) {
-            abandoned_jobs.push_back(submitter);
+}
+
+void stage_coordinator::peer_lost(const std::string& address, std::uint64_t process)
+{
+    resend_jobs_of(address);
+    if (process == 0) {
+        return; // no job can have come over a connection without a greeting
+    }
+    std::vector<submission_id> abandoned_jobs;
+    for (const auto& [submitted, number] : job_numbers_) {
+        const auto& [submitter, id] = submitted;
+        if (submitter == address && id.process == process) {
+            abandoned_jobs.push_back(id);
         }
     }
-    for (const auto& [submitter, ticket] : abandoned_jobs) {
-        take(submitter, job_release{ticket});
+    for (const submission_id& id : abandoned_jobs) {
+        take(address, job_release{id});
     }
 }
 
@@ -239,18 +290,29 @@
         }
         const time_point now = boot_clock::now();
         std::vector<std::uint64_t> unsent;
+        std::vector<std::uint64_t> lost;    // with a coordinator that has restarted since
         std::set<std::string> coordinators; // that have jobs of this instance
         for (const auto& [ticket, job] : open_) {
             if (job.coordinator.empty()) {
                 unsent.push_back(ticket);
             } else if (!job.answered) {
+                const std::uint64_t process = members_.process_at(job.coordinator);
+                const bool restarted = job.process != 0 && process != 0 && process != job.process;
+                if (restarted) {
+                    lost.push_back(ticket);
+                }
                 coordinators.insert(job.coordinator);
             }
         }
         // A job that is refused at once is removed from `open_`, which the loop above iterates
         // over, so it is sent only here.
         for (const std::uint64_t ticket : unsent) {
-            send_job(ticket, open_.at(ticket));
+            if (const auto found = open_.find(ticket); found != open_.end()) {
+                send_job(ticket, found->second);
+            }
+        }
+        for (const std::uint64_t ticket : lost) {
+            move_job(ticket);
         }
         contacts_.keep_only(coordinators);
         for (const auto& address : coordinators) {
@@ -273,7 +335,7 @@
         log_event("coordinator_silent",
                   {{"address", coordinator}, {"silence_ms", whole_milliseconds(silence)}});
         members_.mark_unreliable(coordinator, now);
-        peer_lost(coordinator);
+        resend_jobs_of(coordinator);
         break;
     }
 }
@@ -353,12 +415,12 @@
     const submission submitted = found->second;
     if (action.outcome.status != job_status::done) {
         submissions_.erase(found);
-        job_numbers_.erase({submitted.from, submitted.ticket});
+        job_numbers_.erase({submitted.from, submitted.id});
     }
     if (submitted.from.empty()) {
-        complete_local_job(submitted.ticket, action.outcome);
+        complete_job({}, submitted.id, action.outcome);
     } else {
-        peers_.send(submitted.from, job_answer{submitted.ticket, action.outcome});
+        peers_.send(submitted.from, job_answer{submitted.id, action.outcome});
     }
 }
 
