Count requests at an endpoint by its entry, not by its id

Cause: a request was counted in by the id of its endpoint and counted out only if the incarnation was still the same, so each restart under an id took the places of its open requests for good.

Change: an incarnation that is listed without a break is a pool entry with a number of its own; ends, failures and load reports of a former entry have no effect. This also mends a late connection failure that excluded another endpoint for good, since it used a position that had been given to that endpoint, and places freed by requests from before a gap in the listing.

--- a/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
+++ b/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
@@ -5,6 +5,7 @@
 // load, prompt cache and observed failures is made by `serving::endpoint_chooser`; the request rate
 // of cold endpoints is bounded for the whole fleet.
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -37,6 +38,7 @@
 {
     endpoint target;
     serving::endpoint_index index = serving::no_endpoint_index;
+    std::uint64_t entry = 0; // see `endpoint_pools::pool_entry`
     serving::prompt_prefix expected_prefix;
     serving::prompt_prefix prompt; // longest prefix of the request's prompt
     time_point started;
@@ -66,7 +68,8 @@
     std::string likely_zone(const catalog& view, const std::string& service,
                             const endpoint_requirements& requirements, time_point now);
 
-    // Records the end of a request that was started.
+    // Records the end of a request that was started. Has no effect, like the functions below, if
+    // the endpoint has restarted since or has been listed anew: its places were all free then.
     void finish_request(const chosen_endpoint& chosen, const serving::attempt_outcome& outcome,
                         time_point now);
 
@@ -85,18 +88,28 @@
     void readmit_endpoints(time_point now);
 
 private:
+    // One incarnation of an endpoint, for as long as it is listed without a break.
+    struct pool_entry
+    {
+        serving::endpoint_index index = serving::no_endpoint_index; // may be used again later
+        std::uint64_t number = 0;                                   // is never used again
+        endpoint value;
+    };
+
     struct pool
     {
         explicit pool(const serving::chooser_options& options) : chooser(options) {}
 
         serving::endpoint_chooser chooser;
-        std::map<std::string, std::pair<serving::endpoint_index, endpoint>> endpoints; // by id
-        std::map<std::string, time_point> unreachable_until;                           // by id
+        std::map<std::string, pool_entry> endpoints;         // by id
+        std::map<std::string, time_point> unreachable_until; // by id
         std::uint32_t concurrency = 0;
     };
 
     static std::vector<serving::endpoint_index> indexes_of(const pool& service_pool,
                                                            const std::vector<std::string>& ids);
+    // Returns the pool in which the chosen endpoint is still listed, or null.
+    pool* pool_of(const chosen_endpoint& chosen);
     pool& pool_for(const service_definition& definition, std::uint32_t concurrency);
     std::uint32_t concurrency_limit(const service_definition& definition,
                                     std::size_t instances) const;
@@ -104,6 +117,7 @@
 
     endpoint_pool_options options_;
     random_source random_;
+    std::uint64_t next_entry_ = 1;
     cold_rate_limiter cold_;
     std::map<std::string, std::unique_ptr<pool>> pools_; // by service
     std::map<std::string, std::uint32_t> zones_;
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -65,7 +65,7 @@
         owned->chooser.resize(concurrency);
         owned->concurrency = concurrency;
         for (auto& [id, entry] : owned->endpoints) {
-            owned->chooser.limit(entry.first, concurrency);
+            owned->chooser.limit(entry.index, concurrency);
         }
     }
     return *owned;
@@ -86,10 +86,12 @@
         const std::uint32_t concurrency = concurrency_limit(*definition, instances);
         pool& service_pool = pool_for(*definition, concurrency);
         auto found = service_pool.endpoints.find(id);
-        if (found != service_pool.endpoints.end() && !found->second.second.same_incarnation(value))
-        {
-            service_pool.chooser.restarted(found->second.first);
-            found->second.second = value;
+        if (found != service_pool.endpoints.end() && !found->second.value.same_incarnation(value)) {
+            // Requests that are open at the former incarnation take no place at this one.
+            service_pool.chooser.remove(found->second.index);
+            service_pool.endpoints.erase(found);
+            service_pool.unreachable_until.erase(id);
+            found = service_pool.endpoints.end();
         }
         if (found == service_pool.endpoints.end()) {
             const auto index = service_pool.chooser.add(endpoint_id(id), zone_index(value.zone),
@@ -97,19 +99,21 @@
             service_pool.chooser.exclude(index, serving::exclusion::unconnected, false);
             service_pool.chooser.exclude(index, serving::exclusion::cold, false);
             service_pool.chooser.limit(index, concurrency);
-            found = service_pool.endpoints.emplace(id, std::pair(index, value)).first;
+            found =
+                service_pool.endpoints.emplace(id, pool_entry{index, next_entry_++, value}).first;
         }
-        found->second.second = value;
+        found->second.value = value;
     }
     for (auto& named_pool : pools_) {
         const std::string& name = named_pool.first;
         pool* service_pool = named_pool.second.get();
         std::erase_if(service_pool->endpoints, [&](const auto& entry) {
-            const auto& [index, value] = entry.second;
+            const serving::endpoint_index index = entry.second.index;
             const endpoint* current = view.find_endpoint(entry.first);
             const bool gone = current == nullptr || current->service != name;
             if (gone) {
                 service_pool->chooser.remove(index);
+                service_pool->unreachable_until.erase(entry.first);
             } else {
                 service_pool->chooser.exclude(index, serving::exclusion::leaving,
                                               !view.accepts_work(*current));
@@ -127,7 +131,7 @@
     for (const auto& id : ids) {
         if (const auto found = service_pool.endpoints.find(id);
             found != service_pool.endpoints.end()) {
-            indexes.push_back(found->second.first);
+            indexes.push_back(found->second.index);
         }
     }
     return indexes;
@@ -191,7 +195,9 @@
         service_pool.chooser.started(picked->endpoint, now);
         const auto prompt =
             requirements.prefixes.empty() ? serving::prompt_prefix{} : requirements.prefixes.back();
-        return chosen_endpoint{*target, picked->endpoint, picked->expected_prefix, prompt, now};
+        const std::uint64_t entry = service_pool.endpoints.at(target->id).number;
+        return chosen_endpoint{*target, picked->endpoint, entry, picked->expected_prefix, prompt,
+                               now};
     }
     return std::nullopt;
 }
@@ -213,41 +219,43 @@
 
 void endpoint_pools::finish_request(const chosen_endpoint& chosen,
                                     const serving::attempt_outcome& outcome, time_point now)
+{
+    if (pool* const service_pool = pool_of(chosen)) {
+        service_pool->chooser.finished(chosen.index, outcome, now);
+    }
+}
+
+endpoint_pools::pool* endpoint_pools::pool_of(const chosen_endpoint& chosen)
 {
     const auto found = pools_.find(chosen.target.service);
     if (found == pools_.end()) {
-        return;
+        return nullptr;
     }
     const auto entry = found->second->endpoints.find(chosen.target.id);
-    if (entry == found->second->endpoints.end() || entry->second.first != chosen.index ||
-        !entry->second.second.same_incarnation(chosen.target))
-    {
-        return; // the endpoint was removed or restarted in the meantime
-    }
-    found->second->chooser.finished(chosen.index, outcome, now);
+    const bool listed =
+        entry != found->second->endpoints.end() && entry->second.number == chosen.entry;
+    return listed ? found->second.get() : nullptr;
 }
 
 void endpoint_pools::mark_unreachable(const chosen_endpoint& chosen, time_point now)
 {
-    const auto found = pools_.find(chosen.target.service);
-    if (found == pools_.end() || !found->second->endpoints.contains(chosen.target.id)) {
-        return;
+    if (pool* const service_pool = pool_of(chosen)) {
+        service_pool->chooser.exclude(chosen.index, serving::exclusion::refusing, true);
+        service_pool->unreachable_until[chosen.target.id] = now + unreachable_timeout;
     }
-    found->second->chooser.exclude(chosen.index, serving::exclusion::refusing, true);
-    found->second->unreachable_until[chosen.target.id] = now + unreachable_timeout;
 }
 
 void endpoint_pools::report_load(const chosen_endpoint& chosen, std::uint32_t running,
                                  std::uint32_t waiting, time_point now)
 {
-    const auto found = pools_.find(chosen.target.service);
-    if (found == pools_.end() || !found->second->endpoints.contains(chosen.target.id)) {
+    pool* const service_pool = pool_of(chosen);
+    if (service_pool == nullptr) {
         return;
     }
     serving::load_report report;
     report.running = running;
     report.waiting = waiting;
-    found->second->chooser.report(chosen.index, report, now);
+    service_pool->chooser.report(chosen.index, report, now);
 }
 
 bool endpoint_pools::has_usable_endpoint(const catalog& view, const std::string& service) const
@@ -268,7 +276,7 @@
             if (const auto known = service_pool->endpoints.find(entry->first);
                 known != service_pool->endpoints.end())
             {
-                service_pool->chooser.exclude(known->second.first, serving::exclusion::refusing,
+                service_pool->chooser.exclude(known->second.index, serving::exclusion::refusing,
                                               false);
             }
             entry = service_pool->unreachable_until.erase(entry);
