Keep what is known of a stage endpoint by its incarnation

A stage endpoint that restarted under its id got no call until those to its former incarnation had timed out, and its lost results were passed on as inputs.

Change: a new incarnation starts with nothing known of it; the end of a call to a former one frees no slot, and pieces whose results were lost with it are run again.

stage_scheduler_test restart_of_an_endpoint_frees_its_slots_and_memory fails on the code before ("the new incarnation gets a call at once").

--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -171,7 +171,7 @@
 
     struct running_call
     {
-        std::string endpoint_id;
+        endpoint target;
         std::string service;
         std::vector<called_piece> pieces;
         std::uint64_t reserved = 0; // bytes
--- a/libs/gateway/include/quetzal/gateway/stage_workers.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_workers.hpp
@@ -43,23 +43,25 @@
     std::size_t call_limit(const std::string& id, const stage_capacity& capacity) const;
 
     // Record the start and the end of a call. `reserved` is the memory for its results, in bytes.
-    void call_started(const std::string& id, std::uint64_t reserved);
-    void call_ended(const std::string& id, std::uint64_t reserved);
+    // These and the following functions have no effect if the endpoint has restarted since the call
+    // was sent: the new incarnation holds nothing of it.
+    void call_started(const endpoint& target, std::uint64_t reserved);
+    void call_ended(const endpoint& target, std::uint64_t reserved);
 
     // Record the outcome of a call.
-    void record_response(const std::string& id);
-    void record_on_time_call(const std::string& id);
-    void record_slow_call(const std::string& id, time_point now);
-    void record_failure(const std::string& id, time_point now);
-    void record_full(const std::string& id, time_point now);
+    void record_response(const endpoint& target);
+    void record_on_time_call(const endpoint& target);
+    void record_slow_call(const endpoint& target, time_point now);
+    void record_failure(const endpoint& target, time_point now);
+    void record_full(const endpoint& target, time_point now);
     // Records that the endpoint had no memory for results of that size, in bytes, although it
     // should have by the results known here. It holds results of calls that another instance has
     // sent.
-    void record_out_of_memory(const std::string& id, std::uint64_t size, duration result_lifetime,
+    void record_out_of_memory(const endpoint& target, std::uint64_t size, duration result_lifetime,
                               time_point now);
 
     // Records that an endpoint holds a result until that time.
-    void add_result(const std::string& id, const std::string& handle, std::uint64_t size,
+    void add_result(const endpoint& target, const std::string& handle, std::uint64_t size,
                     time_point expires);
     void remove_results(const std::vector<std::string>& handles);
 
@@ -79,7 +81,7 @@
 
     struct worker
     {
-        std::string zone;
+        endpoint incarnation;
         unsigned calls = 0;
         unsigned failures = 0;      // in a row
         unsigned slow_calls = 0;    // in a row; if above 0, calls are small
@@ -99,6 +101,13 @@
                                             time_point now);
     static std::uint64_t used_memory(const worker& target, duration lifetime, time_point now);
 
+    // Returns what is known of the listed incarnation, after dropping what is known of a former
+    // one.
+    worker& current_worker(const endpoint& listed);
+    // Returns what is known of the incarnation that a call was sent to, or null if another one is
+    // known by now.
+    worker* worker_of(const endpoint& target);
+
     const catalog& view_;
     std::string zone_;
     time_point next_expiry_{};
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -359,7 +359,7 @@
             continue;
         }
         running_call call;
-        call.endpoint_id = target->id;
+        call.target = *target;
         call.service = service;
         call.pieces = pieces;
         call.started = now;
@@ -367,7 +367,7 @@
         for (const called_piece& piece : pieces) {
             call.reserved += piece.result_size;
         }
-        workers_.call_started(target->id, call.reserved);
+        workers_.call_started(*target, call.reserved);
         const std::uint64_t number = next_call_++;
         actions.push_back(start_call{number, *target, std::move(pieces), call.expected});
         calls_.emplace(number, std::move(call));
@@ -399,7 +399,7 @@
     }
     running_call call = std::move(found->second);
     calls_.erase(found);
-    workers_.call_ended(call.endpoint_id, call.reserved);
+    workers_.call_ended(call.target, call.reserved);
     return call;
 }
 
@@ -413,22 +413,30 @@
         return actions;
     }
     const running_call& call = *ended;
-    workers_.record_response(call.endpoint_id);
+    workers_.record_response(call.target);
     if (now - call.started <= slow_threshold(call)) {
-        workers_.record_on_time_call(call.endpoint_id);
+        workers_.record_on_time_call(call.target);
     } else if (!call.hedged) {
-        workers_.record_slow_call(call.endpoint_id, now);
+        workers_.record_slow_call(call.target, now);
     }
     const auto* definition = view_.find_service(call.service);
     const duration lifetime = definition != nullptr && definition->stage
                                   ? definition->stage->result_lifetime
                                   : duration::zero();
+    const endpoint* const current = view_.find_endpoint(call.target.id);
+    const bool results_lost = current != nullptr && !current->same_incarnation(call.target);
     std::uint64_t rejected_bytes = 0;
     for (std::size_t index = 0; index < call.pieces.size() && index < outcomes.size(); ++index) {
         const called_piece& piece = call.pieces[index];
         switch (outcomes[index].status) {
         case piece_status::done:
-            workers_.add_result(call.endpoint_id, outcomes[index].handle, piece.result_size,
+            if (results_lost) {
+                if (!call.is_requeued(index)) {
+                    retry_piece(piece, true, now, actions);
+                }
+                break;
+            }
+            workers_.add_result(call.target, outcomes[index].handle, piece.result_size,
                                 now + lifetime);
             finish_piece(piece, outcomes[index].handle, now, actions);
             break;
@@ -450,7 +458,7 @@
         }
     }
     if (rejected_bytes > 0) {
-        workers_.record_out_of_memory(call.endpoint_id, rejected_bytes, lifetime, now);
+        workers_.record_out_of_memory(call.target, rejected_bytes, lifetime, now);
     }
     return actions;
 }
@@ -465,9 +473,9 @@
     }
     const running_call& call = *ended;
     if (full) {
-        workers_.record_full(call.endpoint_id, now);
+        workers_.record_full(call.target, now);
     } else {
-        workers_.record_failure(call.endpoint_id, now);
+        workers_.record_failure(call.target, now);
     }
     for (std::size_t index = 0; index < call.pieces.size(); ++index) {
         if (!call.is_requeued(index)) {
@@ -495,7 +503,7 @@
         if (call.hedged || now - call.started <= slow_threshold(call)) {
             continue;
         }
-        workers_.record_slow_call(call.endpoint_id, now);
+        workers_.record_slow_call(call.target, now);
         if (workers_.active_count(call.service, now) == 0) {
             continue;
         }
--- a/libs/gateway/src/stage_scheduler_test.cpp
+++ b/libs/gateway/src/stage_scheduler_test.cpp
@@ -444,3 +444,34 @@
         check(fresh.pieces_called == 16, "the call carries a full batch");
     });
 }
+
+// Guards against calls that wait for an idle endpoint, or exceed its slots: it has restarted under
+// its id, and the calls and results of its former incarnation were counted for the new one.
+Test(stage_scheduler, restart_of_an_endpoint_frees_its_slots_and_memory)
+{
+    stage_capacity capacity = lookup_capacity();
+    capacity.result_memory = 400'000;
+    simulated_pool pool(1, capacity);
+    const auto restart = [&](std::uint64_t born) {
+        endpoint value = *pool.view.find_endpoint("e0");
+        value.started = born;
+        pool.view.put_endpoint(value);
+    };
+    const auto dispatch = [&] { pool.perform(pool.scheduler.dispatch(pool.now)); };
+    pool.submit(6, 0, milliseconds(5000), 60'000);
+    dispatch();
+    check(pool.started == 1, "a call fills the only slot and the memory for results");
+    const auto [former, former_call] = *pool.calls.begin();
+    pool.calls.clear();
+    restart(1);
+    pool.submit(6, 0, milliseconds(5000), 60'000);
+    dispatch();
+    check(pool.started == 2, "the new incarnation gets a call at once");
+    const std::vector<piece_outcome> outcomes(former_call.content.pieces.size(),
+                                              {piece_status::done, "handle"});
+    pool.perform(pool.scheduler.call_ended(former, outcomes, pool.now));
+    dispatch();
+    check(pool.started == 2, "the end of the former call frees no slot");
+    pool.advance(milliseconds(5000));
+    check(pool.count(job_status::done) == 2, "the pieces whose results were lost are run again");
+}
--- a/libs/gateway/src/stage_workers.cpp
+++ b/libs/gateway/src/stage_workers.cpp
@@ -36,8 +36,7 @@
     const endpoint* avoided = nullptr;
     bool others_busy = false;
     for (const endpoint* candidate : view_.usable_endpoints(service, zone_)) {
-        worker& known = workers_[candidate->id];
-        known.zone = candidate->zone;
+        const worker& known = current_worker(*candidate);
         const bool is_avoided = known.avoided_until > now;
         others_busy = others_busy || (known.calls > 0 && !is_avoided);
         if (known.calls >= capacity.slots || known.full_until > now ||
@@ -92,65 +91,97 @@
     return slow ? std::min<std::size_t>(probe_pieces, capacity.batch) : capacity.batch;
 }
 
-void stage_workers::call_started(const std::string& id, std::uint64_t reserved)
+stage_workers::worker& stage_workers::current_worker(const endpoint& listed)
 {
-    worker& used = workers_[id];
+    worker& known = workers_[listed.id];
+    if (!known.incarnation.same_incarnation(listed)) {
+        for (const auto& held : known.held) {
+            result_endpoints_.erase(held.first);
+        }
+        known = {};
+        known.incarnation = listed;
+    }
+    return known;
+}
+
+stage_workers::worker* stage_workers::worker_of(const endpoint& target)
+{
+    const auto found = workers_.find(target.id);
+    const bool known =
+        found != workers_.end() && found->second.incarnation.same_incarnation(target);
+    return known ? &found->second : nullptr;
+}
+
+void stage_workers::call_started(const endpoint& target, std::uint64_t reserved)
+{
+    worker& used = current_worker(target);
     ++used.calls;
     used.reserved += reserved;
 }
 
-void stage_workers::call_ended(const std::string& id, std::uint64_t reserved)
+void stage_workers::call_ended(const endpoint& target, std::uint64_t reserved)
 {
-    worker& used = workers_[id];
-    used.calls -= used.calls > 0 ? 1 : 0;
-    used.reserved -= std::min(used.reserved, reserved);
+    if (worker* const used = worker_of(target)) {
+        used->calls -= used->calls > 0 ? 1 : 0;
+        used->reserved -= std::min(used->reserved, reserved);
+    }
 }
 
-void stage_workers::record_response(const std::string& id)
+void stage_workers::record_response(const endpoint& target)
 {
-    workers_[id].failures = 0;
+    if (worker* const used = worker_of(target)) {
+        used->failures = 0;
+    }
 }
 
-void stage_workers::record_on_time_call(const std::string& id)
+void stage_workers::record_on_time_call(const endpoint& target)
 {
-    workers_[id].slow_calls = 0;
+    if (worker* const used = worker_of(target)) {
+        used->slow_calls = 0;
+    }
 }
 
-void stage_workers::record_slow_call(const std::string& id, time_point now)
+void stage_workers::record_slow_call(const endpoint& target, time_point now)
 {
-    worker& used = workers_[id];
-    const auto doublings = std::min(used.slow_calls++, avoidance_doublings);
-    used.avoided_until = now + slow_avoidance * (1 << doublings);
+    if (worker* const used = worker_of(target)) {
+        const auto doublings = std::min(used->slow_calls++, avoidance_doublings);
+        used->avoided_until = now + slow_avoidance * (1 << doublings);
+    }
 }
 
-void stage_workers::record_failure(const std::string& id, time_point now)
+void stage_workers::record_failure(const endpoint& target, time_point now)
 {
-    worker& used = workers_[id];
-    const auto doublings = std::min(used.failures++, avoidance_doublings);
-    used.avoided_until = now + failure_avoidance * (1 << doublings);
+    if (worker* const used = worker_of(target)) {
+        const auto doublings = std::min(used->failures++, avoidance_doublings);
+        used->avoided_until = now + failure_avoidance * (1 << doublings);
+    }
 }
 
-void stage_workers::record_full(const std::string& id, time_point now)
+void stage_workers::record_full(const endpoint& target, time_point now)
 {
-    workers_[id].full_until = now + full_avoidance;
+    if (worker* const used = worker_of(target)) {
+        used->full_until = now + full_avoidance;
+    }
 }
 
-void stage_workers::record_out_of_memory(const std::string& id, std::uint64_t size,
+void stage_workers::record_out_of_memory(const endpoint& target, std::uint64_t size,
                                          duration result_lifetime, time_point now)
 {
-    worker& used = workers_[id];
-    used.unaccounted = unaccounted_memory(used, result_lifetime, now) + size;
-    used.unaccounted_since = now;
+    if (worker* const used = worker_of(target)) {
+        used->unaccounted = unaccounted_memory(*used, result_lifetime, now) + size;
+        used->unaccounted_since = now;
+    }
 }
 
-void stage_workers::add_result(const std::string& id, const std::string& handle, std::uint64_t size,
-                               time_point expires)
+void stage_workers::add_result(const endpoint& target, const std::string& handle,
+                               std::uint64_t size, time_point expires)
 {
-    worker& maker = workers_[id];
-    held_result& result = maker.held[handle];
-    maker.held_bytes += size - result.size;
-    result = {size, expires};
-    result_endpoints_[handle] = id;
+    if (worker* const maker = worker_of(target)) {
+        held_result& result = maker->held[handle];
+        maker->held_bytes += size - result.size;
+        result = {size, expires};
+        result_endpoints_[handle] = target.id;
+    }
 }
 
 void stage_workers::remove_results(const std::vector<std::string>& handles)
@@ -192,7 +223,7 @@
     for (const auto& handle : handles) {
         if (const auto found = result_endpoints_.find(handle); found != result_endpoints_.end()) {
             const auto known = workers_.find(found->second);
-            ++count[known == workers_.end() ? std::string() : known->second.zone];
+            ++count[known == workers_.end() ? std::string() : known->second.incarnation.zone];
         }
     }
     std::string zone;
