Follow the settings file of a running instance

Cause: the settings file was read once at the start. Nothing else lets an instance that has met nobody meet anybody.

Change: the file is read again at SIGHUP and every 2 s, as it may change without a signal; changed seeds take effect at once, other changes are logged as needing a restart. A process that should have met a peer and has not takes the share of one in 16 for 30 s.

--- a/apps/quetzallever/main.cpp
+++ b/apps/quetzallever/main.cpp
@@ -53,11 +53,10 @@
 
 } // namespace
 
-std::optional<std::string> read_file(const std::string& path)
+std::optional<std::string> read_text(const std::string& path)
 {
     std::ifstream file(path);
     if (!file) {
-        std::fprintf(stderr, "quetzallever: %s cannot be read\n", path.c_str());
         return std::nullopt;
     }
     std::ostringstream text;
@@ -65,6 +64,15 @@
     return std::move(text).str();
 }
 
+std::optional<std::string> read_file(const std::string& path)
+{
+    auto text = read_text(path);
+    if (!text) {
+        std::fprintf(stderr, "quetzallever: %s cannot be read\n", path.c_str());
+    }
+    return text;
+}
+
 int main(int argc, const char** argv)
 {
     const command_line options = parse_options(argc, argv);
--- a/apps/quetzallever/programs.hpp
+++ b/apps/quetzallever/programs.hpp
@@ -15,7 +15,10 @@
 // Runs the entry instance on the users' platform. Returns the exit code.
 int run_front(const std::string& settings_path);
 
-// Reads a whole file, or prints why it cannot be read.
+// Reads a whole file. Returns nothing if it cannot be read.
+std::optional<std::string> read_text(const std::string& path);
+
+// Reads a whole file, or prints that it cannot be read.
 std::optional<std::string> read_file(const std::string& path);
 
 #endif
--- a/apps/quetzallever/run_front.cpp
+++ b/apps/quetzallever/run_front.cpp
@@ -1,28 +1,73 @@
+#include <chrono>
 #include <cstdio>
+#include <string>
 #include <utility>
 
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/platform/front.hpp>
 #include <quetzal/platform/front_settings.hpp>
+#include <quetzal/platform/settings_watch.hpp>
 
 #include "programs.hpp"
 
 namespace {
 
-void wait_for_signals(boost::asio::signal_set& signals, quetzal::platform::front& front)
+// Interval at which the settings file is read, since it may change without a signal.
+constexpr std::chrono::seconds settings_interval{2};
+
+// Applies changes of the settings file to a running instance.
+class settings_reload
+{
+public:
+    settings_reload(boost::asio::io_context& context, quetzal::platform::front& front,
+                    std::string path, quetzal::platform::settings_watch watch)
+        : timer_(context), front_(front), path_(std::move(path)), watch_(std::move(watch))
+    {
+    }
+
+    void read()
+    {
+        if (auto seeds = watch_.update(read_text(path_))) {
+            front_.set_seeds(std::move(*seeds));
+        }
+    }
+
+    void read_periodically()
+    {
+        timer_.expires_after(settings_interval);
+        timer_.async_wait([this](const boost::system::error_code& error) {
+            if (error) {
+                return;
+            }
+            read();
+            read_periodically();
+        });
+    }
+
+private:
+    boost::asio::steady_timer timer_;
+    quetzal::platform::front& front_;
+    std::string path_;
+    quetzal::platform::settings_watch watch_;
+};
+
+void wait_for_signals(boost::asio::signal_set& signals, quetzal::platform::front& front,
+                      settings_reload& reload)
 {
-    signals.async_wait([&signals, &front](const boost::system::error_code& error, int signal) {
+    signals.async_wait([&](const boost::system::error_code& error, int signal) {
         if (error) {
             return;
         }
         if (signal == SIGHUP) {
-            // Only the seeds may change while a process runs, and the members know each other.
             quetzal::gateway::log_event("reload_requested", {});
+            reload.read();
         } else {
             front.drain();
         }
-        wait_for_signals(signals, front);
+        wait_for_signals(signals, front, reload);
     });
 }
 
@@ -45,12 +90,15 @@
         return exit_usage;
     }
     quetzal::gateway::start_log(settings->name);
+    quetzal::platform::settings_watch watch(settings_path, *text, *settings);
     quetzal::platform::front front(context, std::move(*settings));
     if (const auto started = front.start(); !started) {
         std::fprintf(stderr, "quetzallever: %s\n", started.error().c_str());
         return exit_failed;
     }
-    wait_for_signals(signals, front);
+    settings_reload reload(context, front, settings_path, std::move(watch));
+    reload.read_periodically();
+    wait_for_signals(signals, front, reload);
     context.run();
     quetzal::gateway::stop_log();
     return 0;
--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -110,6 +110,9 @@
     // each instance would otherwise choose itself.
     duration fleet_start_time = std::chrono::seconds(3);
     std::size_t max_probes = 16; // instances that are asked in one round
+    // A process that has met no peer although it should have counts the fleet as this large for the
+    // retention time after its start, so that it takes only a small share of fleet-wide limits.
+    std::size_t unknown_fleet_size = 16;
 };
 
 class member_table
@@ -122,6 +125,10 @@
     // the records of the others have had time to arrive, or no peer was heard until the timeout.
     bool joined(time_point now) const;
 
+    // Records that the settings name other instances, so that this one is probably not alone even
+    // if it meets none of them.
+    void expect_peers() noexcept { expects_peers_ = true; }
+
     // Update the record of this instance.
     void set_ready(bool ready);
     void set_leaving();
@@ -175,7 +182,7 @@
     std::size_t live_size(time_point now) const;
 
     // Returns the number of instances known to be alive within the retention time, including this
-    // one.
+    // one; a larger number if it should have met a peer and has not (see `unknown_fleet_size`).
     std::size_t recent_size(time_point now) const;
 
     bool is_live(const std::string& address, time_point now) const;
@@ -229,6 +236,8 @@
     member_record self_;
     std::map<std::string, known_member> others_;         // by address
     std::map<std::string, time_point> lost_connections_; // time of the last loss, by address
+    bool expects_peers_ = false;
+    bool met_peer_ = false;
     time_point started_;
 };
 
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -163,6 +163,9 @@
     peer_link(boost::asio::io_context& context, peer_link_options options, member_table& members);
     ~peer_link();
 
+    // Replaces the addresses to discover other instances through.
+    void set_seeds(std::vector<std::string> seeds);
+
     // Exchanges the evidence of the quarantine with the heartbeats from now on.
     void share(part_quarantine& quarantine);
 
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -118,6 +118,7 @@
     }
     auto [position, added] =
         others_.try_emplace(update.record.address, known_member{update.record, seen, {}});
+    met_peer_ = true;
     if (added) {
         return;
     }
@@ -308,6 +309,9 @@
 
 std::size_t member_table::recent_size(time_point now) const
 {
+    if (expects_peers_ && !met_peer_ && now - started_ <= options_.retention) {
+        return options_.unknown_fleet_size;
+    }
     return 1 + static_cast<std::size_t>(
                    std::count_if(others_.begin(), others_.end(), [&](const auto& entry) {
                        return now - entry.second.last_alive <= options_.retention;
--- a/libs/gateway/src/member_table_test.cpp
+++ b/libs/gateway/src/member_table_test.cpp
@@ -442,3 +442,25 @@
     check(owners.size() <= large_machines / 3, "few instances are taken for the owner");
     check(most >= size * 9 / 10, "nine of ten agree on one");
 }
+
+// Guards against a cold endpoint that gets more requests than it bears: an instance that started
+// while its seeds were gone took the share of a whole fleet, beside a fleet that it did not know.
+Test(member_table, process_that_has_met_no_peer_takes_a_small_share)
+{
+    const time_point start{std::chrono::seconds(1000)};
+    const time_point later = start + std::chrono::seconds(10);
+    member_record self;
+    self.address = "10.0.0.1";
+    member_table alone({}, self, start);
+    check(alone.recent_size(later) == 1, "without other seeds it is the only instance");
+    member_table expecting({}, self, start);
+    expecting.expect_peers();
+    check(expecting.recent_size(later) == 16, "with other seeds it counts a large fleet");
+    check(expecting.recent_size(start + std::chrono::seconds(31)) == 1,
+          "after the retention time nobody else is left");
+    heartbeat message;
+    message.sender.record.address = "10.0.0.2";
+    expecting.merge_heartbeat(message, later);
+    check(expecting.recent_size(later) == 2,
+          "once it has met a peer it counts those that it knows");
+}
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -65,6 +65,17 @@
         : context(io), options(std::move(settings)), members(table), datagrams(io), acceptor(io),
           heartbeat_timer(io), random(random_seed())
     {
+        use_seeds(options.seeds);
+    }
+
+    void use_seeds(std::vector<std::string> seeds)
+    {
+        options.seeds = std::move(seeds);
+        if (std::any_of(options.seeds.begin(), options.seeds.end(),
+                        [&](const std::string& seed) { return seed != options.address; }))
+        {
+            members.expect_peers();
+        }
     }
 
     std::uint64_t random_seed() const
@@ -463,6 +474,11 @@
     self_->handle_loss = [](const std::string&, std::uint64_t) {};
 }
 
+void peer_link::set_seeds(std::vector<std::string> seeds)
+{
+    self_->use_seeds(std::move(seeds));
+}
+
 void peer_link::share(part_quarantine& quarantine)
 {
     self_->quarantine = &quarantine;
