--- a/libs/gateway/src/endless_stage_test.cpp
+++ b/libs/gateway/src/endless_stage_test.cpp
@@ -1,15 +1,20 @@
 // Tests the calls of stages against endpoints that send bytes without end, repeat responses, or
 // announce that they want no further calls.
 
+#include <thread>
+
 #include <boost/asio/io_context.hpp>
 #include <quetzal/gateway/stage_coordinator.hpp>
 #include <quetzal/testing/endless_server.hpp>
 #include <quetzal/testing/section.hpp>
 
+#include "request_flow_fixture.hpp"
 #include "test_names.hpp"
 
 using namespace quetzal;
 using namespace quetzal::gateway;
+using quetzal::gateway::testing::fake_endpoint;
+using quetzal::gateway::testing::scripted_response;
 using quetzal::gateway::testing::test_names;
 using quetzal::testing::check;
 using quetzal::testing::endless_bytes;
@@ -225,3 +230,37 @@
         check(done == 8, "all jobs are done: " + announcing);
     }
 }
+
+// Guards against a job that ends with no results, or with those of no call: the endpoint stopped
+// within the head or the body of its response and closed the connection.
+Test(endless_stage, response_that_ends_early, .timeout = 120)
+{
+    for (std::size_t size = 0; size < complete.size(); ++size) {
+        boost::asio::io_context endpoint_context(1);
+        fake_endpoint target(endpoint_context, {scripted_response{complete.substr(0, size), true},
+                                                scripted_response{complete}});
+        std::jthread runs([&](const std::stop_token& stop) {
+            while (!stop.stop_requested()) {
+                endpoint_context.run_for(milliseconds(10));
+                endpoint_context.restart();
+            }
+        });
+        coordinating_instance instance({target.address().port()});
+        local_job job;
+        job.content.request_id = "r";
+        job.content.stages.push_back({"s", {}, 0, 1});
+        job.latency_deadline = job.deadline = boot_clock::now() + job_time;
+        std::optional<job_outcome> outcome;
+        instance.coordinator.submit(std::move(job), [&](const job_outcome& ended) {
+            outcome = ended;
+            instance.context.stop();
+        });
+        instance.context.run_for(job_time);
+        runs.request_stop();
+        runs.join();
+        check(outcome && outcome->status == job_status::done &&
+                  outcome->results == std::vector<std::string>{"ok"} &&
+                  target.requests().size() == 2,
+              "after " + std::to_string(size) + " bytes the call is made again");
+    }
+}
--- a/libs/gateway/src/incomplete_response_test.cpp
+++ b/libs/gateway/src/incomplete_response_test.cpp
@@ -196,3 +196,59 @@
     check(response.status_ == 200 && response.body_ == "x",
           "the response is forwarded, not status " + std::to_string(response.status_));
 }
+
+// Guards against successes with an empty or short body, framed as whole: their endpoint stopped
+// within the head of its response and closed the connection.
+Test(incomplete_response, head_that_ends_early, .timeout = 120)
+{
+    const std::string plain = response_with("1", "whole");
+    const std::size_t plain_head = plain.find("\r\n\r\n") + 4;
+    const std::string stream = stream_response_head("1");
+    const auto cut_at = [](const std::string& text, std::size_t size) {
+        return scripted_response{text.substr(0, size), true};
+    };
+    section("given a request that may run once", [&] {
+        for (std::size_t size = 0; size < plain_head; ++size) {
+            const scripted_response whole{plain};
+            gateway_fixture gateway(route_kind::non_idempotent, false,
+                                    {{cut_at(plain, size), whole}, {cut_at(plain, size), whole}});
+            const auto response = gateway.serve("1");
+            check(response.status_ == 502 && gateway.received_requests() == 1,
+                  "a head of " + std::to_string(size) + " bytes is a failure, not a status " +
+                      std::to_string(response.status_) + ", and it is not run again");
+        }
+    });
+    section("given an idempotent request", [&] {
+        for (std::size_t size = 0; size < plain_head; ++size) {
+            const scripted_response whole{plain};
+            gateway_fixture gateway(route_kind::idempotent, false,
+                                    {{cut_at(plain, size), whole}, {cut_at(plain, size), whole}});
+            const auto response = gateway.serve("1");
+            const bool failed = response.status_ == 502 || response.status_ == 504;
+            check(failed || (response.status_ == 200 && response.body_ == "whole"),
+                  "after a head of " + std::to_string(size) +
+                      " bytes the caller gets a failure or "
+                      "the whole body of another run, not status " +
+                      std::to_string(response.status_));
+        }
+    });
+    section("given a stream", [&] {
+        for (std::size_t size = 0; size < stream.size(); ++size) {
+            gateway_fixture gateway(route_kind::stream, false, {{cut_at(stream, size)}});
+            const auto response = gateway.serve("1");
+            check(response.status_ == 502 && !response.complete_,
+                  "a head of " + std::to_string(size) + " bytes is a failure");
+        }
+    });
+    section("given a stream that another endpoint goes on with", [&] {
+        const scripted_response interrupted{stream + chunk(event(0)), true};
+        for (std::size_t size = 0; size < stream.size(); ++size) {
+            gateway_fixture gateway(route_kind::stream, true, {{interrupted}, {}});
+            gateway.endpoints[1]->share_script(*gateway.endpoints[0]);
+            gateway.endpoints[0]->append(cut_at(stream, size));
+            const auto response = gateway.serve("1");
+            check(response.body_ == event(0) && !response.complete_,
+                  "after a head of " + std::to_string(size) + " bytes it does not end as whole");
+        }
+    });
+}
--- a/libs/gateway/src/peer_link_test.cpp
+++ b/libs/gateway/src/peer_link_test.cpp
@@ -159,3 +159,22 @@
         });
     });
 }
+
+// Guards against half a message that is taken for a whole one: its peer stopped within it and
+// closed the connection.
+Test(peer_link, message_that_ends_early)
+{
+    const std::string bytes = internal::encode(peer_message(job_release{{1, 2, 3}}));
+    const auto length = boost::endian::native_to_little(static_cast<std::uint32_t>(bytes.size()));
+    const std::string frame =
+        std::string(reinterpret_cast<const char*>(&length), sizeof(length)) + bytes;
+    link_fixture fixture(19886);
+    for (std::size_t size = 0; size < frame.size(); ++size) {
+        auto peer = fixture.connect();
+        asio::write(peer, asio::buffer(frame.substr(0, size)));
+        peer.close();
+        fixture.run();
+    }
+    check(fixture.messages == 0, "no part of a message is handled");
+    check(fixture.losses.size() == frame.size(), "each loss is reported");
+}
--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -91,6 +91,8 @@
     // is asked first.
     void share_script(const fake_endpoint& other) { script_ = other.script_; }
 
+    void append(scripted_response response) { script_->push_back(std::move(response)); }
+
 private:
     using script = std::deque<scripted_response>;
 
