--- a/libs/gateway/src/endless_gateway.hpp
+++ b/libs/gateway/src/endless_gateway.hpp
@@ -4,7 +4,7 @@
 // A gateway whose endpoints send bytes without end, at full speed or so slowly that each read
 // succeeds. Every variant prints one line with its outcome, its duration in ms, the growth of
 // memory in KiB, the duration in ms of another request that is served meanwhile, and for both how
-// long other processes had the processor, which the durations do not include.
+// much of it other processes had the processor.
 
 #include <algorithm>
 #include <atomic>
@@ -122,8 +122,8 @@
     recorded_response response;
     time_point started = boot_clock::now();
     duration waited_before = quetzal::testing::runqueue_wait();
-    std::optional<duration> took; // without the time that other processes had the processor
-    duration waited{};            // that time
+    std::optional<duration> took;
+    duration waited{}; // the part of it in which other processes had the processor
 };
 
 // A gateway with the route /a/ to the given endpoints, and the route /n/ to an endpoint that always
@@ -211,7 +211,7 @@
             context, flow.serve(std::make_shared<running_request>(message), started->response),
             [started](const std::exception_ptr&) {
                 started->waited = quetzal::testing::runqueue_wait() - started->waited_before;
-                started->took = boot_clock::now() - started->started - started->waited;
+                started->took = boot_clock::now() - started->started;
             });
         return started;
     }
