Recognize repeats of a request that crashes its endpoints

Cause: the quarantine blames parts of prompts that requests share. These are sound for other requests, so each needs six crashes over five seconds; the request itself was no key.

Change: the hash of the whole prompt is one more key. Only repeats have it, and nothing clears it, so two crashes quarantine it.

caller_request_test fails without the key ("a key for each shared part and one for the whole prompt").

--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -35,10 +35,11 @@
     std::string piece_counts;
     std::string last_event_id;
     std::vector<serving::prompt_prefix> prefixes; // prompt prefixes, shortest first
-    // Parts of the prompt that other requests may share: all but the last one, which belongs to the
-    // request or to its session. Hashes of their ids, and the ids themselves for the log.
-    std::vector<std::uint64_t> shared_parts;
-    std::string shared_part_ids; // separated by commas
+    // What `part_quarantine` may blame for a crash: the hashes of the parts of the prompt that
+    // other requests may share (all but the last one, which belongs to the request or to its
+    // session), and last the hash of the whole prompt, which only repeats of the request have.
+    std::vector<std::uint64_t> quarantine_keys;
+    std::string shared_part_ids; // for the log, separated by commas
     time_point received;
     std::optional<duration> caller_timeout; // how long the caller waits, counted from `received`
 
--- a/libs/gateway/src/caller_request.cpp
+++ b/libs/gateway/src/caller_request.cpp
@@ -79,7 +79,7 @@
 struct parsed_prompt
 {
     std::vector<serving::prompt_prefix> prefixes;
-    std::vector<std::uint64_t> shared_parts;
+    std::vector<std::uint64_t> quarantine_keys; // see `caller_request`
     std::string shared_part_ids;
 };
 
@@ -115,7 +115,7 @@
         last_id_size = part_ids.size() - before;
     }
     if (!parts.empty()) {
-        parts.pop_back();
+        parts.back() = hash;
         part_ids.resize(part_ids.size() - last_id_size);
     }
     constexpr std::size_t kept_prefixes = 2;
@@ -199,7 +199,7 @@
             return not_run(reason::invalid_request, "the parts of the prompt are malformed");
         }
         request.prefixes = std::move(prompt->prefixes);
-        request.shared_parts = std::move(prompt->shared_parts);
+        request.quarantine_keys = std::move(prompt->quarantine_keys);
         request.shared_part_ids = std::move(prompt->shared_part_ids);
     }
     const auto options = connection_options(headers);
--- a/libs/gateway/src/caller_request_test.cpp
+++ b/libs/gateway/src/caller_request_test.cpp
@@ -102,3 +102,26 @@
     check(first[0].hash != other_session[0].hash, "different sessions have different prefixes");
     check(prefixes("5c:800").size() == 1, "a single part is kept");
 }
+
+// Guards against a request that crashes one endpoint after another because its repeats are not
+// recognized: all parts of their prompts but the last one are shared with sound requests.
+Test(caller_request, repeats_of_a_prompt_are_recognized)
+{
+    const auto keys_of = [](const std::string& prompt) {
+        http::fields headers;
+        headers.set("Host", "h");
+        headers.set("Id", "abc");
+        headers.set("Prompt", prompt);
+        const auto request = read(headers);
+        check(request.has_value(), "the request is valid");
+        return request->quarantine_keys;
+    };
+    const auto keys = keys_of("a:5,b:6,c:7");
+    const auto other = keys_of("a:5,b:6,d:7");
+    check(keys.size() == 3, "a key for each shared part and one for the whole prompt");
+    check(keys_of("a:5,b:6,c:7") == keys, "a repeat has the same keys");
+    check(other[0] == keys[0] && other[1] == keys[1],
+          "another request shares the keys of its parts");
+    check(other[2] != keys[2], "and has another key for the whole prompt");
+    check(keys_of("x:5,b:6,c:7")[2] != keys[2], "the key of the whole prompt covers all parts");
+}
--- a/libs/gateway/src/crashing_part_test.cpp
+++ b/libs/gateway/src/crashing_part_test.cpp
@@ -38,7 +38,7 @@
     {
         caller_request message = make_message(id, "key", "/a/x");
         for (const std::string& part : parts) {
-            message.shared_parts.push_back(stable_hash(part));
+            message.quarantine_keys.push_back(stable_hash(part));
             message.forwarded_headers += "Part: " + part + "\r\n";
         }
         return message;
@@ -74,3 +74,25 @@
     check(served.status_ == 200 && served.complete_,
           "a sound request that shares the other parts is served");
 }
+
+// Guards against a request that crashes one endpoint after another because it is repeated, while
+// sound requests with the same shared parts clear each of these parts again.
+Test(crashing_part, repeated_request_that_crashes_endpoints_is_rejected)
+{
+    crashing_fixture gateway(8);
+    const auto serve_sound = [&](int number) {
+        const std::string prompt = "prompt-" + std::to_string(number);
+        return gateway.serve(gateway.message_with("sound", {"common", "session", prompt}));
+    };
+    for (int repeat = 0; repeat < 4; ++repeat) {
+        check(serve_sound(repeat).status_ == 200,
+              "a sound request with the same shared parts is served");
+        const auto id = "repeat-" + std::to_string(repeat);
+        gateway.serve(gateway.message_with(id, {"common", "session", "deadly prompt"}));
+    }
+    check(gateway.crashes() <= 3, "four repeats crash at most three endpoints");
+    const auto refused =
+        gateway.serve(gateway.message_with("late", {"common", "session", "deadly prompt"}));
+    check(refused.status_ == 503, "a further repeat is refused as not run");
+    check(serve_sound(4).complete_, "a sound request is still served");
+}
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -367,7 +367,7 @@
     }
     state.has_content = true;
     if (success) {
-        quarantine_.record_begun(request->message.shared_parts, boot_clock::now());
+        quarantine_.record_begun(request->message.quarantine_keys, boot_clock::now());
     }
     // A stream that has started cannot end as another response.
     const bool stream_started = writer.has_started_stream();
@@ -429,7 +429,7 @@
             silence.stop(); // restarted only by an event, not by every byte
             if (!state.has_content) {
                 state.has_content = true;
-                quarantine_.record_begun(request->message.shared_parts, boot_clock::now());
+                quarantine_.record_begun(request->message.quarantine_keys, boot_clock::now());
                 outcome.latency = boot_clock::now() - started;
                 coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
             }
--- a/libs/gateway/src/request_endpoint.cpp
+++ b/libs/gateway/src/request_endpoint.cpp
@@ -66,7 +66,7 @@
 std::optional<failure> request_flow::quarantine_refusal(const running_request& request,
                                                         bool sending)
 {
-    const auto& parts = request.message.shared_parts;
+    const auto& parts = request.message.quarantine_keys;
     const time_point now = boot_clock::now();
     const auto rank = [&](std::uint64_t part) {
         return members_.rank_for(std::to_string(part), now);
@@ -74,9 +74,11 @@
     const auto decision = quarantine_.check(parts, rank, now);
     if (const auto* found = std::get_if<part_quarantine::quarantined>(&decision)) {
         const auto position = std::find(parts.begin(), parts.end(), found->part) - parts.begin();
+        const std::string blamed = found->part == parts.back()
+                                       ? "this prompt as a whole, with the parts "
+                                       : "part " + std::to_string(position + 1) + " of the parts ";
         return failure{verdict::not_run, reason::quarantined,
-                       "endpoints crashed under part " + std::to_string(position + 1) +
-                           " of the prompt parts " + request.message.shared_part_ids,
+                       "endpoints crashed under " + blamed + request.message.shared_part_ids,
                        std::chrono::ceil<std::chrono::milliseconds>(found->left)};
     }
     if (const auto* tested = std::get_if<part_quarantine::retest>(&decision); tested && sending) {
@@ -89,7 +91,7 @@
 asio::awaitable<void> request_flow::examine_loss(const running_request& request,
                                                  const chosen_endpoint& chosen)
 {
-    const auto& parts = request.message.shared_parts;
+    const auto& parts = request.message.quarantine_keys;
     if (parts.empty()) {
         co_return;
     }
