--- a/libs/gateway/include/quetzal/gateway/stage_job.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_job.hpp
@@ -3,9 +3,9 @@
 
 // The stages of one request, as the instances of the fleet send them to each other.
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace quetzal::gateway {
@@ -19,7 +19,13 @@
     std::uint64_t ticket = 0;  // identifies the job in that process
     std::uint32_t attempt = 0; // number of this submission of the job, from 1
 
-    auto operator<=>(const submission_id&) const = default;
+    friend bool operator==(const submission_id&, const submission_id&) = default;
+
+    friend bool operator<(const submission_id& left, const submission_id& right)
+    {
+        return std::tie(left.process, left.ticket, left.attempt) <
+               std::tie(right.process, right.ticket, right.attempt);
+    }
 
     template <class Archive>
     void serialize(Archive& archive)
