Forget a caller's connection also when its task ends by an exception

An exception that leaves the task of a connection (not of a request, which has a handler of its own) left a pointer to the destroyed connection in the set that a stopping instance iterates over, and the count of open connections too high. Found by reading for the incident of lost streams at a stop; no run has shown it. The entry is now removed when the task ends in any way, and the set is the count.

--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -77,7 +77,6 @@
     tcp::acceptor acceptor;
     bool draining = false;
     std::size_t active_requests = 0;
-    std::size_t open_connections = 0;
     std::size_t body_bytes = 0;
     std::set<connection*> connections; // accepted and not closed
 };
@@ -288,7 +287,8 @@
 asio::awaitable<void> caller_server::implementation::serve(std::shared_ptr<implementation> self,
                                                            std::shared_ptr<connection> caller)
 {
-    ++self->open_connections;
+    const auto forget = [&self](connection* ended) { self->connections.erase(ended); };
+    const std::unique_ptr<connection, decltype(forget)> registration(caller.get(), forget);
     while (caller->persistent && caller->socket.is_open()) {
         // Copied because a new configuration may replace the limits while the connection waits.
         const caller_limits limits = self->view.limits();
@@ -415,8 +415,6 @@
         co_await caller->linger();
     }
     caller->close();
-    self->connections.erase(caller.get());
-    --self->open_connections;
 }
 
 asio::awaitable<void>
@@ -442,8 +440,8 @@
 
 void caller_server::implementation::admit(tcp::socket socket)
 {
-    if (open_connections >= options.max_connections) {
-        log_event("connection_refused", {{"open", open_connections}});
+    if (connections.size() >= options.max_connections) {
+        log_event("connection_refused", {{"open", connections.size()}});
         return; // the destructor closes the socket
     }
     configure_socket(socket);
@@ -512,7 +510,7 @@
 
 std::size_t caller_server::open_connections() const
 {
-    return self_->open_connections;
+    return self_->connections.size();
 }
 
 } // namespace quetzal::gateway
