Log the last responses that callers have not confirmed at a stop

A response counts as complete when its last byte is written to the socket. No decision depends on them.

--- a/libs/gateway/include/quetzal/gateway/caller_server.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_server.hpp
@@ -48,6 +48,10 @@
     // Stops accepting connections.
     void stop_accepting();
 
+    // Logs the last response of every open connection whose caller has neither closed the
+    // connection nor sent a further request since.
+    void log_unconfirmed() const;
+
     // Returns the number of requests whose body is being read or that are being served.
     std::size_t active_requests() const;
 
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -37,9 +37,10 @@
 
 namespace {
 
-constexpr duration linger_time = std::chrono::seconds(2);        // for the caller's close
-constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
-constexpr std::size_t read_buffer_limit = 64u << 10;             // bytes
+constexpr duration linger_time = std::chrono::seconds(2);          // for the caller's close
+constexpr duration recent_response_time = std::chrono::seconds(4); // may still be on its way
+constexpr duration accept_pause = std::chrono::milliseconds(50);   // after a failed accept
+constexpr std::size_t read_buffer_limit = 64u << 10;               // bytes
 constexpr int listen_backlog = 1024;
 
 std::string status_line(unsigned status)
@@ -139,6 +140,7 @@
         }
         timeout.clear();
         writing = false;
+        last_write = boot_clock::now();
         if (error) {
             log_event("response_not_written",
                       {{"request", current ? std::string_view(current->message.id) : ""},
@@ -250,6 +252,24 @@
                                             asio::redirect_error(asio::use_awaitable, error));
         }
         timeout.clear();
+        unconfirmed = error != asio::error::eof;
+        if (server.draining) {
+            log_unconfirmed("the connection ended otherwise than by the caller's close");
+        }
+    }
+
+    // Logs the last response if it is recent and the caller has neither closed its connection nor
+    // sent a further request since.
+    void log_unconfirmed(std::string_view detail)
+    {
+        if (!unconfirmed || boot_clock::now() - last_write > recent_response_time) {
+            return;
+        }
+        log_event("response_unconfirmed",
+                  {{"request", last_request},
+                   {"detail", detail},
+                   {"unacknowledged", socket.is_open() ? unacknowledged_bytes() : 0},
+                   {"written_ms", whole_milliseconds(boot_clock::now() - last_write)}});
     }
 
     // Ends a request whose handler has thrown. It may have run.
@@ -281,6 +301,9 @@
     bool writing = false;
     bool reading = false;         // a request, whose timeout is answered
     bool awaiting_request = true; // no request was read completely since the last response
+    bool unconfirmed = false;     // the last response; until the caller closes or sends a request
+    std::string last_request;     // id of the last request that was served
+    time_point last_write{};      // of any part of a response
     int unacknowledged = 0;       // bytes when the time limit of the write was set
 };
 
@@ -304,6 +327,7 @@
                 break;
             }
         }
+        caller->unconfirmed = false;
         caller->timed_out = false;
         caller->reading = true;
         caller->timeout.expires_after(limits.header_timeout);
@@ -384,6 +408,7 @@
         self->body_bytes += body_size;
         ++self->active_requests;
         caller->current = std::make_shared<running_request>(std::move(*request));
+        caller->last_request = caller->current->message.id;
         caller->current->connection_request = ++caller->requests;
         caller->watch_for_disconnect();
         std::optional<std::string> exception;
@@ -409,6 +434,7 @@
             break;
         }
         caller->awaiting_request = caller->persistent;
+        caller->unconfirmed = true;
     }
     caller->awaiting_request = false;
     if (caller->response_complete && caller->socket.is_open()) {
@@ -497,6 +523,13 @@
     self_->acceptor.close(ignored);
 }
 
+void caller_server::log_unconfirmed() const
+{
+    for (auto* caller : self_->connections) {
+        caller->log_unconfirmed("the process exits");
+    }
+}
+
 std::size_t caller_server::active_requests() const
 {
     return self_->active_requests;
