Exit only when callers have their last responses

Callers lost streams that their endpoint had ended and that the stopping instance took for complete: it exited within 20 ms of the end of its last request, with the last bytes still on their way. What is written and not received goes with the machine, or is destroyed by the reset that unread bytes cause. A chat is the longest stream, so it is mostly the last request of a stop.

The class: an end of the process that is decided by what has been written, not by what has been received. A request that crosses the close stays unread, so the caller may send it elsewhere.

--- a/libs/gateway/include/quetzal/gateway/caller_server.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_server.hpp
@@ -48,6 +48,11 @@
     // Stops accepting connections.
     void stop_accepting();
 
+    // Closes the connections that wait for a request, and from now on every connection once it
+    // does. A connection stays open until its caller has closed it too, for a limited time: before
+    // that, the last response may still be on its way, and an exit of the process could destroy it.
+    void close_idle_connections();
+
     // Logs the last response of every open connection whose caller has neither closed the
     // connection nor sent a further request since.
     void log_unconfirmed() const;
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -70,6 +70,9 @@
     // Serves an accepted connection.
     void admit(tcp::socket socket);
 
+    // Closes the connections that wait for a request, and further ones as soon as they do.
+    void close_idle_connections();
+
     asio::io_context& context;
     caller_server_options options;
     const catalog& view;
@@ -77,6 +80,7 @@
     handler serve_request;
     tcp::acceptor acceptor;
     bool draining = false;
+    bool closing_idle = false;
     std::size_t active_requests = 0;
     std::size_t body_bytes = 0;
     std::set<connection*> connections; // accepted and not closed
@@ -258,6 +262,19 @@
         }
     }
 
+    // Ends a connection that waits for a request, unless one has arrived. A request that crosses
+    // the close stays unread, so that the caller may send it to another instance.
+    void close_idle()
+    {
+        boost::system::error_code error; // a closed socket has nothing to read
+        if (socket.available(error) > 0) {
+            return;
+        }
+        shut_down = true;
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        timeout.expires_after(linger_time);
+    }
+
     // Logs the last response if it is recent and the caller has neither closed its connection nor
     // sent a further request since.
     void log_unconfirmed(std::string_view detail)
@@ -301,6 +318,8 @@
     bool writing = false;
     bool reading = false;         // a request, whose timeout is answered
     bool awaiting_request = true; // no request was read completely since the last response
+    bool idle = false;            // waits for the first byte of a request
+    bool shut_down = false;       // closed for further responses while idle
     bool unconfirmed = false;     // the last response; until the caller closes or sends a request
     std::string last_request;     // id of the last request that was served
     time_point last_write{};      // of any part of a response
@@ -320,10 +339,18 @@
         parser.body_limit(limits.body_size);
         boost::system::error_code error;
         if (caller->buffer.size() == 0) {
+            caller->idle = true;
             caller->timeout.expires_after(limits.idle_timeout);
+            if (self->closing_idle) {
+                caller->close_idle();
+            }
             co_await caller->socket.async_wait(tcp::socket::wait_read,
                                                asio::redirect_error(asio::use_awaitable, error));
-            if (error) {
+            caller->idle = false;
+            if (caller->shut_down && error) {
+                caller->log_unconfirmed("the caller keeps the connection open");
+            }
+            if (error || caller->shut_down) {
                 break;
             }
         }
@@ -437,7 +464,7 @@
         caller->unconfirmed = true;
     }
     caller->awaiting_request = false;
-    if (caller->response_complete && caller->socket.is_open()) {
+    if (caller->response_complete && !caller->shut_down && caller->socket.is_open()) {
         co_await caller->linger();
     }
     caller->close();
@@ -476,6 +503,16 @@
     spawn(context, "serve", serve(shared_from_this(), std::move(caller)));
 }
 
+void caller_server::implementation::close_idle_connections()
+{
+    closing_idle = true;
+    for (connection* caller : connections) {
+        if (caller->idle && !caller->shut_down) {
+            caller->close_idle();
+        }
+    }
+}
+
 caller_server::caller_server(asio::io_context& context, caller_server_options options,
                              const catalog& view, const header_names& names, handler serve)
     : self_(std::make_shared<implementation>(context, std::move(options), view, names,
@@ -523,6 +560,11 @@
     self_->acceptor.close(ignored);
 }
 
+void caller_server::close_idle_connections()
+{
+    self_->close_idle_connections();
+}
+
 void caller_server::log_unconfirmed() const
 {
     for (auto* caller : self_->connections) {
--- a/libs/gateway/src/caller_server_test.cpp
+++ b/libs/gateway/src/caller_server_test.cpp
@@ -185,3 +185,59 @@
         });
     });
 }
+
+// Guards against a process that exits while its last responses are on their way: it takes them for
+// delivered when it has written them.
+Test(caller_server, connections_stay_open_until_their_callers_close)
+{
+    const auto end_of_stream = [](asio::ip::tcp::socket& caller) {
+        char byte = 0;
+        boost::system::error_code error;
+        caller.non_blocking(true);
+        caller.read_some(asio::buffer(&byte, 1), error);
+        return error;
+    };
+    section("given an idle connection that may be used again", [&] {
+        server_fixture connection;
+        check(is_success(connection.exchange(get)), "its request is served");
+        connection.server.drain();
+        connection.server.close_idle_connections();
+        connection.run(std::chrono::milliseconds(50));
+        section("as long as the caller has not closed it", [&] {
+            check(end_of_stream(connection.caller) == asio::error::eof,
+                  "the caller sees the end after the last response");
+            check(connection.server.open_connections() == 1, "the connection counts as open");
+        });
+        section("when the caller has closed it", [&] {
+            connection.caller.close();
+            connection.run(std::chrono::milliseconds(50));
+            check(connection.server.open_connections() == 0, "no connection is left");
+        });
+    });
+    section("given a request that crosses the close", [&] {
+        server_fixture connection;
+        check(is_success(connection.exchange(get)), "the first request is served");
+        connection.server.close_idle_connections();
+        const std::string response = connection.exchange(get);
+        check(connection.served == 1 && response.empty(), "it is not read");
+        check(connection.server.open_connections() == 0, "the connection is closed at once");
+    });
+    section("given a request that has arrived before the close", [&] {
+        server_fixture connection;
+        connection.run(std::chrono::milliseconds(20));
+        asio::write(connection.caller, asio::buffer(get));
+        connection.server.drain();
+        connection.server.close_idle_connections();
+        connection.run(std::chrono::milliseconds(50));
+        check(connection.served == 1, "it is served");
+        check(connection.server.open_connections() == 1,
+              "the connection stays open until the caller has the response");
+    });
+    section("given a caller that never closes", [&] {
+        server_fixture connection;
+        check(is_success(connection.exchange(get)), "its request is served");
+        connection.server.close_idle_connections();
+        connection.run(std::chrono::milliseconds(2300));
+        check(connection.server.open_connections() == 0, "the connection is closed after 2 s");
+    });
+}
