Do not take a readiness without bytes for a close

What callers saw: the own interface ended the response of a caller that was still there and cancelled the request, without a response or in the middle of a stream.

Cause: `watch_for_close` called the close callback for every result of `recv` below 1. EAGAIN means that a socket which was reported readable has no bytes (any more); the connection is open.

Why the fix works: only an end of the stream or an error other than EAGAIN and EINTR is a close; after anything else without bytes the watch waits again, until the response has ended.

--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include <quetzal/net/http_server.hpp>
 
+#include <cerrno>
 #include <variant>
 
 #include <boost/asio/co_spawn.hpp>
@@ -137,19 +138,43 @@
     co_return !error;
 }
 
-// Waits until the socket becomes readable while a response is being written. If the socket is
-// readable but has no bytes, the caller has closed the connection and the callback is called. Bytes
-// belong to a pipelined request, which is read later.
+// What the peer has done since the last bytes were read.
+enum class peer_activity
+{
+    none,
+    sent_bytes,
+    closed // or reset
+};
+
+// A socket can be reported readable although nothing can be read any more, so only an end of the
+// stream or an error of the connection counts as a close. Consumes no bytes.
+peer_activity detect_peer_activity(tcp::socket& socket)
+{
+    char byte = 0;
+    const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received > 0) {
+        return peer_activity::sent_bytes;
+    }
+    const bool open = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return open ? peer_activity::none : peer_activity::closed;
+}
+
+// Calls the callback if the caller closes the connection while a response is being written. Ends
+// without a call when the response has ended or bytes arrive; these belong to a pipelined request,
+// which is read later.
 asio::awaitable<void> watch_for_close(std::shared_ptr<server_connection> connection,
                                       std::weak_ptr<std::function<void()>> callback)
 {
-    boost::system::error_code error;
     auto& socket = connection->lowest_layer().socket();
-    co_await socket.async_wait(tcp::socket::wait_read, await_with_error(error));
-    char byte = 0;
-    const auto received =
-        error ? 0 : ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (const auto locked = callback.lock(); locked != nullptr && received <= 0 && *locked) {
+    auto activity = peer_activity::none;
+    while (activity == peer_activity::none && !callback.expired()) {
+        boost::system::error_code error;
+        co_await socket.async_wait(tcp::socket::wait_read, await_with_error(error));
+        activity = error ? peer_activity::closed : detect_peer_activity(socket);
+    }
+    if (const auto locked = callback.lock();
+        locked != nullptr && activity == peer_activity::closed && *locked)
+    {
         (*locked)();
     }
 }
