Notice a close behind bytes that are not read yet

What callers saw: nothing; but a request went on running for a caller that had closed its connection, until a write failed or the request ended, if the caller had sent bytes before: a further request, or, by the same path, the closing message of a TLS session.

Cause: the watch ended for good at the first readable byte.

Evidence: the test's caller sends a second request during the first one's response and closes.

Why the fix works: `poll` with POLLRDHUP tells whether the peer has ended its stream, whatever is unread before the end. While bytes are unread the socket stays readable, so the watch asks once a second instead of waiting for readiness. The TLS case has no test of its own.

--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include "listening.hpp"
@@ -32,6 +33,8 @@
 
 constexpr duration accept_retry_delay =
     std::chrono::milliseconds(50); // after a failed accept, such as no free descriptor
+constexpr duration unread_bytes_check_interval =
+    std::chrono::seconds(1); // for a close behind bytes that are not read yet
 
 auto await_with_error(boost::system::error_code& error)
 {
@@ -147,29 +150,39 @@
 };
 
 // A socket can be reported readable although nothing can be read any more, so only an end of the
-// stream or an error of the connection counts as a close. Consumes no bytes.
+// stream or an error of the connection counts as a close, also behind unread bytes. Consumes no
+// bytes.
 peer_activity detect_peer_activity(tcp::socket& socket)
 {
     char byte = 0;
     const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (received > 0) {
-        return peer_activity::sent_bytes;
+        pollfd connection{socket.native_handle(), POLLRDHUP, 0};
+        const bool ended = ::poll(&connection, 1, 0) > 0;
+        return ended ? peer_activity::closed : peer_activity::sent_bytes;
     }
     const bool open = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
     return open ? peer_activity::none : peer_activity::closed;
 }
 
 // Calls the callback if the caller closes the connection while a response is being written. Ends
-// without a call when the response has ended or bytes arrive; these belong to a pipelined request,
-// which is read later.
+// without a call when the response has ended. Bytes that arrive, of a pipelined request or of the
+// end of a TLS session, are read later; until then the socket stays readable, so a close is looked
+// for at intervals.
 asio::awaitable<void> watch_for_close(std::shared_ptr<server_connection> connection,
                                       std::weak_ptr<std::function<void()>> callback)
 {
     auto& socket = connection->lowest_layer().socket();
+    asio::steady_timer next_check(socket.get_executor());
     auto activity = peer_activity::none;
-    while (activity == peer_activity::none && !callback.expired()) {
+    while (activity != peer_activity::closed && !callback.expired()) {
         boost::system::error_code error;
-        co_await socket.async_wait(tcp::socket::wait_read, await_with_error(error));
+        if (activity == peer_activity::sent_bytes) {
+            next_check.expires_after(unread_bytes_check_interval);
+            co_await next_check.async_wait(await_with_error(error));
+        } else {
+            co_await socket.async_wait(tcp::socket::wait_read, await_with_error(error));
+        }
         activity = error ? peer_activity::closed : detect_peer_activity(socket);
     }
     if (const auto locked = callback.lock();
--- a/libs/net/src/http_server_close_test.cpp
+++ b/libs/net/src/http_server_close_test.cpp
@@ -48,9 +48,9 @@
 
     // Runs the server until the condition holds. Returns false when the time is over.
     template <class Condition>
-    bool run_until(Condition condition)
+    bool run_until(Condition condition, duration time = step_limit)
     {
-        const time_point limit = boot_clock::now() + step_limit;
+        const time_point limit = boot_clock::now() + time;
         while (!condition() && boot_clock::now() < limit) {
             context_.run_for(1ms);
         }
@@ -75,6 +75,9 @@
         return taken;
     }
 
+    // Ends the response that the handler is waiting to send.
+    void respond() { released_.cancel(); }
+
     int started() const { return started_; }
     int closes() const { return closes_; }
 
@@ -84,8 +87,10 @@
         response.on_close([this] { ++closes_; });
         ++started_;
         released_.expires_after(1h);
-        boost::system::error_code ignored; // never cancelled
+        boost::system::error_code ignored; // cancelled when the response may end
         co_await released_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        http_response complete{200, {}, "complete"};
+        co_await response.send(std::move(complete));
     }
 
     // The server's end of the connection, found by its addresses because the server does not show
@@ -141,3 +146,42 @@
         check(exchange.closes() == 1, "the close is reported once");
     });
 }
+
+// Guards against a request that runs on after its caller has closed the connection, because bytes
+// that the caller sent before hide the close.
+Test(http_server, notices_a_close_behind_unread_bytes)
+{
+    watched_exchange exchange;
+    section("a caller sends the next request before it has its response", [&] {
+        exchange.send(request_text);
+        check(exchange.run_until([&] { return exchange.started() == 1; }), "the handler runs");
+        exchange.send(request_text);
+        exchange.run_until([&] { return exchange.closes() > 0; }, 1500ms);
+        check(exchange.closes() == 0, "the caller does not count as gone");
+    });
+    section("the caller closes the connection", [&] {
+        exchange.close_caller();
+        check(exchange.run_until([&] { return exchange.closes() > 0; }), "the close is noticed");
+        check(exchange.closes() == 1, "the close is reported once");
+    });
+}
+
+// Guards against a change of the watch that loses or doubles a pipelined request.
+Test(http_server, serves_a_pipelined_request_after_its_predecessor)
+{
+    watched_exchange exchange;
+    section("a caller sends two requests at once", [&] {
+        exchange.send(request_text + request_text);
+        check(exchange.run_until([&] { return exchange.started() == 1; }), "the first one runs");
+    });
+    section("the first response ends", [&] {
+        exchange.respond();
+        check(exchange.run_until([&] { return exchange.started() == 2; }), "the second one runs");
+        check(exchange.closes() == 0, "the caller does not count as gone");
+    });
+    section("the caller closes the connection during the second response", [&] {
+        exchange.close_caller();
+        check(exchange.run_until([&] { return exchange.closes() > 0; }), "the close is noticed");
+        check(exchange.closes() == 1, "the close is reported once");
+    });
+}
