Count running streams only, and only for streams

Found by the review: the age of every running response counted for requests of every kind. At a stop one silent endpoint so blocked all other requests of its route, and a request was not retried because of the time that its own first attempt had taken. The expectation now takes into account streams with an event, for streams.

The test requests_beside_a_silent_endpoint failed before (its first section; the second one then did not run). streams_beside_one_that_takes_long passes on both.

--- a/libs/gateway/include/quetzal/gateway/drain_plan.hpp
+++ b/libs/gateway/include/quetzal/gateway/drain_plan.hpp
@@ -4,8 +4,8 @@
 // Decides which requests a stopping instance may still send to an endpoint. A response that has
 // started cannot be replaced by a refusal, so a request is sent only if its response is expected to
 // be complete before the process exits; all others are refused at once, and another instance can
-// run them. Expectations come from the recent responses of the same route and from those that are
-// running, which show sooner that an endpoint is getting slower. Does no I/O.
+// run them. Expectations come from the recent responses of the same route, for a stream also from
+// those that are running, which show sooner that endpoints are getting slower. Does no I/O.
 
 #include <array>
 #include <cstddef>
@@ -33,7 +33,8 @@
     bool is_stream = false; // a response that has started cannot end with an error status
     time_point received;
     time_point deadline;
-    // How long the longest response of the route that has not ended yet has taken so far.
+    // How long the longest stream of the route that is running has taken so far; 0 for a request
+    // that is no stream.
     duration longest_running{0};
 };
 
@@ -53,8 +54,8 @@
     // `time_point::max()` if no stop limits it, and `time_point::min()` if it must not be sent. A
     // request whose deadline is not after the end of the stop is not limited. Otherwise its
     // response has to be expected in time, with more room for a stream, which cannot be taken back
-    // once it has started; a stream that is received after the end of the notice
-    // is not sent on an expectation, because it would be cut off if the expectation fails.
+    // once it has started. A stream that is received after `notice_end` is not sent on an
+    // expectation, because it would be cut off if the expectation fails.
     time_point latest_send(const drain_candidate& request) const;
 
 private:
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -159,12 +159,13 @@
     boost::asio::awaitable<void> reject(running_request& request, response_writer& writer,
                                         unsigned status, const failure& why);
     void record_outcome(const running_request& request, std::string_view outcome);
-    // How long the longest running response of each route has taken so far, by route name.
-    using response_ages = std::map<std::string, duration, std::less<>>;
-    response_ages longest_running(time_point now) const;
+    // How long the longest running stream of each route has taken so far, by route name. Only
+    // streams with an event count: an endpoint that is silent says nothing of the others.
+    using stream_ages = std::map<std::string, duration, std::less<>>;
+    stream_ages longest_streams(time_point now) const;
     // Returns the latest time at which a planned stop allows to send the request.
     time_point latest_send(const running_request& request) const;
-    time_point latest_send(const running_request& request, const response_ages& running) const;
+    time_point latest_send(const running_request& request, const stream_ages& running) const;
     // Returns the refusal of a request that cannot be sent in time, and when to retry it.
     failure drain_refusal(time_point now) const;
 
--- a/libs/gateway/src/request_drain.cpp
+++ b/libs/gateway/src/request_drain.cpp
@@ -21,11 +21,11 @@
     enforce_drain(boot_clock::now());
 }
 
-request_flow::response_ages request_flow::longest_running(time_point now) const
+request_flow::stream_ages request_flow::longest_streams(time_point now) const
 {
-    response_ages ages;
+    stream_ages ages;
     for (const request_ptr& request : running_) {
-        if (request->sent) {
+        if (request->sent && request->phase == request_phase::stream) {
             duration& longest = ages[request->matched->name];
             longest = std::max<duration>(longest, now - *request->sent);
         }
@@ -34,7 +34,7 @@
 }
 
 time_point request_flow::latest_send(const running_request& request,
-                                     const response_ages& running) const
+                                     const stream_ages& running) const
 {
     const auto found = running.find(request.matched->name);
     return drain_.latest_send({request.matched->name, request.matched->kind == route_kind::stream,
@@ -47,7 +47,10 @@
     if (!drain_.window()) {
         return time_point::max();
     }
-    return latest_send(request, longest_running(boot_clock::now()));
+    if (request.matched->kind != route_kind::stream) {
+        return latest_send(request, {});
+    }
+    return latest_send(request, longest_streams(boot_clock::now()));
 }
 
 failure request_flow::drain_refusal(time_point now) const
@@ -67,7 +70,7 @@
         return;
     }
     const bool ending = now >= drain_.window()->responses_end;
-    const response_ages running = longest_running(now);
+    const stream_ages running = longest_streams(now);
     for (const request_ptr& request : std::set(running_)) {
         if (!request->sent && (ending || now > latest_send(*request, running))) {
             request->abort(drain_refusal(now));
--- a/libs/gateway/src/request_drain_test.cpp
+++ b/libs/gateway/src/request_drain_test.cpp
@@ -372,3 +372,55 @@
           "the response does not claim that the request has not run: " +
               std::to_string(response.status_));
 }
+
+// Guards against a stop that judges new streams by responses from before their endpoints became
+// slower.
+Test(request_drain, streams_beside_one_that_takes_long)
+{
+    scripted_response running{stream_response_head("1") + chunk(event(0))};
+    gateway_fixture gateway(
+        route_kind::stream, false,
+        {{stream_after(milliseconds(1), "0"), running, {response_with("2", "")}}});
+    allow(gateway, milliseconds(3000), milliseconds(2000));
+    check(gateway.serve("0").complete_, "a fast stream is recorded");
+    recorded_response slow;
+    serve_for(gateway, slow, milliseconds(300));
+    check(slow.stream_started_ && !slow.complete_, "another one has run for 300 ms");
+    gateway.flow.begin_drain(stop_in(milliseconds(500)));
+    check(gateway.serve("2").status_ == 503, "a further one is refused");
+    check(gateway.received_requests() == 2, "no endpoint receives it");
+}
+
+// Guards against a stop that refuses every request of a route because of one silent endpoint, or a
+// retry because of the time that its own first attempt took.
+Test(request_drain, requests_beside_a_silent_endpoint)
+{
+    section("given a request that hangs at an endpoint", [] {
+        gateway_fixture gateway(
+            route_kind::non_idempotent, false,
+            {{{response_with("0", "x")}, {"", false, true}, {response_with("2", "y")}}});
+        allow(gateway, milliseconds(3000), milliseconds(2000));
+        check(gateway.serve("0").body_ == "x", "a fast response is recorded");
+        recorded_response hanging;
+        serve_for(gateway, hanging, milliseconds(500));
+        gateway.flow.begin_drain(stop_in(milliseconds(600)));
+        check(gateway.serve("2").body_ == "y", "other requests of its route are served");
+    });
+    section("given a request whose first attempt fails after some time", [] {
+        scripted_response lost;
+        lost.pause = milliseconds(300);
+        lost.rest = "HTTP/1.1";
+        lost.close = true;
+        const std::vector<scripted_response> responses{
+            {response_with("0", "x")}, lost, {response_with("1", "y")}};
+        gateway_fixture gateway(route_kind::idempotent, false, {responses, responses});
+        gateway.endpoints[1]->share_script(*gateway.endpoints[0]);
+        allow(gateway, milliseconds(3000), milliseconds(2000));
+        check(gateway.serve("0").body_ == "x", "a fast response is recorded");
+        recorded_response response;
+        serve_for(gateway, response, milliseconds(20));
+        gateway.flow.begin_drain(stop_in(milliseconds(600)));
+        run_stop(gateway, milliseconds(450));
+        check(response.body_ == "y", "it is sent to another endpoint");
+    });
+}
