Wait for the close of a slow caller as long as it reads

The time now starts again while the caller acknowledges more. A connection that a caller resets after the process has ended its side has a log line, and a malformed request no longer names the one before it.

--- a/libs/gateway/src/caller_connection_test.cpp
+++ b/libs/gateway/src/caller_connection_test.cpp
@@ -263,3 +263,34 @@
     check(response.find("Connection: close\r\n") != std::string::npos,
           "the response announces the close");
 }
+
+// Guards against a response that is cut off for a caller that reads slowly, because the time for
+// the caller's close counts from the last write.
+Test(caller_connection, slow_reader_of_the_last_response)
+{
+    constexpr std::size_t body_size = 900'000;     // bytes
+    constexpr std::size_t slow_read_size = 10'000; // bytes
+    connection_fixture connection(responds_with(body_size));
+    section("given a response that the system has taken for sending", [&] {
+        connection.send(get);
+        connection.run(milliseconds(50));
+        check(connection.server.active_requests() == 0, "it is written");
+        connection.server.drain();
+        connection.server.close_idle_connections();
+    });
+    std::size_t received = 0;
+    std::string part(slow_read_size, '\0');
+    section("when the caller reads slowly for longer than it may take to close", [&] {
+        for (int step = 0; step < 30; ++step) {
+            connection.run(milliseconds(100));
+            boost::system::error_code error;
+            received += connection.caller.read_some(asio::buffer(part), error);
+        }
+        check(connection.server.open_connections() == 1, "the connection stays open");
+    });
+    section("when it reads the rest", [&] {
+        received += connection.receive().size();
+        check(received > body_size, "it has the whole response");
+        check(connection.ended == asio::error::eof, "the connection ends in order");
+    });
+}
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -96,6 +97,11 @@
                   limit_write();
                   return;
               }
+              if (const int rest = unacknowledged_bytes();
+                  awaiting_close && rest > 0 && rest < unacknowledged) {
+                  limit_wait_for_close();
+                  return;
+              }
               timed_out = true;
               if (!reading) {
                   close();
@@ -130,6 +136,15 @@
         timeout.expires_after(server.options.write_timeout);
     }
 
+    // Starts the time limit for the caller to read more of the last response, or to close the
+    // connection if it has read everything.
+    void limit_wait_for_close()
+    {
+        awaiting_close = true;
+        unacknowledged = unacknowledged_bytes();
+        timeout.expires_after(linger_time);
+    }
+
     asio::awaitable<bool> write(std::string bytes)
     {
         boost::system::error_code error;
@@ -249,7 +264,7 @@
     {
         boost::system::error_code error;
         socket.shutdown(tcp::socket::shutdown_send, error);
-        timeout.expires_after(linger_time);
+        limit_wait_for_close();
         std::array<char, 4096> discarded{};
         while (!error) {
             co_await socket.async_read_some(asio::buffer(discarded),
@@ -264,15 +279,29 @@
 
     // Ends a connection that waits for a request, unless one has arrived. A request that crosses
     // the close stays unread, so that the caller may send it to another instance.
-    void close_idle()
+    void close_when_idle()
     {
         boost::system::error_code error; // a closed socket has nothing to read
         if (socket.available(error) > 0) {
             return;
         }
-        shut_down = true;
+        send_side_closed = true;
         socket.shutdown(tcp::socket::shutdown_send, error);
-        timeout.expires_after(linger_time);
+        limit_wait_for_close();
+    }
+
+    // Takes the last response for received if the caller has closed its side or sent a request, and
+    // logs it otherwise.
+    void confirm_close(const boost::system::error_code& wait_error)
+    {
+        if (wait_error) {
+            log_unconfirmed("the caller keeps the connection open");
+            return;
+        }
+        char byte = 0;
+        if (::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0) {
+            log_unconfirmed("the connection was reset");
+        }
     }
 
     // Logs the last response if it is recent and the caller has neither closed its connection nor
@@ -316,14 +345,15 @@
     bool watching = false;
     bool timed_out = false;
     bool writing = false;
-    bool reading = false;         // a request, whose timeout is answered
-    bool awaiting_request = true; // no request was read completely since the last response
-    bool idle = false;            // waits for the first byte of a request
-    bool shut_down = false;       // closed for further responses while idle
-    bool unconfirmed = false;     // the last response; until the caller closes or sends a request
-    std::string last_request;     // id of the last request that was served
-    time_point last_write{};      // of any part of a response
-    int unacknowledged = 0;       // bytes when the time limit of the write was set
+    bool awaiting_close = false;      // by the caller, after the last response
+    bool reading = false;             // a request, whose timeout is answered
+    bool awaiting_request = true;     // no request was read completely since the last response
+    bool waiting_for_request = false; // for its first byte
+    bool send_side_closed = false;    // while it waited for a request
+    bool unconfirmed = false; // the last response; until the caller closes or sends a request
+    std::string last_request; // id of the last request that was served
+    time_point last_write{};  // of any part of a response
+    int unacknowledged = 0;   // bytes when the time limit of the write was set
 };
 
 asio::awaitable<void> caller_server::implementation::serve(std::shared_ptr<implementation> self,
@@ -339,22 +369,23 @@
         parser.body_limit(limits.body_size);
         boost::system::error_code error;
         if (caller->buffer.size() == 0) {
-            caller->idle = true;
+            caller->waiting_for_request = true;
             caller->timeout.expires_after(limits.idle_timeout);
             if (self->closing_idle) {
-                caller->close_idle();
+                caller->close_when_idle();
             }
             co_await caller->socket.async_wait(tcp::socket::wait_read,
                                                asio::redirect_error(asio::use_awaitable, error));
-            caller->idle = false;
-            if (caller->shut_down && error) {
-                caller->log_unconfirmed("the caller keeps the connection open");
+            caller->waiting_for_request = false;
+            if (caller->send_side_closed) {
+                caller->confirm_close(error);
             }
-            if (error || caller->shut_down) {
+            if (error || caller->send_side_closed) {
                 break;
             }
         }
         caller->unconfirmed = false;
+        caller->last_request.clear();
         caller->timed_out = false;
         caller->reading = true;
         caller->timeout.expires_after(limits.header_timeout);
@@ -464,7 +495,7 @@
         caller->unconfirmed = true;
     }
     caller->awaiting_request = false;
-    if (caller->response_complete && !caller->shut_down && caller->socket.is_open()) {
+    if (caller->response_complete && !caller->send_side_closed && caller->socket.is_open()) {
         co_await caller->linger();
     }
     caller->close();
@@ -507,8 +538,8 @@
 {
     closing_idle = true;
     for (connection* caller : connections) {
-        if (caller->idle && !caller->shut_down) {
-            caller->close_idle();
+        if (caller->waiting_for_request && !caller->send_side_closed) {
+            caller->close_when_idle();
         }
     }
 }
