Report a crash in the log

SIGSEGV, SIGABRT, SIGBUS, SIGFPE, SIGILL and std::terminate now write one line `crashed` (signal, whether the process was stopping, address in the program, type of the exception) from a handler that allocates nothing and has its own stack; the default action then ends the process. The handler waits at most 100 ms for room in standard output. Lines still queued at the crash are lost.

Tests: crash_report_test (each signal, an invalid write, an overflow of the stack, an exception, a full pipe) and process_end_test with the real program. Without the handlers the first test fails; without the wait for room the test with the full pipe does not end; process_end_test fails with the program before.

--- /dev/null
+++ b/apps/quetzallever/process_end_test.cpp
@@ -0,0 +1,214 @@
+// Tests how the process ends, and what tells it from outside: its exit status, its last lines and
+// the time that it takes.
+
+#include <chrono>
+#include <csignal>
+#include <cstdint>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <optional>
+#include <poll.h>
+#include <spawn.h>
+#include <string>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <quetzal/testing/section.hpp>
+
+using quetzal::testing::check;
+using quetzal::testing::section;
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+// First ports of the processes, used by no other test. The tests of this file run at the same time.
+constexpr std::uint16_t crash_ports = 19940;
+
+// How long a process without requests takes to stop, with room for a busy machine.
+constexpr auto stop_time = 5s;
+
+std::string settings_text(std::uint16_t first_port)
+{
+    const auto address = [&](int offset) {
+        return "\"127.0.0.1:" + std::to_string(first_port + offset) + "\"\n";
+    };
+    return "[instance]\nname = \"front\"\nzone = \"a\"\naddress = \"127.0.0.1\"\n[listen]\ncallers "
+           "= " +
+           address(0) + "readiness = " + address(1) + "directory = " + address(2) +
+           "metrics = " + address(3) + "[store]\naddress = " + address(4) +
+           "[peers]\nfirst_port = " + std::to_string(first_port + 5) +
+           "\nlast_port = " + std::to_string(first_port + 6) +
+           "\nseeds = []\n[bounds]\nstop_grace_s = 1\n";
+}
+
+// Both ends of a pipe, for the standard output of a process.
+class output_pipe
+{
+public:
+    output_pipe()
+    {
+        int ends[2] = {};
+        check(::pipe2(ends, O_CLOEXEC) == 0, "a pipe is made");
+        reader_ = ends[0];
+        writer_ = ends[1];
+    }
+
+    ~output_pipe()
+    {
+        close(reader_);
+        close(writer_);
+    }
+
+    output_pipe(const output_pipe&) = delete;
+    output_pipe& operator=(const output_pipe&) = delete;
+
+    int writer() const { return writer_; }
+
+    void close_reader() { close(reader_); }
+
+    void close_writer() { close(writer_); }
+
+    // Reads until the text contains `awaited`, the writers have closed the pipe, or `time` passes.
+    // Returns all text read so far.
+    const std::string& read_until(const std::string& awaited, std::chrono::milliseconds time = 10s)
+    {
+        const auto until = std::chrono::steady_clock::now() + time;
+        while (text_.find(awaited) == std::string::npos) {
+            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+                until - std::chrono::steady_clock::now());
+            pollfd readable{reader_, POLLIN, 0};
+            if (left <= 0ms || ::poll(&readable, 1, static_cast<int>(left.count())) <= 0) {
+                break;
+            }
+            char buffer[4096];
+            const ssize_t size = ::read(reader_, buffer, sizeof buffer);
+            if (size <= 0) {
+                break;
+            }
+            text_.append(buffer, static_cast<std::size_t>(size));
+        }
+        return text_;
+    }
+
+    // Reads until the writers have closed the pipe. Returns all text read so far.
+    const std::string& read_to_end() { return read_until("no line contains this"); }
+
+private:
+    static void close(int& end)
+    {
+        if (end >= 0) {
+            ::close(end);
+            end = -1;
+        }
+    }
+
+    int reader_ = -1;
+    int writer_ = -1;
+    std::string text_;
+};
+
+// A process that writes to a pipe.
+class front_process
+{
+public:
+    front_process(std::uint16_t first_port, output_pipe& output)
+    {
+        char name[] = "/tmp/process_end_XXXXXX";
+        directory_ = ::mkdtemp(name);
+        file_ = directory_ + "/settings.toml";
+        std::ofstream(file_) << settings_text(first_port);
+        std::string program = QUETZALLEVER_PROGRAM;
+        std::string front = "--front";
+        std::string option = "--config=" + file_;
+        char* arguments[] = {program.data(), front.data(), option.data(), nullptr};
+        posix_spawn_file_actions_t actions;
+        ::posix_spawn_file_actions_init(&actions);
+        ::posix_spawn_file_actions_adddup2(&actions, output.writer(), STDOUT_FILENO);
+        ::posix_spawn(&id_, program.c_str(), &actions, nullptr, arguments, environ);
+        ::posix_spawn_file_actions_destroy(&actions);
+        output.close_writer();
+    }
+
+    ~front_process()
+    {
+        if (id_ > 0) {
+            ::kill(id_, SIGKILL);
+            ::waitpid(id_, nullptr, 0);
+        }
+        ::unlink(file_.c_str());
+        ::rmdir(directory_.c_str());
+    }
+
+    front_process(const front_process&) = delete;
+    front_process& operator=(const front_process&) = delete;
+
+    void signal(int number) { ::kill(id_, number); }
+
+    // Waits for the end of the process and returns its exit code, or minus the signal that ended
+    // it, or nothing if it still runs after `time`.
+    std::optional<int> exit_code(std::chrono::milliseconds time)
+    {
+        const auto until = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < until) {
+            int status = 0;
+            if (::waitpid(id_, &status, WNOHANG) == id_) {
+                id_ = 0;
+                return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        return std::nullopt;
+    }
+
+private:
+    std::string directory_;
+    std::string file_;
+    pid_t id_ = 0;
+};
+
+std::string to_text(std::optional<int> exit_code)
+{
+    return exit_code ? std::to_string(*exit_code) : "still running";
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a crash that nothing tells from a planned stop.
+Test(process_end, a_crash_leaves_a_line, .timeout = 60)
+{
+    section("given a crash of a process that serves", [] {
+        output_pipe output;
+        front_process process(crash_ports, output);
+        check(contains(output.read_until("\"event\":\"started\""), "started"), "it starts");
+        process.signal(SIGSEGV);
+        const auto ended = process.exit_code(stop_time);
+        check(ended == -SIGSEGV, "the exit status names the signal: " + to_text(ended));
+        const auto& text = output.read_to_end();
+        check(contains(text, R"("instance":"front","event":"crashed","signal":11,)"),
+              "the log names it: " + text);
+        check(contains(text, "\"stopping\":false"), "not stopping: " + text);
+    });
+    section("given a crash of a process that stops", [] {
+        output_pipe output;
+        front_process process(crash_ports, output);
+        check(contains(output.read_until("\"event\":\"started\""), "started"), "it starts");
+        process.signal(SIGTERM);
+        check(contains(output.read_until("\"event\":\"stopping\""), "stopping"), "it stops");
+        process.signal(SIGABRT);
+        const auto ended = process.exit_code(stop_time);
+        check(ended == -SIGABRT, "the exit status names the signal: " + to_text(ended));
+        const auto& text = output.read_to_end();
+        check(contains(text, "\"stopping\":true"), "stopping: " + text);
+        check(!contains(text, "\"event\":\"stopped\""), "no planned exit: " + text);
+    });
+}
--- a/apps/quetzallever/run_front.cpp
+++ b/apps/quetzallever/run_front.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <quetzal/gateway/crash_report.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/platform/front.hpp>
 #include <quetzal/platform/front_settings.hpp>
@@ -65,6 +66,7 @@
             quetzal::gateway::log_event("reload_requested", {});
             reload.read();
         } else {
+            quetzal::gateway::report_crashes_as_stopping();
             front.drain();
         }
         wait_for_signals(signals, front, reload);
@@ -89,6 +91,7 @@
         }
         return exit_usage;
     }
+    quetzal::gateway::report_crashes(settings->name);
     quetzal::gateway::start_log(settings->name);
     quetzal::platform::settings_watch watch(settings_path, *text, *settings);
     quetzal::platform::front front(context, std::move(*settings));
--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -10,6 +10,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include "json_text.hpp"
+
 namespace quetzal::gateway {
 
 namespace {
@@ -39,22 +41,6 @@
     return value;
 }
 
-void append_json_string(std::string& line, std::string_view text)
-{
-    line += '"';
-    for (const char symbol : text) {
-        if (symbol == '"' || symbol == '\\') {
-            line += '\\';
-            line += symbol;
-        } else if (static_cast<unsigned char>(symbol) < ' ') {
-            line += ' '; // no field relies on control characters
-        } else {
-            line += symbol;
-        }
-    }
-    line += '"';
-}
-
 } // namespace
 
 void start_log(const std::string& instance)
