Don't let the reader of the log end or hold up the process

With the program before, SIGPIPE ended a process whose reader had closed the log, without any line, and a stopping process whose log was full and not read stayed until SIGKILL, because stop_log joined the log's thread.

SIGPIPE is ignored; each line is one write(2), and lines that cannot be written are counted as left out. stop_log waits at most 200 ms until the queue is written; otherwise the process ends without joining the thread.

Tests: process_end_test, a closed pipe and a full one; both fail with the program before.

--- a/apps/quetzallever/process_end_test.cpp
+++ b/apps/quetzallever/process_end_test.cpp
@@ -15,8 +15,11 @@
 #include <thread>
 #include <unistd.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <quetzal/testing/section.hpp>
 
 using quetzal::testing::check;
@@ -28,6 +31,8 @@
 
 // First ports of the processes, used by no other test. The tests of this file run at the same time.
 constexpr std::uint16_t crash_ports = 19940;
+constexpr std::uint16_t closed_log_ports = 19950;
+constexpr std::uint16_t unread_log_ports = 19960;
 
 // How long a process without requests takes to stop, with room for a busy machine.
 constexpr auto stop_time = 5s;
@@ -69,6 +74,15 @@
 
     int writer() const { return writer_; }
 
+    // Writes until the pipe has no more room.
+    void fill()
+    {
+        ::fcntl(writer_, F_SETFL, O_NONBLOCK);
+        while (::write(writer_, "\n", 1) == 1) {
+        }
+        ::fcntl(writer_, F_SETFL, 0);
+    }
+
     void close_reader() { close(reader_); }
 
     void close_writer() { close(writer_); }
@@ -181,6 +195,37 @@
     return text.find(part) != std::string::npos;
 }
 
+// Connects as soon as the port is open.
+bool connect(asio::ip::tcp::socket& socket, std::uint16_t port)
+{
+    for (int tries = 0; tries < 200; ++tries) {
+        boost::system::error_code error;
+        socket.connect({asio::ip::make_address("127.0.0.1"), port}, error);
+        if (!error) {
+            return true;
+        }
+        socket.close(error);
+        std::this_thread::sleep_for(50ms);
+    }
+    return false;
+}
+
+// Returns the process's metrics as text.
+std::string read_metrics(std::uint16_t port)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    if (!connect(socket, port)) {
+        return {};
+    }
+    const std::string request = "GET /metrics HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n";
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(request), error);
+    std::string text;
+    asio::read(socket, asio::dynamic_buffer(text), error); // until the end
+    return text;
+}
+
 } // namespace
 
 // Guards against a crash that nothing tells from a planned stop.
@@ -212,3 +257,33 @@
         check(!contains(text, "\"event\":\"stopped\""), "no planned exit: " + text);
     });
 }
+
+// Guards against a process that ends, without any sign, because the reader of its log has gone.
+Test(process_end, a_closed_log_does_not_end_the_process, .timeout = 60)
+{
+    output_pipe output;
+    output.close_reader();
+    front_process process(closed_log_ports, output);
+    const auto metrics = read_metrics(closed_log_ports + 3);
+    const auto ended_early = process.exit_code(50ms);
+    check(!ended_early, "it serves: " + to_text(ended_early));
+    check(contains(metrics, "\nquetzal_log_lines_left_out_total "), "the lines are counted");
+    check(!contains(metrics, "\nquetzal_log_lines_left_out_total 0"), "as left out: " + metrics);
+    process.signal(SIGTERM);
+    const auto ended = process.exit_code(stop_time);
+    check(ended == 0, "a planned stop ends it: " + to_text(ended));
+}
+
+// Guards against a stopped process that stays until SIGKILL, because nothing reads its log.
+Test(process_end, an_unread_log_does_not_hold_up_the_end, .timeout = 60)
+{
+    output_pipe output;
+    output.fill();
+    front_process process(unread_log_ports, output);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    check(connect(socket, unread_log_ports + 1), "it serves");
+    process.signal(SIGTERM);
+    const auto ended = process.exit_code(stop_time);
+    check(ended == 0, "a planned stop ends it: " + to_text(ended));
+}
--- a/apps/quetzallever/run_front.cpp
+++ b/apps/quetzallever/run_front.cpp
@@ -1,5 +1,7 @@
 #include <chrono>
+#include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 #include <utility>
 
@@ -91,6 +93,7 @@
         }
         return exit_usage;
     }
+    std::signal(SIGPIPE, SIG_IGN); // a reader of the log that goes away must not end the process
     quetzal::gateway::report_crashes(settings->name);
     quetzal::gateway::start_log(settings->name);
     quetzal::platform::settings_watch watch(settings_path, *text, *settings);
@@ -103,6 +106,8 @@
     reload.read_periodically();
     wait_for_signals(signals, front, reload);
     context.run();
-    quetzal::gateway::stop_log();
+    if (!quetzal::gateway::stop_log()) {
+        std::_Exit(0); // the log's thread cannot be joined
+    }
     return 0;
 }
--- a/libs/gateway/include/quetzal/gateway/decision_log.hpp
+++ b/libs/gateway/include/quetzal/gateway/decision_log.hpp
@@ -31,16 +31,19 @@
 };
 
 // Starts the log and sets the instance name of all lines. Must be called once, before the first
-// line.
+// line. SIGPIPE must be ignored, because standard output may be a pipe that its reader closes.
 void start_log(const std::string& instance);
 
-// Writes the queued lines and stops the log.
-void stop_log();
+// Writes the queued lines and stops the log. Returns false if standard output has not taken them
+// within a bounded time; the log's thread is then still writing, so that the process has to end
+// without destroying its static objects.
+bool stop_log();
 
 // Writes one line. `event` is a stable snake-case name.
 void log_event(std::string_view event, std::initializer_list<log_value> values);
 
-// Returns the number of lines dropped so far by a rate limit or a full queue.
+// Returns the number of lines dropped so far by a rate limit or a full queue, or because standard
+// output did not take them.
 std::uint64_t dropped_log_lines();
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -1,13 +1,19 @@
 #include <quetzal/gateway/decision_log.hpp>
 
-#include <array>
+#include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <map>
 #include <memory>
+#include <thread>
+
+#include <poll.h>
+#include <unistd.h>
 
 #include <quetzal/base/time.hpp>
 #include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
 #include "json_text.hpp"
@@ -18,6 +24,9 @@
 
 constexpr std::size_t max_queued_lines = 4096;     // further lines replace the oldest queued line
 constexpr std::uint32_t max_lines_per_second = 40; // for each kind of event
+// How long the exit waits until the queued lines are written.
+constexpr std::chrono::milliseconds max_stop_wait{200};
+constexpr std::chrono::milliseconds stop_check_interval{1};
 
 // Rate limit of one kind of event.
 struct event_rate_limit
@@ -27,14 +36,68 @@
     std::uint64_t dropped = 0; // since the last written line of this kind
 };
 
+// Lines that the log's thread has taken from the queue. Outlives the thread.
+struct line_counts
+{
+    std::atomic<std::uint64_t> taken = 0;
+    std::atomic<std::uint64_t> failed = 0; // those that could not be written
+};
+
+constinit line_counts counts;
+
+// Writes all of `text` and waits for room where necessary. Returns false if nothing more can be
+// written, e.g. because the reader of a pipe has closed it.
+bool write_all(int file, std::string_view text)
+{
+    while (!text.empty()) {
+        const ssize_t written = ::write(file, text.data(), text.size());
+        if (written >= 0) {
+            text.remove_prefix(static_cast<std::size_t>(written));
+        } else if (errno == EAGAIN) {
+            constexpr int without_limit = -1;
+            pollfd output{file, POLLOUT, 0};
+            ::poll(&output, 1, without_limit);
+        } else if (errno != EINTR) {
+            return false;
+        }
+    }
+    return true;
+}
+
+// Writes each line to standard output with a system call of its own, and counts the lines.
+class output_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+protected:
+    void sink_it_(const spdlog::details::log_msg& message) override
+    {
+        line_.assign(message.payload.data(), message.payload.size());
+        line_ += '\n';
+        if (!write_all(STDOUT_FILENO, line_)) {
+            ++counts.failed;
+        }
+        ++counts.taken;
+    }
+
+    void flush_() override {}
+
+private:
+    std::string line_;
+};
+
 struct log_state
 {
     std::string instance;
     std::shared_ptr<spdlog::logger> logger;
     std::map<std::string, event_rate_limit, std::less<>> rates;
     std::uint64_t dropped = 0;
+    std::uint64_t queued = 0; // lines given to the log's thread
 };
 
+std::uint64_t overrun_lines()
+{
+    return spdlog::thread_pool() ? spdlog::thread_pool()->overrun_counter() : 0;
+}
+
 log_state& state()
 {
     static log_state value;
@@ -46,19 +109,29 @@
 void start_log(const std::string& instance)
 {
     spdlog::init_thread_pool(max_queued_lines, 1);
-    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    auto sink = std::make_shared<output_sink>();
     state().instance = instance;
+    state().queued = counts.taken; // the log may have run before
     state().logger =
         std::make_shared<spdlog::async_logger>("decisions", std::move(sink), spdlog::thread_pool(),
                                                spdlog::async_overflow_policy::overrun_oldest);
-    state().logger->set_pattern("%v");
-    state().logger->flush_on(spdlog::level::info);
 }
 
-void stop_log()
+bool stop_log()
 {
+    if (!state().logger) {
+        return true;
+    }
+    const time_point until = boot_clock::now() + max_stop_wait;
+    while (counts.taken + overrun_lines() < state().queued) {
+        if (boot_clock::now() >= until) {
+            return false;
+        }
+        std::this_thread::sleep_for(stop_check_interval);
+    }
     state().logger.reset();
     spdlog::shutdown();
+    return true;
 }
 
 void log_event(std::string_view event, std::initializer_list<log_value> values)
@@ -101,12 +174,13 @@
         rate.dropped = 0;
     }
     line += '}';
+    ++state().queued;
     state().logger->info(line);
 }
 
 std::uint64_t dropped_log_lines()
 {
-    return state().dropped + (spdlog::thread_pool() ? spdlog::thread_pool()->overrun_counter() : 0);
+    return state().dropped + overrun_lines() + counts.failed;
 }
 
 } // namespace quetzal::gateway
