End the process without destroying its objects, with a last line

After the log is written, the process ends by _Exit: neither open connections nor a fault in a destructor changes how a planned stop ends. The last line `exiting` says the exit status and how many lines were left out since the start. A start that fails ends the same way.

Test: process_end_test, a planned exit with 200 open connections and a port in use; fails with the program before.

--- a/apps/quetzallever/process_end_test.cpp
+++ b/apps/quetzallever/process_end_test.cpp
@@ -14,6 +14,7 @@
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -33,6 +34,7 @@
 constexpr std::uint16_t crash_ports = 19940;
 constexpr std::uint16_t closed_log_ports = 19950;
 constexpr std::uint16_t unread_log_ports = 19960;
+constexpr std::uint16_t planned_ports = 19970;
 
 // How long a process without requests takes to stop, with room for a busy machine.
 constexpr auto stop_time = 5s;
@@ -195,6 +197,13 @@
     return text.find(part) != std::string::npos;
 }
 
+// Returns the last line of the text, without its end.
+std::string last_line(const std::string& text)
+{
+    const std::string lines = text.substr(0, text.find_last_not_of('\n') + 1);
+    return lines.substr(lines.rfind('\n') + 1);
+}
+
 // Connects as soon as the port is open.
 bool connect(asio::ip::tcp::socket& socket, std::uint16_t port)
 {
@@ -287,3 +296,37 @@
     const auto ended = process.exit_code(stop_time);
     check(ended == 0, "a planned stop ends it: " + to_text(ended));
 }
+
+// Guards against a planned exit that cannot be told from a process that was killed after its last
+// request, and against open connections that prolong the exit.
+Test(process_end, a_planned_exit_says_so_in_its_last_line, .timeout = 60)
+{
+    section("given a planned stop with open connections", [] {
+        output_pipe output;
+        front_process process(planned_ports, output);
+        asio::io_context context;
+        std::vector<asio::ip::tcp::socket> sockets;
+        for (int number = 0; number < 200; ++number) {
+            check(connect(sockets.emplace_back(context), planned_ports), "a connection is open");
+        }
+        process.signal(SIGTERM);
+        const auto& text = output.read_until("\"event\":\"exiting\"");
+        check(process.exit_code(stop_time) == 0, "it ends as planned");
+        check(contains(text, "\"event\":\"stopped\""), "all requests had ended: " + text);
+        check(last_line(output.read_to_end())
+                  .ends_with(R"("event":"exiting","status":0,"left_out":0})"),
+              "the last line: " + text);
+    });
+    section("given a port that is in use", [] {
+        output_pipe output;
+        asio::io_context context;
+        const asio::ip::tcp::acceptor user(
+            context, {asio::ip::make_address("127.0.0.1"), planned_ports + 1});
+        front_process process(planned_ports, output);
+        const auto ended = process.exit_code(stop_time);
+        check(ended == 1, "the status says so: " + to_text(ended));
+        const auto line = last_line(output.read_to_end());
+        check(line.ends_with(R"("event":"exiting","status":1,"left_out":0})"),
+              "the last line: " + line);
+    });
+}
--- a/apps/quetzallever/programs.hpp
+++ b/apps/quetzallever/programs.hpp
@@ -6,8 +6,9 @@
 #include <optional>
 #include <string>
 
-inline constexpr int exit_failed = 1; // a port or file cannot be used
-inline constexpr int exit_usage = 2;  // wrong options or settings
+inline constexpr int exit_stopped = 0; // after a planned stop
+inline constexpr int exit_failed = 1;  // a port or file cannot be used
+inline constexpr int exit_usage = 2;   // wrong options or settings
 
 // Runs the entry instance with the project's own interface. Returns the exit code.
 int run_instance(const std::string& settings_path);
--- a/apps/quetzallever/run_front.cpp
+++ b/apps/quetzallever/run_front.cpp
@@ -75,6 +75,17 @@
     });
 }
 
+// Writes the last line and ends the process without destroying its objects, so that neither the
+// number of open connections nor a fault in a destructor changes how a planned stop ends. Sanitizer
+// builds end the same way, because a check should run what users run.
+[[noreturn]] void end_process(int status)
+{
+    quetzal::gateway::log_event(
+        "exiting", {{"status", status}, {"left_out", quetzal::gateway::dropped_log_lines()}});
+    static_cast<void>(quetzal::gateway::stop_log()); // what is not written in time is lost
+    std::_Exit(status);
+}
+
 } // namespace
 
 int run_front(const std::string& settings_path)
@@ -100,14 +111,11 @@
     quetzal::platform::front front(context, std::move(*settings));
     if (const auto started = front.start(); !started) {
         std::fprintf(stderr, "quetzallever: %s\n", started.error().c_str());
-        return exit_failed;
+        end_process(exit_failed);
     }
     settings_reload reload(context, front, settings_path, std::move(watch));
     reload.read_periodically();
     wait_for_signals(signals, front, reload);
     context.run();
-    if (!quetzal::gateway::stop_log()) {
-        std::_Exit(0); // the log's thread cannot be joined
-    }
-    return 0;
+    end_process(exit_stopped);
 }
