Exempt the lines of a request's end from the limit per second at a stop

Up to 40 lines a second of each kind were written, so that a process that ended with more unfinished requests left out the lines that name them.

From SIGTERM on, `request_unfinished`, `response_incomplete`, `stopped` and `exiting` may take 2,000 lines in all beside the limit per second; once these are used, that limit holds for them again.

Test: decision_log_test; fails when the process is not marked as stopping.

--- a/apps/quetzallever/run_front.cpp
+++ b/apps/quetzallever/run_front.cpp
@@ -69,6 +69,7 @@
             reload.read();
         } else {
             quetzal::gateway::report_crashes_as_stopping();
+            quetzal::gateway::log_stopping();
             front.drain();
         }
         wait_for_signals(signals, front, reload);
--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -1,5 +1,7 @@
 #include <quetzal/gateway/decision_log.hpp>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -24,6 +26,11 @@
 
 constexpr std::size_t max_queued_lines = 4096;     // further lines replace the oldest queued line
 constexpr std::uint32_t max_lines_per_second = 40; // for each kind of event
+// Events that tell how a request or the process ended. A stopping process may write this many lines
+// of them without regard to the limit per second.
+constexpr std::array<std::string_view, 4> end_events{"request_unfinished", "response_incomplete",
+                                                     "stopped", "exiting"};
+constexpr std::uint32_t max_end_lines = 2000;
 // How long the exit waits until the queued lines are written.
 constexpr std::chrono::milliseconds max_stop_wait{200};
 constexpr std::chrono::milliseconds stop_check_interval{1};
@@ -91,6 +98,8 @@
     std::map<std::string, event_rate_limit, std::less<>> rates;
     std::uint64_t dropped = 0;
     std::uint64_t queued = 0; // lines given to the log's thread
+    bool stopping = false;
+    std::uint32_t end_lines = 0; // written without regard to the limit per second
 };
 
 std::uint64_t overrun_lines()
@@ -104,6 +113,18 @@
     return value;
 }
 
+// Whether a line is one of the limited number of lines for the end of a stopping process.
+bool take_end_line(std::string_view event)
+{
+    if (!state().stopping || state().end_lines >= max_end_lines ||
+        std::find(end_events.begin(), end_events.end(), event) == end_events.end())
+    {
+        return false;
+    }
+    ++state().end_lines;
+    return true;
+}
+
 } // namespace
 
 void start_log(const std::string& instance)
@@ -117,6 +138,11 @@
                                                spdlog::async_overflow_policy::overrun_oldest);
 }
 
+void log_stopping()
+{
+    state().stopping = true;
+}
+
 bool stop_log()
 {
     if (!state().logger) {
@@ -150,7 +176,7 @@
         rate.second = second;
         rate.written = 0;
     }
-    if (++rate.written > max_lines_per_second) {
+    if (!take_end_line(event) && ++rate.written > max_lines_per_second) {
         ++rate.dropped;
         ++state().dropped;
         return;
