Log when the event loop is held up

A process that got no processor, or was busy, for a second at the end of its grace period left no trace of it.

A timer of 100 ms logs `loop_held_up` when it runs more than 250 ms late, at most three times a second by its interval, with the processor time that the thread used meanwhile, which tells a busy loop from a process that was not run. It is judged once more after the loop has ended.

--- a/apps/quetzallever/process_end_test.cpp
+++ b/apps/quetzallever/process_end_test.cpp
@@ -35,6 +35,7 @@
 constexpr std::uint16_t closed_log_ports = 19950;
 constexpr std::uint16_t unread_log_ports = 19960;
 constexpr std::uint16_t planned_ports = 19970;
+constexpr std::uint16_t held_up_ports = 19980;
 
 // How long a process without requests takes to stop, with room for a busy machine.
 constexpr auto stop_time = 5s;
@@ -330,3 +331,34 @@
               "the last line: " + line);
     });
 }
+
+// Guards against a process that got no processor, or was busy, at the end of its grace period,
+// which nothing shows afterwards.
+Test(process_end, a_held_up_loop_is_logged, .timeout = 60)
+{
+    output_pipe output;
+    front_process process(held_up_ports, output);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    check(connect(socket, held_up_ports + 1), "it serves");
+    const auto hold_up = [&] {
+        process.signal(SIGSTOP);
+        std::this_thread::sleep_for(700ms);
+        process.signal(SIGCONT);
+    };
+    section("given a process that serves", [&] {
+        hold_up();
+        const auto& text = output.read_until("\"event\":\"loop_held_up\",\"ms\":");
+        check(contains(text, "\"loop_held_up\""), "a line: " + text);
+    });
+    section("given a stopping process that is held up over its last turn", [&] {
+        process.signal(SIGTERM);
+        check(contains(output.read_until("\"event\":\"stopping\""), "stopping"), "it stops");
+        hold_up();
+        check(process.exit_code(stop_time) == 0, "it ends as planned");
+        const auto& text = output.read_to_end();
+        check(contains(text.substr(text.find("\"stopping\"")), "\"loop_held_up\""),
+              "a line: " + text);
+        check(contains(last_line(text), "\"exiting\""), "which is not the last: " + text);
+    });
+}
--- a/apps/quetzallever/run_front.cpp
+++ b/apps/quetzallever/run_front.cpp
@@ -2,14 +2,17 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <string>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <quetzal/base/time.hpp>
 #include <quetzal/gateway/crash_report.hpp>
 #include <quetzal/gateway/decision_log.hpp>
+#include <quetzal/gateway/loop_delay.hpp>
 #include <quetzal/platform/front.hpp>
 #include <quetzal/platform/front_settings.hpp>
 #include <quetzal/platform/settings_watch.hpp>
@@ -57,6 +60,50 @@
     quetzal::platform::settings_watch watch_;
 };
 
+// Returns the processor time that this thread has used.
+quetzal::duration thread_processor_time()
+{
+    timespec used{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
+// Logs when the event loop is held up.
+class loop_watch
+{
+public:
+    explicit loop_watch(boost::asio::io_context& context) : timer_(context) {}
+
+    void watch()
+    {
+        delay_.timer_set(quetzal::boot_clock::now(), thread_processor_time());
+        timer_.expires_after(quetzal::gateway::loop_delay_interval);
+        timer_.async_wait([this](const boost::system::error_code& error) {
+            if (error) {
+                return;
+            }
+            check();
+            watch();
+        });
+    }
+
+    // Called by the timer, and after the loop has ended, when the timer does not run any more.
+    void check()
+    {
+        const auto found = delay_.check(quetzal::boot_clock::now(), thread_processor_time());
+        if (found) {
+            quetzal::gateway::log_event(
+                "loop_held_up",
+                {{"ms", quetzal::whole_milliseconds(found->delay)},
+                 {"processor_ms", quetzal::whole_milliseconds(found->processor_time)}});
+        }
+    }
+
+private:
+    boost::asio::steady_timer timer_;
+    quetzal::gateway::loop_delay delay_;
+};
+
 void wait_for_signals(boost::asio::signal_set& signals, quetzal::platform::front& front,
                       settings_reload& reload)
 {
@@ -116,7 +163,10 @@
     }
     settings_reload reload(context, front, settings_path, std::move(watch));
     reload.read_periodically();
+    loop_watch watched_loop(context);
+    watched_loop.watch();
     wait_for_signals(signals, front, reload);
     context.run();
+    watched_loop.check();
     end_process(exit_stopped);
 }
