Name the requests of a stopping process in its log, and each of their ends

Change: `stop_record` names the requests that are read or served when the stop begins and once a second after it (`request_in_stop`; at most 400 lines each time and for the later ones together, then `requests_not_named`), and each end (`request_ended`: outcome, reason, status, events, bytes, endpoint, times relative to SIGTERM). A request counts from the time its head was read; counts balance. `response_confirmed` says that the caller has closed its connection or sent a further request; a reset instead is now `response_unconfirmed` on every path. The lines that name requests are exempt from the limit per second during a stop, within the bound of 2,000 lines that was there. The beginning of the stop is computed when the signal is handled, not when the coroutine of the stop first runs.

A connection that its caller reset while it waited for a request was logged a second time as `response_unconfirmed` with an empty request; it is not any more. caller_stop_test found this.

--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -58,6 +58,17 @@
 // Returns the stable lower-case name, e.g. "stages".
 std::string_view to_string(request_phase value) noexcept;
 
+// What has happened to a request so far, for the log.
+struct request_progress
+{
+    std::string endpoint;     // id of the endpoint that the request was last sent to
+    std::uint64_t events = 0; // of a stream, that were passed on to the caller
+    std::optional<time_point> first_event;
+    std::optional<time_point> last_event;
+    // Why the instance itself ended the request, if it did.
+    std::optional<reason> ended_by_instance;
+};
+
 // A request that is being served. `abort` ends the processing early.
 class running_request
 {
@@ -82,6 +93,7 @@
     request_phase phase = request_phase::endpoint;
     std::optional<time_point> sent;       // when it was first sent to one that may run it
     std::uint64_t connection_request = 1; // its position among the requests of its connection
+    request_progress progress;
 
 private:
     std::optional<failure> abort_reason_;
--- a/libs/gateway/include/quetzal/gateway/caller_server.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_server.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <quetzal/gateway/caller_request.hpp>
 #include <quetzal/gateway/catalog.hpp>
+#include <quetzal/gateway/stop_record.hpp>
 #include <tl/expected.hpp>
 
 namespace quetzal::gateway {
@@ -42,8 +43,17 @@
     // configured port is 0.
     std::uint16_t port() const;
 
-    // Closes every connection after its next response.
-    void drain();
+    // Begins a planned stop: from now on every connection is closed after its next response, and
+    // the log names the requests and their ends. `began` is the time of the signal. Further calls
+    // have no effect.
+    void drain(time_point began = boot_clock::now());
+
+    // Logs the requests that are being read or served during the stop. The number of lines of a
+    // whole stop is bounded.
+    void log_in_flight();
+
+    // Returns the numbers of requests of the stop, all 0 before it begins.
+    stop_counts counts() const;
 
     // Stops accepting connections.
     void stop_accepting();
--- a/libs/gateway/include/quetzal/gateway/decision_log.hpp
+++ b/libs/gateway/include/quetzal/gateway/decision_log.hpp
@@ -34,8 +34,9 @@
 // line. SIGPIPE must be ignored, because standard output may be a pipe that its reader closes.
 void start_log(const std::string& instance);
 
-// Says that the process stops: from now on, the lines that tell how a request or the process ended
-// are not subject to the limit per second, but to one for all of them.
+// Says that the process stops: from now on, the lines that tell which requests it serves, and how a
+// request or the process ended, are not subject to the limit per second, but to one for all of
+// them.
 void log_stopping();
 
 // Writes the queued lines and stops the log. Returns false if standard output has not taken them
--- a/libs/gateway/include/quetzal/gateway/event_splitter.hpp
+++ b/libs/gateway/include/quetzal/gateway/event_splitter.hpp
@@ -5,6 +5,7 @@
 // by an endpoint, or bytes that are no event, are never forwarded. Every line of an event is a
 // field with a name, a colon and a value, or a comment.
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,6 +50,9 @@
         malformed_ = false;
     }
 
+    // Returns the number of events that were returned.
+    std::uint64_t taken() const noexcept { return taken_; }
+
     // The value of the last `id` field among the returned events, if any.
     const std::optional<std::string>& last_id() const noexcept { return last_id_; }
 
@@ -58,6 +62,7 @@
     std::string pending_;
     std::size_t searched_ = 0; // bytes of `pending_` in which no event ends
     bool malformed_ = false;
+    std::uint64_t taken_ = 0;
     std::optional<std::string> last_id_;
 };
 
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -9,6 +9,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -43,6 +44,7 @@
 constexpr duration accept_pause = std::chrono::milliseconds(50);   // after a failed accept
 constexpr std::size_t read_buffer_limit = 64u << 10;               // bytes
 constexpr int listen_backlog = 1024;
+constexpr std::size_t max_logged_id = 200; // characters of a request's id that is not read yet
 
 std::string status_line(unsigned status)
 {
@@ -71,6 +73,9 @@
     // Serves an accepted connection.
     void admit(tcp::socket socket);
 
+    // Returns the requests that are being read or served.
+    std::vector<request_state> open_requests() const;
+
     // Closes the connections that wait for a request, and further ones as soon as they do.
     void close_idle_connections();
 
@@ -81,6 +86,7 @@
     handler serve_request;
     tcp::acceptor acceptor;
     bool draining = false;
+    std::optional<stop_record> stop; // once draining
     bool closing_idle = false;
     std::size_t active_requests = 0;
     std::size_t body_bytes = 0;
@@ -156,11 +162,13 @@
             const std::size_t size = co_await socket.async_write_some(
                 rest, asio::redirect_error(asio::use_awaitable, error));
             written += size;
+            written_bytes += size;
         }
         timeout.clear();
         writing = false;
         last_write = boot_clock::now();
         if (error) {
+            write_failed = true;
             log_event("response_not_written",
                       {{"request", current ? std::string_view(current->message.id) : ""},
                        {"detail", timed_out ? "the caller does not read" : error.message()}});
@@ -173,6 +181,7 @@
     std::string response_head(unsigned status, const std::string& headers)
     {
         std::string bytes = status_line(status) + headers;
+        response_status = status;
         if (server.draining || !persistent) {
             persistent = false;
             bytes += "Connection: close\r\n";
@@ -271,7 +280,10 @@
                                             asio::redirect_error(asio::use_awaitable, error));
         }
         timeout.clear();
-        unconfirmed = error != asio::error::eof;
+        if (error == asio::error::eof) {
+            log_confirmed("the caller has closed the connection");
+            unconfirmed = false;
+        }
         if (server.draining) {
             log_unconfirmed("the connection ended otherwise than by the caller's close");
         }
@@ -301,7 +313,9 @@
         char byte = 0;
         if (::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0) {
             log_unconfirmed("the connection was reset");
+            return;
         }
+        log_confirmed("the caller has closed the connection or sent a request");
     }
 
     // Logs the last response if it is recent and the caller has neither closed its connection nor
@@ -318,12 +332,68 @@
                    {"written_ms", whole_milliseconds(boot_clock::now() - last_write)}});
     }
 
+    // Records that the head of a request has been read.
+    void begin_request(std::string_view id, time_point now)
+    {
+        last_request = id.substr(0, max_logged_id);
+        received = now;
+        response_status = 0;
+        written_bytes = 0;
+        write_failed = false;
+        has_open_request = true;
+        ended_in_stop = false;
+        if (server.stop) {
+            server.stop->count_received();
+        }
+    }
+
+    // Records that the request has ended, or that its connection was closed. `caller_closed` means
+    // that the caller closed it before the request was read completely.
+    void end_request(bool caller_closed = false)
+    {
+        if (!std::exchange(has_open_request, false) || !server.stop) {
+            return;
+        }
+        request_state ended = state();
+        ended.caller_closed = caller_closed;
+        server.stop->log_end(ended);
+        ended_in_stop = true;
+    }
+
+    // Returns the request that is being read or served.
+    request_state state() const
+    {
+        request_state value;
+        value.id = last_request;
+        value.request = current.get();
+        value.received = received;
+        value.status = response_status;
+        value.bytes = written_bytes;
+        // Until a response starts, `response_complete` is about the request before.
+        value.complete = response_status != 0 && response_complete;
+        value.write_failed = write_failed;
+        return value;
+    }
+
+    // Logs that the caller of a request that ended during the stop has its response.
+    void log_confirmed(std::string_view detail)
+    {
+        if (!unconfirmed || !std::exchange(ended_in_stop, false)) {
+            return;
+        }
+        log_event("response_confirmed",
+                  {{"request", last_request},
+                   {"detail", detail},
+                   {"written_ms", whole_milliseconds(boot_clock::now() - last_write)}});
+    }
+
     // Ends a request whose handler has thrown. It may have run.
     asio::awaitable<void> end_failed_request(const std::string& exception)
     {
         log_event("request_failed", {{"request", current->message.id},
                                      {"phase", to_string(current->phase)},
                                      {"error", exception}});
+        current->progress.ended_by_instance = reason::internal_error;
         persistent = false;
         if (!stream_started && !response_complete) {
             std::string headers;
@@ -350,16 +420,25 @@
     bool awaiting_request = true;     // no request was read completely since the last response
     bool waiting_for_request = false; // for its first byte
     bool send_side_closed = false;    // while it waited for a request
-    bool unconfirmed = false; // the last response; until the caller closes or sends a request
-    std::string last_request; // id of the last request that was served
-    time_point last_write{};  // of any part of a response
-    int unacknowledged = 0;   // bytes when the time limit of the write was set
+    bool has_open_request = false;    // whose head was read, and which has not ended
+    bool ended_in_stop = false;       // the last request
+    bool unconfirmed = false;     // the last response; until the caller closes or sends a request
+    std::string last_request;     // id of the last request whose head was read
+    time_point received{};        // the head of the last request
+    time_point last_write{};      // of any part of a response
+    unsigned response_status = 0; // of the last request; 0 if no response has started
+    std::uint64_t written_bytes = 0; // since the head of the last request
+    bool write_failed = false;       // of the last request's response
+    int unacknowledged = 0;          // bytes when the time limit of the write was set
 };
 
 asio::awaitable<void> caller_server::implementation::serve(std::shared_ptr<implementation> self,
                                                            std::shared_ptr<connection> caller)
 {
-    const auto forget = [&self](connection* ended) { self->connections.erase(ended); };
+    const auto forget = [&self](connection* ended) {
+        ended->end_request();
+        self->connections.erase(ended);
+    };
     const std::unique_ptr<connection, decltype(forget)> registration(caller.get(), forget);
     while (caller->persistent && caller->socket.is_open()) {
         // Copied because a new configuration may replace the limits while the connection waits.
@@ -383,6 +462,9 @@
             if (error || caller->send_side_closed) {
                 break;
             }
+            if (caller->unconfirmed && self->stop) {
+                caller->confirm_close({});
+            }
         }
         caller->unconfirmed = false;
         caller->last_request.clear();
@@ -403,6 +485,8 @@
                 caller->timeout.expires_after(limits.header_timeout);
             }
             ++self->active_requests;
+            const auto id = parser.get()[self->names.request_id];
+            caller->begin_request({id.data(), id.size()}, received);
             if (!parser.is_done() && caller->buffer.size() == 0 &&
                 boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
             {
@@ -428,6 +512,7 @@
         caller->timed_out = false;
         caller->awaiting_request = false;
         if (outcome.closed) {
+            caller->end_request(true);
             break;
         }
         caller->persistent = outcome.rejection_status == 0 && parser.get().keep_alive();
@@ -449,6 +534,8 @@
             const unsigned status =
                 outcome.rejection_status == 0 ? http_status::bad_request : outcome.rejection_status;
             co_await caller->write_response(status, {}, {});
+            caller->end_request();
+            caller->unconfirmed = true;
             break;
         }
         const std::size_t body_size = request->body.size();
@@ -460,6 +547,8 @@
                        {"reason", "overloaded"},
                        {"detail", "the memory limit for request bodies is reached"}});
             co_await caller->write_response(http_status::unavailable, "Retry-After: 0.5\r\n", {});
+            caller->end_request();
+            caller->unconfirmed = true;
             caller->awaiting_request = caller->persistent;
             continue;
         }
@@ -485,6 +574,7 @@
                        {"events_sent", caller->stream_started},
                        {"connection_request", caller->current->connection_request}});
         }
+        caller->end_request();
         caller->current.reset();
         --self->active_requests;
         self->body_bytes -= body_size;
@@ -534,6 +624,17 @@
     spawn(context, "serve", serve(shared_from_this(), std::move(caller)));
 }
 
+std::vector<request_state> caller_server::implementation::open_requests() const
+{
+    std::vector<request_state> open;
+    for (const connection* caller : connections) {
+        if (caller->has_open_request) {
+            open.push_back(caller->state());
+        }
+    }
+    return open;
+}
+
 void caller_server::implementation::close_idle_connections()
 {
     closing_idle = true;
@@ -570,9 +671,24 @@
     return self_->acceptor.local_endpoint(ignored).port();
 }
 
-void caller_server::drain()
+void caller_server::drain(time_point began)
+{
+    if (std::exchange(self_->draining, true)) {
+        return;
+    }
+    self_->stop.emplace(began, self_->open_requests());
+}
+
+void caller_server::log_in_flight()
+{
+    if (self_->stop) {
+        self_->stop->log_in_flight(self_->open_requests());
+    }
+}
+
+stop_counts caller_server::counts() const
 {
-    self_->draining = true;
+    return self_->stop ? self_->stop->counts() : stop_counts{};
 }
 
 void caller_server::stop_accepting()
--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -26,10 +26,23 @@
 
 constexpr std::size_t max_queued_lines = 4096;     // further lines replace the oldest queued line
 constexpr std::uint32_t max_lines_per_second = 40; // for each kind of event
-// Events that tell how a request or the process ended. A stopping process may write this many lines
+// Events that tell which requests a stopping process serves, and how a request or the process
+// ended. A stopping process may write this many lines
 // of them without regard to the limit per second.
-constexpr std::array<std::string_view, 5> end_events{"request_unfinished", "response_incomplete",
-                                                     "response_unconfirmed", "stopped", "exiting"};
+constexpr std::array<std::string_view, 14> end_events{"request_in_stop",
+                                                      "request_ended",
+                                                      "request_unfinished",
+                                                      "response_incomplete",
+                                                      "response_confirmed",
+                                                      "response_unconfirmed",
+                                                      "attempt_failed",
+                                                      "attempt_repeated",
+                                                      "request_refused",
+                                                      "caller_left",
+                                                      "request_failed",
+                                                      "response_not_written",
+                                                      "stopped",
+                                                      "exiting"};
 constexpr std::uint32_t max_end_lines = 2000;
 // How long the exit waits until the queued lines are written.
 constexpr std::chrono::milliseconds max_stop_wait{200};
--- a/libs/gateway/src/decision_log_test.cpp
+++ b/libs/gateway/src/decision_log_test.cpp
@@ -1,16 +1,15 @@
 // Tests which lines of the decision log are written.
 
-#include <cstdio>
-#include <fstream>
-#include <functional>
 #include <string>
 
-#include <unistd.h>
-
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/testing/section.hpp>
 
+#include "logged_text.hpp"
+
 using namespace quetzal::gateway;
+using quetzal::gateway::testing::count_lines;
+using quetzal::gateway::testing::logged_text;
 using quetzal::testing::check;
 using quetzal::testing::section;
 
@@ -30,31 +29,6 @@
     }
 }
 
-// Runs `body` with a log, and returns the text that it wrote.
-std::string logged_text(const std::function<void()>& body)
-{
-    const std::string path = "/tmp/decision_log_test." + std::to_string(::getpid()) + ".log";
-    check(std::freopen(path.c_str(), "w", stdout) != nullptr, "the log is written to a file");
-    start_log("test");
-    body();
-    check(stop_log(), "all lines are written");
-    std::ifstream file(path);
-    std::string text(std::istreambuf_iterator<char>(file), {});
-    std::remove(path.c_str());
-    return text;
-}
-
-int count_lines(const std::string& text, const std::string& event)
-{
-    const std::string part = "\"event\":\"" + event + "\"";
-    int lines = 0;
-    for (auto found = text.find(part); found != std::string::npos;
-         found = text.find(part, found + 1)) {
-        ++lines;
-    }
-    return lines;
-}
-
 } // namespace
 
 // Guards against a stopping process that leaves out the lines that tell how its requests ended,
@@ -99,3 +73,23 @@
         check(count_lines(text, "exiting") == 1, "how it ended, still");
     });
 }
+
+// Guards against a stop of which the log does not tell what became of each request, because its
+// lines are left out when there are many in a second.
+Test(decision_log, all_lines_that_name_requests_of_a_stop_are_written)
+{
+    constexpr int lines = 120; // more than the usual limit allows
+    for (const std::string event :
+         {"request_in_stop", "request_ended", "response_confirmed", "attempt_failed",
+          "attempt_repeated", "request_refused", "caller_left", "request_failed",
+          "response_not_written", "response_incomplete", "response_unconfirmed"})
+    {
+        section("given a stopping process and lines of " + event, [&] {
+            const auto text = logged_text([&] {
+                log_stopping();
+                write_lines(lines, {event});
+            });
+            check(count_lines(text, event) == lines, "all are written");
+        });
+    }
+}
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -40,6 +40,7 @@
 {
     std::size_t size = 0; // of the events before the first malformed one, without empty lines after
     bool malformed = false;
+    std::uint64_t events = 0; // ended by an empty line
 };
 
 // More than one additional empty line between two events is malformed.
@@ -62,6 +63,7 @@
         }
         if (empty_lines == 1) {
             checked.size = begin;
+            ++checked.events;
         }
     }
     return checked;
@@ -93,6 +95,7 @@
         pending_.insert(0, events, checked.size); // an additional empty line waits for an event
     }
     events.resize(checked.size);
+    taken_ += checked.events;
     update_last_id(events);
     return events;
 }
@@ -101,10 +104,15 @@
 {
     std::string remainder = std::exchange(pending_, {});
     searched_ = 0;
-    malformed_ = malformed_ || check_lines(remainder).malformed;
+    const checked_events checked = check_lines(remainder);
+    malformed_ = malformed_ || checked.malformed;
     if (malformed_) {
         return {};
     }
+    // The last event may lack its empty line.
+    const std::string_view rest = std::string_view(remainder).substr(checked.size);
+    const bool has_rest = rest.find_first_not_of("\r\n") != std::string_view::npos;
+    taken_ += checked.events + (has_rest ? 1 : 0);
     update_last_id(remainder);
     return remainder;
 }
--- a/libs/gateway/src/event_splitter_test.cpp
+++ b/libs/gateway/src/event_splitter_test.cpp
@@ -93,3 +93,40 @@
         });
     }
 }
+
+// Guards against a log that tells a wrong number of events of a stream that was cut.
+Test(event_splitter, counts_the_events_that_it_returns)
+{
+    section("given complete events and a part of one", [] {
+        event_splitter splitter;
+        splitter.add("id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\nid: 3\n");
+        splitter.take_complete_events();
+        check(splitter.taken() == 2, "the complete ones count");
+        splitter.add("data: z\n\n");
+        splitter.take_complete_events();
+        check(splitter.taken() == 3, "the third one counts when it is complete");
+        check(splitter.take_remainder().empty() && splitter.taken() == 3, "nothing is left");
+    });
+    section("given a last event without an empty line", [] {
+        event_splitter splitter;
+        splitter.add("data: x\n\ndata: y\n");
+        splitter.take_complete_events();
+        splitter.take_remainder();
+        check(splitter.taken() == 2, "both count");
+    });
+    section("given an additional empty line", [] {
+        event_splitter splitter;
+        splitter.add("data: x\n\n\n");
+        splitter.take_complete_events();
+        splitter.add("data: y\n\n\n");
+        splitter.take_complete_events();
+        splitter.take_remainder();
+        check(splitter.taken() == 2, "it does not count");
+    });
+    section("given bytes that are no event", [] {
+        event_splitter splitter;
+        splitter.add("data: x\n\nnothing\n\n");
+        splitter.take_complete_events();
+        check(splitter.is_malformed() && splitter.taken() == 1, "they do not count");
+    });
+}
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -52,6 +52,19 @@
     return std::pair(running, waiting);
 }
 
+// Records that a stream has passed on `events` events in all by `now`.
+void record_events(request_progress& progress, std::uint64_t events, time_point now)
+{
+    if (events == progress.events) {
+        return;
+    }
+    progress.events = events;
+    progress.last_event = now;
+    if (!progress.first_event) {
+        progress.first_event = now;
+    }
+}
+
 std::string_view header_value(const channel::fields& headers, const std::string& name)
 {
     const auto value = headers[name];
@@ -262,6 +275,7 @@
     if (!request->sent) {
         request->sent = started;
     }
+    request->progress.endpoint = chosen.target.id;
     // The request's own deadline expires first. The connection fails earlier if the endpoint reads
     // nothing (see `configure_socket`).
     const duration timeout = request->deadline - started + 100ms;
@@ -434,6 +448,7 @@
                 coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
             }
             request->phase = request_phase::stream;
+            const std::uint64_t passed = state.events.taken();
             const bool written = co_await writer.write_stream_part(200, state.stream_headers,
                                                                    std::move(events), last);
             if (!written) {
@@ -444,6 +459,7 @@
                 connection->close();
                 co_return attempt_failure{*request->abort_reason()};
             }
+            record_events(request->progress, passed, boot_clock::now());
             silence.start(stream_stall_timeout);
         }
         if (!broken.empty()) {
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -431,6 +431,7 @@
         status = http_status::bad_request;
     }
     record_outcome(request, to_string(why.why));
+    request.progress.ended_by_instance = why.why;
     log_event(caller_disconnected ? "caller_left" : "request_refused",
               {{"request", request.message.id},
                {"route", request.matched ? std::string_view(request.matched->name) : "none"},
