--- a/apps/quetzallever/process_end_test.cpp
+++ b/apps/quetzallever/process_end_test.cpp
@@ -36,6 +36,7 @@
 constexpr std::uint16_t unread_log_ports = 19960;
 constexpr std::uint16_t planned_ports = 19970;
 constexpr std::uint16_t held_up_ports = 19980;
+constexpr std::uint16_t balance_ports = 19990;
 
 // How long a process without requests takes to stop, with room for a busy machine.
 constexpr auto stop_time = 5s;
@@ -205,6 +206,18 @@
     return lines.substr(lines.rfind('\n') + 1);
 }
 
+// Returns the value of a field of the last line of an event, or -1 if there is none.
+long number_in(const std::string& text, const std::string& event, const std::string& field)
+{
+    const auto line = text.rfind("\"event\":\"" + event + "\"");
+    const std::string name = "\"" + field + "\":";
+    const auto found = line == std::string::npos ? line : text.find(name, line);
+    if (found == std::string::npos || found > text.find('\n', line)) {
+        return -1;
+    }
+    return std::strtol(text.c_str() + found + name.size(), nullptr, 10);
+}
+
 // Connects as soon as the port is open.
 bool connect(asio::ip::tcp::socket& socket, std::uint16_t port)
 {
@@ -360,5 +373,53 @@
         check(contains(text.substr(text.find("\"stopping\"")), "\"loop_held_up\""),
               "a line: " + text);
         check(contains(last_line(text), "\"exiting\""), "which is not the last: " + text);
+        check(number_in(text, "stopped", "longest_delay_ms") >= 500, "the stop tells it: " + text);
     });
 }
+
+// Guards against a stop that loses a request without a trace: its counts do not balance, or the
+// lines that name the ends of requests and the metrics do not agree with them.
+Test(process_end, the_counts_of_a_stop_balance, .timeout = 60)
+{
+    output_pipe output;
+    front_process process(balance_ports, output);
+    asio::io_context context;
+    const auto send = [&](asio::ip::tcp::socket& socket, const std::string& text) {
+        check(connect(socket, balance_ports), "it serves");
+        asio::write(socket, asio::buffer(text));
+    };
+    const auto head = [](const std::string& id) {
+        return "POST / HTTP/1.1\r\nHost: h\r\nQuetzallever-Attempt-Id: " + id + "\r\n";
+    };
+    asio::ip::tcp::socket waiting(context);
+    asio::ip::tcp::socket half(context);
+    asio::ip::tcp::socket later(context);
+    send(waiting, head("waiting") + "\r\n"); // for the configuration
+    send(half, head("half") + "Content-Length: 9\r\n\r\nhalf");
+    std::this_thread::sleep_for(200ms);
+    process.signal(SIGTERM);
+    check(contains(output.read_until("\"event\":\"stopping\""), "stopping"), "it stops");
+    send(later, head("later") + "\r\n");
+    const std::string metrics = read_metrics(balance_ports + 3);
+    check(process.exit_code(stop_time) == 0, "it ends as planned");
+    const std::string text = output.read_to_end();
+    const auto stopped = [&](const std::string& field) {
+        return number_in(text, "stopped", field);
+    };
+    check(stopped("in_flight") == 2 && stopped("received") == 1, "three were received: " + text);
+    check(stopped("refused") == 2 && stopped("unfinished") == 1, "how they ended: " + text);
+    check(stopped("complete") + stopped("refused") + stopped("cut") + stopped("caller_left") +
+                  stopped("not_written") + stopped("unfinished") ==
+              stopped("in_flight") + stopped("received"),
+          "the counts balance: " + text);
+    check(number_in(text, "stopping", "handled_after_ms") >= 0, "the delay is known: " + text);
+    for (const std::string id : {"waiting", "later"}) {
+        check(contains(text, R"("event":"request_ended","request":")" + id + '"'),
+              "the end is named: " + text);
+    }
+    const auto last = text.rfind(R"("event":"request_in_stop","request":"half")");
+    check(last != std::string::npos && last > text.find("request_ended"),
+          "the one that is cut by the exit is named at the end: " + text);
+    check(contains(metrics, "quetzal_stop_requests_total{outcome=\"refused\"}"),
+          "the metrics count ends: " + metrics);
+}
