Tests: resumption of streams that have started

No logic changes.

Seen on, 7 of 8 tests failing: a stopping instance closes the connection of a started stream whose endpoint stalls (attempt_failed 'the endpoint is too slow and another one is free', attempt_repeated, then request_refused with reason stopping, all at 1.5 s of silence) or breaks off, because the results of its stages were released with the first event and their second run is refused. It does so though the first endpoint would have gone on. Without a stop the second run succeeds after the latency target, but is refused where the stages take over half of the time left; and a stream for which no other endpoint is free at the moment of its resumption is cut at once, with a stop or without. No line names the 409 itself.

--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -67,6 +67,17 @@
     return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
 }
 
+// Returns the value of a header of a received request, empty if there is none.
+inline std::string header_of(const std::string& request, const std::string& name)
+{
+    const std::size_t line = request.find("\r\n" + name + ": ");
+    if (line == std::string::npos) {
+        return {};
+    }
+    const std::size_t begin = line + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
 // An endpoint on a raw socket that sends one scripted response per request, in order.
 class fake_endpoint
 {
@@ -93,6 +104,13 @@
 
     void append(scripted_response response) { script_->push_back(std::move(response)); }
 
+    // From now on the endpoint answers a request that `has_inputs` rejects with 409, as not run,
+    // and keeps the scripted response for a later request.
+    void require_inputs(std::function<bool(const std::string& request)> has_inputs)
+    {
+        has_inputs_ = std::move(has_inputs);
+    }
+
 private:
     using script = std::deque<scripted_response>;
 
@@ -130,6 +148,13 @@
                 open_sockets_.clear();
                 co_return;
             }
+            if (has_inputs_ && !has_inputs_(requests_.back())) {
+                const std::string expired = response_with(header_of(requests_.back(), "Id"), "",
+                                                          "409 Conflict", "Not-Run: 1\r\n");
+                co_await asio::async_write(*socket, asio::buffer(expired),
+                                           asio::redirect_error(asio::use_awaitable, error));
+                continue;
+            }
             const scripted_response next = script_->front();
             script_->pop_front();
             if (next.silent) {
@@ -155,6 +180,7 @@
     tcp::acceptor acceptor_;
     tcp::endpoint address_;
     std::string crash_text_;
+    std::function<bool(const std::string&)> has_inputs_;
     bool crashed_ = false;
     std::shared_ptr<script> script_;
     std::vector<std::string> requests_;
@@ -203,10 +229,11 @@
 public:
     gateway_fixture(route_kind kind, bool resumable,
                     std::vector<std::vector<scripted_response>> endpoint_responses,
-                    retry_budget_options budget = {0.2, 52, std::chrono::seconds(10)})
+                    retry_budget_options budget = {0.2, 52, std::chrono::seconds(10)},
+                    stage_protocol stages = {})
         : members({}, self(), boot_clock::now() - std::chrono::seconds(10)), pools({"z", {}, 1}),
           channels(context.get_executor()), peers(context, {"127.0.0.1", 0, 0, {}}, members),
-          coordinator(context, view, channels, members, peers, names, {}, {}),
+          coordinator(context, view, channels, members, peers, names, std::move(stages), {}),
           flow(context, view, pools, channels, coordinator, members, quarantine, names, budget,
                metrics)
     {
