Run the stages of a started stream until its deadline or the end of a stop

The results of the stages are released with a stream's first event, so a stream that is resumed needs a second run of its stages. That run was subject to the limits of a request that has not been sent: a stopping instance refused it whenever the whole response could no longer be expected before the exit, and closed the caller's connection; without a stop the stages were allowed half of the time left, and ranked behind all others because their latency target had passed.

For a stream that has started the limit is now its deadline or the end of the stop, whichever is earlier, for admission and for the order of calls. The results are still released with the first event: an endpoint has room for few of them and keeps them for a limited time, so that holding them until the end of every stream would take that room from requests that have not started.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -111,8 +111,10 @@
                                                      response_writer& writer);
     std::optional<failure> admit(running_request& request, unsigned& status);
     std::optional<failure> resolve_route_and_customer(running_request& request, unsigned& status);
-    boost::asio::awaitable<result<std::vector<std::string>>> run_stages(const request_ptr& request,
-                                                                        std::uint64_t& ticket);
+    // Returns the handles of the final stages' results. For a stream that has started, the stages
+    // may take the time until its `latest_end`.
+    boost::asio::awaitable<result<std::vector<std::string>>>
+    run_stages(const request_ptr& request, const response_writer& writer, std::uint64_t& ticket);
     boost::asio::awaitable<result<void>>
     run_attempts(const request_ptr& request, response_writer& writer, attempt_state& state);
     std::string select_service(const running_request& request) const;
@@ -166,6 +168,9 @@
     // Returns the latest time at which a planned stop allows to send the request.
     time_point latest_send(const running_request& request) const;
     time_point latest_send(const running_request& request, const stream_ages& running) const;
+    // Returns the time at which the rest of a stream that has started must have been received: its
+    // deadline, or the end of a planned stop.
+    time_point latest_end(const running_request& request) const;
     // Returns the refusal of a request that cannot be sent in time, and when to retry it.
     failure drain_refusal(time_point now) const;
 
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -158,7 +158,7 @@
         // Stage results can expire before the endpoint fetches them; the stages then run once more.
         for (int round = 0; round < 2; ++round) {
             if (!matched.stages.empty()) {
-                auto inputs = co_await run_stages(request, state.stage_ticket);
+                auto inputs = co_await run_stages(request, writer, state.stage_ticket);
                 if (!inputs) {
                     outcome = tl::unexpected(inputs.error());
                     if (state.runs > 0) { // in the first round
@@ -195,7 +195,8 @@
 }
 
 asio::awaitable<result<std::vector<std::string>>>
-request_flow::run_stages(const request_ptr& request, std::uint64_t& ticket)
+request_flow::run_stages(const request_ptr& request, const response_writer& writer,
+                         std::uint64_t& ticket)
 {
     struct pending_stages
     {
@@ -211,8 +212,11 @@
         co_return not_run(reason::invalid_request, "the piece counts are malformed");
     }
     local_job job;
-    const time_point wanted = request->target_deadline - time_after_stages;
-    const time_point latest = latest_send(*request);
+    // The latency target and the limits of a first send do not apply to a stream that has started.
+    const bool started_stream = writer.has_started_stream();
+    const time_point latest = started_stream ? latest_end(*request) : latest_send(*request);
+    const time_point wanted =
+        (started_stream ? latest : request->target_deadline) - time_after_stages;
     if (boot_clock::now() > latest) {
         co_return tl::unexpected(drain_refusal(boot_clock::now()));
     }
