Let a started stream wait for an endpoint until its deadline

A request waits for an endpoint with free capacity until its latency target. A stream that has to be resumed has usually passed it, so it was cut at once ("all endpoints are full", "no endpoint accepts work") when no other endpoint was free at that moment, with its deadline far away.

A stream that has started now waits until its deadline or the end of a stop, whichever is earlier. Other requests wait as before.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -122,7 +122,10 @@
                                const std::vector<job_stage>& stages);
     boost::asio::awaitable<result<void>>
     send_saved_response(const request_ptr& request, response_writer& writer, attempt_state& state);
+    // Waits for an endpoint with free capacity: a request until its latency target, a stream that
+    // has started until its `latest_end`.
     boost::asio::awaitable<result<chosen_endpoint>> choose_endpoint(const request_ptr& request,
+                                                                    const response_writer& writer,
                                                                     const attempt_state& state);
     boost::asio::awaitable<attempt_result> attempt(const request_ptr& request,
                                                    response_writer& writer, attempt_state& state,
--- a/libs/gateway/src/request_endpoint.cpp
+++ b/libs/gateway/src/request_endpoint.cpp
@@ -25,13 +25,17 @@
 
 } // namespace
 
-asio::awaitable<result<chosen_endpoint>> request_flow::choose_endpoint(const request_ptr& request,
-                                                                       const attempt_state& state)
+asio::awaitable<result<chosen_endpoint>>
+request_flow::choose_endpoint(const request_ptr& request, const response_writer& writer,
+                              const attempt_state& state)
 {
     const std::string service = select_service(*request);
     request->phase = request_phase::endpoint;
     endpoint_requirements requirements{request->message.prefixes, state.tried_endpoints};
-    const time_point wait_until = std::min(request->target_deadline, request->deadline);
+    const bool started_stream = writer.has_started_stream();
+    const time_point wait_until = started_stream
+                                      ? latest_end(*request)
+                                      : std::min(request->target_deadline, request->deadline);
     while (true) {
         const time_point now = boot_clock::now();
         auto chosen = pools_.start_request(view_, service, requirements, members_, now);
@@ -45,11 +49,11 @@
         }
         if (!pools_.has_usable_endpoint(view_, service)) {
             const auto pause_end = view_.next_pause_end(service);
-            if (!pause_end) {
+            if (!pause_end && !started_stream) {
                 co_return not_run(reason::no_endpoint, "no endpoint accepts work",
                                   no_endpoint_retry_after);
             }
-            if (*pause_end > wait_until) {
+            if (pause_end && *pause_end > wait_until) {
                 co_return not_run(reason::overloaded, "all endpoints have asked for a pause",
                                   std::chrono::ceil<std::chrono::milliseconds>(*pause_end - now));
             }
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -328,7 +328,7 @@
         if (state.runs == 0 && boot_clock::now() > latest_send(*request)) {
             co_return tl::unexpected(drain_refusal(boot_clock::now()));
         }
-        auto chosen = co_await choose_endpoint(request, state);
+        auto chosen = co_await choose_endpoint(request, writer, state);
         if (!chosen && state.last_response && !writer.has_started_stream()) {
             co_return co_await send_saved_response(request, writer, state);
         }
