Do not claim 503 for a request that has run before its results expired twice

serve runs the stages again after a 409, once. When the second results had expired too, it passed on the verdict of the last attempt, not run, so that a request that an earlier endpoint had run and failed was answered 503. The verdict of all attempts is now applied wherever the rounds end. It concerns routes with stages whose requests may be repeated.

request_resume_test, request_that_ran_before_its_results_expired_twice: 503 before, 502 now.

--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -161,9 +161,6 @@
                 auto inputs = co_await run_stages(request, writer, state.stage_ticket);
                 if (!inputs) {
                     outcome = tl::unexpected(inputs.error());
-                    if (state.runs > 0) { // in the first round
-                        outcome.error().run = verdict::may_have_run;
-                    }
                     break;
                 }
                 state.inputs = std::move(*inputs);
@@ -183,6 +180,9 @@
     }
     coordinator_.release(state.stage_ticket);
     running_.erase(request);
+    if (!outcome && state.runs > 0 && outcome.error().run == verdict::not_run) {
+        outcome.error().run = verdict::may_have_run; // an earlier attempt may have run
+    }
     if (!outcome) {
         co_await reject(*request, writer, status_for(outcome.error()), outcome.error());
     } else if (!state.last_response) {
--- a/libs/gateway/src/request_resume_test.cpp
+++ b/libs/gateway/src/request_resume_test.cpp
@@ -1,6 +1,8 @@
 // Tests streams that are resumed at another endpoint, against endpoints on raw sockets and a stage
 // endpoint that keeps its results for a limited time.
 
+#include <set>
+
 #include "request_flow_fixture.hpp"
 #include "stage_endpoint_fixture.hpp"
 
@@ -91,6 +93,17 @@
         apply();
     }
 
+    // From now on the endpoints answer the requests with the given numbers, counted from 0, as if
+    // the results of the stages had expired.
+    void expire_inputs(std::set<std::size_t> numbers)
+    {
+        for (const auto& endpoint : endpoints) {
+            endpoint->require_inputs([this, numbers](const std::string&) {
+                return !numbers.contains(received_requests() - 1);
+            });
+        }
+    }
+
     // Removes all endpoints but the first.
     void keep_one_endpoint()
     {
@@ -114,11 +127,16 @@
         coordinator.refresh();
     }
 
-    // Begins to serve a request and runs until its stream has started.
-    void start()
+    void begin_request()
     {
         request = std::make_shared<running_request>(make_message("1", "key", "/a/x"));
         asio::co_spawn(context, flow.serve(request, response), asio::detached);
+    }
+
+    // Begins to serve a request and runs until its stream has started.
+    void start()
+    {
+        begin_request();
         for (int step = 0; step < 100 && !response.stream_started_; ++step) {
             run(milliseconds(10));
         }
@@ -213,6 +231,50 @@
     gateway.check_complete("the first endpoint completes it");
 }
 
+// Guards against resumed streams that are sent with the handles of results that the instance itself
+// has released, which costs an arrival of the retry budget and the time of a rejection.
+Test(request_resume, released_results_are_not_sent)
+{
+    resuming_gateway gateway({broken_off(milliseconds(200)), rest_of_stream()},
+                             milliseconds(10000));
+    gateway.add_stage(milliseconds(20));
+    gateway.start();
+    gateway.finish(milliseconds(5000));
+    gateway.check_complete("the stream is resumed and complete");
+    check(gateway.stages->calls() == 2, "the stages have run twice");
+    check(gateway.received_requests() == 2, "no endpoint receives the released results");
+}
+
+// Guards against a request that avoids an endpoint because the results of its stages had expired,
+// which is no fault of the endpoint, and finds no other one.
+Test(request_resume, endpoint_that_found_expired_results_is_asked_again)
+{
+    resuming_gateway gateway({{stream_start() + chunk(event(1)) + "0\r\n\r\n"}},
+                             milliseconds(3000));
+    gateway.add_stage(milliseconds(20));
+    gateway.expire_inputs({0});
+    gateway.keep_one_endpoint();
+    gateway.start();
+    gateway.finish(milliseconds(1000));
+    gateway.check_complete("the endpoint receives the new results");
+    check(gateway.stages->calls() == 2, "the stages have run twice");
+}
+
+// Guards against a claim that a request has not run, although an endpoint ran it, when the results
+// of its stages expire twice afterwards.
+Test(request_resume, request_that_ran_before_its_results_expired_twice)
+{
+    resuming_gateway gateway({{response_with("1", "no", "500 Error", "")}, rest_of_stream()},
+                             milliseconds(3000));
+    gateway.add_stage(milliseconds(20));
+    gateway.expire_inputs({1, 2, 3, 4});
+    gateway.begin_request();
+    gateway.finish(milliseconds(3500));
+    check(gateway.received_requests() > 1, "the request is sent again after it has run");
+    check(gateway.response.status_ == 502, "the response does not claim that it has not run: " +
+                                               std::to_string(gateway.response.status_));
+}
+
 // Guards against a started stream that is not resumed because its latency target has passed.
 Test(request_resume, staged_stream_whose_latency_target_has_passed)
 {
