Ask an endpoint again that found the results of the stages expired

A 409 put the endpoint on the list of those that the request avoids, as if it had failed. After the second run of the stages the request had to find another one, and with a single free endpoint it waited until its latency target and was refused. Only a 409 on a route with stages means expired results; on other routes it is a refusal like any other.

--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -360,7 +360,7 @@
              "endpoint rejected the request with status " + std::to_string(status),
              {}},
             {},
-            status == http_status::conflict};
+            status == http_status::conflict && !request->matched->stages.empty()};
     }
     if (!body) {
         co_return silence.describe(body.error());
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -351,7 +351,9 @@
             co_return result<void>{};
         }
         auto& failed = std::get<attempt_failure>(ended);
-        state.tried_endpoints.push_back(chosen->target.id);
+        if (!failed.inputs_expired) { // which is no fault of the endpoint
+            state.tried_endpoints.push_back(chosen->target.id);
+        }
         const bool ran = failed.error.run != verdict::not_run;
         (ran ? state.runs : state.was_sent ? state.refusals : state.unreachable) += 1;
         if (state.runs == 0) {
