Run the stages of a resumed stream before it is sent again

The instance releases the results of the stages with the first event of a stream. When the stream had to be resumed, it sent the released handles to the next endpoint, which answered 409, and ran the stages only then: an arrival that the retry budget counts, one of the three refusals of the request and the time of a rejection for nothing. The second of two rounds was then the last, so that results that expired in between cut the stream.

The stages now run first. Each attempt of a request may have its own run, with one more for results that expire.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -93,6 +93,7 @@
         std::vector<std::string> tried_endpoints; // ids
         std::vector<std::string> inputs;          // handles of the final stages' results
         std::uint64_t stage_ticket = 0;           // of the submitted stages; 0: none
+        bool inputs_released = false;             // a further attempt needs new results
         event_splitter events;
         std::string stream_headers;                  // from the first endpoint
         unsigned runs = 0;                           // attempts that may have run
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -432,6 +432,7 @@
                 quarantine_.record_begun(request->message.quarantine_keys, boot_clock::now());
                 outcome.latency = boot_clock::now() - started;
                 coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
+                state.inputs_released = !request->matched->stages.empty();
             }
             request->phase = request_phase::stream;
             const bool written = co_await writer.write_stream_part(200, state.stream_headers,
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -155,8 +155,9 @@
                       (matched.kind == route_kind::stream && matched.resumable);
     result<void> outcome;
     try {
-        // Stage results can expire before the endpoint fetches them; the stages then run once more.
-        for (int round = 0; round < 2; ++round) {
+        // The stages run for each attempt of a stream that has started, and once more for results
+        // that expire before the endpoint fetches them.
+        for (unsigned round = 0; round <= matched.max_attempts; ++round) {
             if (!matched.stages.empty()) {
                 auto inputs = co_await run_stages(request, writer, state.stage_ticket);
                 if (!inputs) {
@@ -164,6 +165,7 @@
                     break;
                 }
                 state.inputs = std::move(*inputs);
+                state.inputs_released = false;
             }
             outcome = co_await run_attempts(request, writer, state);
             const bool rerun_stages = !outcome && outcome.error().run == verdict::not_run &&
@@ -367,9 +369,6 @@
             continue;
         }
         const bool again = may_retry(*request, state, failed, writer.has_started_stream(), now);
-        if (again && failed.inputs_expired) {
-            co_return not_run(reason::answer_mismatch, "the result of a stage has expired");
-        }
         if (!again) {
             if (state.last_response && !writer.has_started_stream()) {
                 co_return co_await send_saved_response(request, writer, state);
@@ -385,6 +384,9 @@
                                        {"detail", failed.error.detail},
                                        {"runs", state.runs},
                                        {"events_sent", writer.has_started_stream()}});
+        if (failed.inputs_expired || state.inputs_released) {
+            co_return not_run(reason::answer_mismatch, "the result of a stage no longer exists");
+        }
     }
 }
 
