Take a stream off its endpoint only if it can go on elsewhere in time

A stream that completed no event for 1.5 s, e.g. because its engine had preempted it, was taken off its endpoint as soon as another one was free. Whether the stages could run again, and whether the rest could be complete before the deadline or the end of a stop, was not asked; where it could not, the caller's connection was closed although the first endpoint would have gone on.

The stream now stays where it is unless the time left covers a second run of its stages, where their results are released, with a call ahead of each of its own and an endpoint for each stage, and during a stop also the slowest recent response of the route, or the time that the stream itself has taken if none is known. The condition is checked again while the endpoint stays silent.

--- a/libs/gateway/include/quetzal/gateway/drain_plan.hpp
+++ b/libs/gateway/include/quetzal/gateway/drain_plan.hpp
@@ -50,6 +50,9 @@
     // Records the time from sending a request of the route to its complete response.
     void record_response(const std::string& route, duration took);
 
+    // Returns the longest of the recent response times of the route, or nothing if there is none.
+    std::optional<duration> slowest_recent(const std::string& route) const;
+
     // Returns the latest time at which the request may be sent to an endpoint:
     // `time_point::max()` if no stop limits it, and `time_point::min()` if it must not be sent. A
     // request whose deadline is not after the end of the stop is not limited. Otherwise its
@@ -68,8 +71,6 @@
         std::size_t next = 0;
     };
 
-    std::optional<duration> slowest_recent(const std::string& route) const;
-
     std::map<std::string, recent_responses> responses_; // by route
     std::optional<drain_window> window_;
 };
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -154,6 +154,13 @@
     // any content of a response, and records the evidence.
     boost::asio::awaitable<void> examine_loss(const running_request& request,
                                               const chosen_endpoint& chosen);
+    // Returns how long a second run of the request's stages is expected to take, or nothing if an
+    // endpoint of a stage is missing.
+    std::optional<duration> expected_stage_time(const running_request& request) const;
+    // Whether a stream that has started and leaves its endpoint now can be expected to go on before
+    // its `latest_end` and, during a stop, to be complete by then.
+    bool can_resume_in_time(const running_request& request, const attempt_state& state,
+                            time_point now) const;
     // Whether a request that is being run by an endpoint could be sent to another one now.
     bool can_retry_elsewhere(const running_request& request, const attempt_state& state,
                              const chosen_endpoint& chosen, bool started_stream, time_point now);
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -109,7 +109,8 @@
                                        time_point now)
 {
     if (!state.retryable || state.runs + 1 >= request.matched->max_attempts ||
-        !may_send_again(request, state, started_stream, now))
+        !may_send_again(request, state, started_stream, now) ||
+        (started_stream && !can_resume_in_time(request, state, now)))
     {
         return false;
     }
--- a/libs/gateway/src/request_resume.cpp
+++ b/libs/gateway/src/request_resume.cpp
@@ -7,10 +7,66 @@
 
 namespace quetzal::gateway {
 
+namespace {
+
+// A call of a stage is expected to wait for another one at its endpoint.
+constexpr int calls_for_each_stage = 2;
+// Expected duration of an attempt until the first event, besides its stages.
+constexpr duration min_resume_time = std::chrono::milliseconds(20);
+
+} // namespace
+
 time_point request_flow::latest_end(const running_request& request) const
 {
     return drain_.window() ? std::min(request.deadline, drain_.window()->responses_end)
                            : request.deadline;
 }
 
+std::optional<duration> request_flow::expected_stage_time(const running_request& request) const
+{
+    const auto& stages = request.matched->stages;
+    const auto counts = parse_piece_counts(request.message.piece_counts);
+    std::vector<duration> finished(stages.size());
+    duration last{};
+    for (std::size_t index = 0; index < stages.size(); ++index) {
+        const stage_definition& stage = stages[index];
+        for (const std::size_t earlier : stage.after) {
+            if (earlier < index) {
+                finished[index] = std::max(finished[index], finished[earlier]);
+            }
+        }
+        if (!counts || index >= counts->size() || (*counts)[index] == 0) {
+            continue;
+        }
+        const service_definition* service = view_.find_service(stage.service);
+        if (service == nullptr || !service->stage ||
+            !pools_.has_usable_endpoint(view_, stage.service)) {
+            return std::nullopt;
+        }
+        const stage_capacity& capacity = *service->stage;
+        finished[index] +=
+            (capacity.call_time + capacity.piece_time * capacity.batch) * calls_for_each_stage;
+        last = std::max(last, finished[index]);
+    }
+    return last;
+}
+
+bool request_flow::can_resume_in_time(const running_request& request, const attempt_state& state,
+                                      time_point now) const
+{
+    duration needed = min_resume_time;
+    if (state.inputs_released) {
+        const auto stage_time = expected_stage_time(request);
+        if (!stage_time) {
+            return false;
+        }
+        needed += *stage_time;
+    }
+    if (drain_.window()) {
+        needed += drain_.slowest_recent(request.matched->name)
+                      .value_or(now - request.sent.value_or(request.message.received));
+    }
+    return now + needed < latest_end(request);
+}
+
 } // namespace quetzal::gateway
--- a/libs/gateway/src/request_resume_test.cpp
+++ b/libs/gateway/src/request_resume_test.cpp
@@ -220,6 +220,18 @@
     gateway.check_complete("the first endpoint completes it");
 }
 
+// Guards against a stopping instance that takes a stream off its endpoint so late that the rest
+// cannot be expected from another one before the exit.
+Test(request_resume, stream_that_stalls_late_in_a_stop)
+{
+    resuming_gateway gateway({preempted(), rest_of_stream()}, milliseconds(10000));
+    gateway.start();
+    gateway.begin_stop(milliseconds(2600));
+    gateway.finish(milliseconds(2600));
+    gateway.check_complete("the first endpoint completes it");
+    check(gateway.received_requests() == 1, "no other endpoint receives it");
+}
+
 // Guards against the same fault at an instance that does not stop.
 Test(request_resume, staged_stream_that_cannot_be_resumed_elsewhere)
 {
