--- a/libs/gateway/src/request_resume_test.cpp
+++ b/libs/gateway/src/request_resume_test.cpp
@@ -54,7 +54,7 @@
 class resuming_gateway : public gateway_fixture
 {
 public:
-    resuming_gateway(std::vector<scripted_response> responses, milliseconds timeout)
+    resuming_gateway(const std::vector<scripted_response>& responses, milliseconds timeout)
         : gateway_fixture(route_kind::stream, true,
                           std::vector<std::vector<scripted_response>>(3, responses),
                           {0.2, 52, std::chrono::seconds(10)}, test_stage_protocol())
@@ -95,7 +95,7 @@
 
     // From now on the endpoints answer the requests with the given numbers, counted from 0, as if
     // the results of the stages had expired.
-    void expire_inputs(std::set<std::size_t> numbers)
+    void expire_inputs(const std::set<std::size_t>& numbers)
     {
         for (const auto& endpoint : endpoints) {
             endpoint->require_inputs([this, numbers](const std::string&) {
@@ -107,7 +107,7 @@
     // Removes all endpoints but the first.
     void keep_one_endpoint()
     {
-        removed = *view.find_endpoint("e2");
+        removed_ = *view.find_endpoint("e2");
         view.remove_endpoint("e2");
         view.remove_endpoint("e3");
         apply();
@@ -115,7 +115,7 @@
 
     void restore_endpoint()
     {
-        view.put_endpoint(removed);
+        view.put_endpoint(removed_);
         apply();
     }
 
@@ -171,7 +171,7 @@
     std::unique_ptr<stage_endpoint> stages;
 
 private:
-    quetzal::gateway::endpoint removed;
+    quetzal::gateway::endpoint removed_;
 
     void run(milliseconds time)
     {
