--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -93,6 +93,7 @@
         std::vector<std::string> tried_endpoints; // ids
         std::vector<std::string> inputs;          // handles of the final stages' results
         std::uint64_t stage_ticket = 0;           // of the submitted stages; 0: none
+        bool inputs_released = false;             // a further attempt needs new results
         event_splitter events;
         std::string stream_headers;                  // from the first endpoint
         unsigned runs = 0;                           // attempts that may have run
@@ -111,8 +112,10 @@
                                                      response_writer& writer);
     std::optional<failure> admit(running_request& request, unsigned& status);
     std::optional<failure> resolve_route_and_customer(running_request& request, unsigned& status);
-    boost::asio::awaitable<result<std::vector<std::string>>> run_stages(const request_ptr& request,
-                                                                        std::uint64_t& ticket);
+    // Returns the handles of the final stages' results. For a stream that has started, the stages
+    // may take the time until its `latest_end`.
+    boost::asio::awaitable<result<std::vector<std::string>>>
+    run_stages(const request_ptr& request, const response_writer& writer, std::uint64_t& ticket);
     boost::asio::awaitable<result<void>>
     run_attempts(const request_ptr& request, response_writer& writer, attempt_state& state);
     std::string select_service(const running_request& request) const;
@@ -120,7 +123,10 @@
                                const std::vector<job_stage>& stages);
     boost::asio::awaitable<result<void>>
     send_saved_response(const request_ptr& request, response_writer& writer, attempt_state& state);
+    // Waits for an endpoint with free capacity: a request until its latency target, a stream that
+    // has started until its `latest_end`.
     boost::asio::awaitable<result<chosen_endpoint>> choose_endpoint(const request_ptr& request,
+                                                                    const response_writer& writer,
                                                                     const attempt_state& state);
     boost::asio::awaitable<attempt_result> attempt(const request_ptr& request,
                                                    response_writer& writer, attempt_state& state,
@@ -148,6 +154,13 @@
     // any content of a response, and records the evidence.
     boost::asio::awaitable<void> examine_loss(const running_request& request,
                                               const chosen_endpoint& chosen);
+    // Returns how long a second run of the request's stages is expected to take, or nothing if an
+    // endpoint of a stage is missing.
+    std::optional<duration> expected_stage_time(const running_request& request) const;
+    // Whether a stream that has started and leaves its endpoint now can be expected to go on before
+    // its `latest_end` and, during a stop, to be complete by then.
+    bool can_resume_in_time(const running_request& request, const attempt_state& state,
+                            time_point now) const;
     // Whether a request that is being run by an endpoint could be sent to another one now.
     bool can_retry_elsewhere(const running_request& request, const attempt_state& state,
                              const chosen_endpoint& chosen, bool started_stream, time_point now);
@@ -166,6 +179,9 @@
     // Returns the latest time at which a planned stop allows to send the request.
     time_point latest_send(const running_request& request) const;
     time_point latest_send(const running_request& request, const stream_ages& running) const;
+    // Returns the time at which the rest of a stream that has started must have been received: its
+    // deadline, or the end of a planned stop.
+    time_point latest_end(const running_request& request) const;
     // Returns the refusal of a request that cannot be sent in time, and when to retry it.
     failure drain_refusal(time_point now) const;
 
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -122,7 +122,8 @@
                                        time_point now)
 {
     if (!state.retryable || state.runs + 1 >= request.matched->max_attempts ||
-        !may_send_again(request, state, started_stream, now))
+        !may_send_again(request, state, started_stream, now) ||
+        (started_stream && !can_resume_in_time(request, state, now)))
     {
         return false;
     }
@@ -374,7 +375,7 @@
              "endpoint rejected the request with status " + std::to_string(status),
              {}},
             {},
-            status == http_status::conflict};
+            status == http_status::conflict && !request->matched->stages.empty()};
     }
     if (!body) {
         co_return silence.describe(body.error());
@@ -446,6 +447,7 @@
                 quarantine_.record_begun(request->message.quarantine_keys, boot_clock::now());
                 outcome.latency = boot_clock::now() - started;
                 coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
+                state.inputs_released = !request->matched->stages.empty();
             }
             request->phase = request_phase::stream;
             const std::uint64_t passed = state.events.taken();
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -155,18 +155,17 @@
                       (matched.kind == route_kind::stream && matched.resumable);
     result<void> outcome;
     try {
-        // Stage results can expire before the endpoint fetches them; the stages then run once more.
-        for (int round = 0; round < 2; ++round) {
+        // The stages run for each attempt of a stream that has started, and once more for results
+        // that expire before the endpoint fetches them.
+        for (unsigned round = 0; round <= matched.max_attempts; ++round) {
             if (!matched.stages.empty()) {
-                auto inputs = co_await run_stages(request, state.stage_ticket);
+                auto inputs = co_await run_stages(request, writer, state.stage_ticket);
                 if (!inputs) {
                     outcome = tl::unexpected(inputs.error());
-                    if (state.runs > 0) { // in the first round
-                        outcome.error().run = verdict::may_have_run;
-                    }
                     break;
                 }
                 state.inputs = std::move(*inputs);
+                state.inputs_released = false;
             }
             outcome = co_await run_attempts(request, writer, state);
             const bool rerun_stages = !outcome && outcome.error().run == verdict::not_run &&
@@ -183,6 +182,9 @@
     }
     coordinator_.release(state.stage_ticket);
     running_.erase(request);
+    if (!outcome && state.runs > 0 && outcome.error().run == verdict::not_run) {
+        outcome.error().run = verdict::may_have_run; // an earlier attempt may have run
+    }
     if (!outcome) {
         co_await reject(*request, writer, status_for(outcome.error()), outcome.error());
     } else if (!state.last_response) {
@@ -195,7 +197,8 @@
 }
 
 asio::awaitable<result<std::vector<std::string>>>
-request_flow::run_stages(const request_ptr& request, std::uint64_t& ticket)
+request_flow::run_stages(const request_ptr& request, const response_writer& writer,
+                         std::uint64_t& ticket)
 {
     struct pending_stages
     {
@@ -211,8 +214,11 @@
         co_return not_run(reason::invalid_request, "the piece counts are malformed");
     }
     local_job job;
-    const time_point wanted = request->target_deadline - time_after_stages;
-    const time_point latest = latest_send(*request);
+    // The latency target and the limits of a first send do not apply to a stream that has started.
+    const bool started_stream = writer.has_started_stream();
+    const time_point latest = started_stream ? latest_end(*request) : latest_send(*request);
+    const time_point wanted =
+        (started_stream ? latest : request->target_deadline) - time_after_stages;
     if (boot_clock::now() > latest) {
         co_return tl::unexpected(drain_refusal(boot_clock::now()));
     }
@@ -324,7 +330,7 @@
         if (state.runs == 0 && boot_clock::now() > latest_send(*request)) {
             co_return tl::unexpected(drain_refusal(boot_clock::now()));
         }
-        auto chosen = co_await choose_endpoint(request, state);
+        auto chosen = co_await choose_endpoint(request, writer, state);
         if (!chosen && state.last_response && !writer.has_started_stream()) {
             co_return co_await send_saved_response(request, writer, state);
         }
@@ -347,7 +353,9 @@
             co_return result<void>{};
         }
         auto& failed = std::get<attempt_failure>(ended);
-        state.tried_endpoints.push_back(chosen->target.id);
+        if (!failed.inputs_expired) { // which is no fault of the endpoint
+            state.tried_endpoints.push_back(chosen->target.id);
+        }
         const bool ran = failed.error.run != verdict::not_run;
         (ran ? state.runs : state.was_sent ? state.refusals : state.unreachable) += 1;
         if (state.runs == 0) {
@@ -361,9 +369,6 @@
             continue;
         }
         const bool again = may_retry(*request, state, failed, writer.has_started_stream(), now);
-        if (again && failed.inputs_expired) {
-            co_return not_run(reason::answer_mismatch, "the result of a stage has expired");
-        }
         if (!again) {
             if (state.last_response && !writer.has_started_stream()) {
                 co_return co_await send_saved_response(request, writer, state);
@@ -379,6 +384,9 @@
                                        {"detail", failed.error.detail},
                                        {"runs", state.runs},
                                        {"events_sent", writer.has_started_stream()}});
+        if (failed.inputs_expired || state.inputs_released) {
+            co_return not_run(reason::answer_mismatch, "the result of a stage no longer exists");
+        }
     }
 }
 
