Count the retry of a stream before it is taken off its endpoint

The watch for silent endpoints asked whether the retry budget allows a retry and closed the endpoint's connection; the budget was charged only afterwards. Two streams that stalled at the same time could rely on the same last retry, and one of them was cut although its endpoint would have gone on.

The watch now charges the budget before it closes the connection, and the attempt uses that retry.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -101,6 +101,7 @@
         unsigned unreachable = 0;                    // attempts that could not connect
         std::optional<saved_response> last_response; // sent if no later attempt succeeds
         bool retryable = false;
+        bool retry_reserved = false; // the budget has counted the next retry already
         // Of the current attempt: whether bytes of the request were sent, and whether an event of a
         // stream, or another response, was received whole.
         bool was_sent = false;
@@ -161,13 +162,14 @@
     // its `latest_end` and, during a stop, to be complete by then.
     bool can_resume_in_time(const running_request& request, const attempt_state& state,
                             time_point now) const;
-    // Whether a request that is being run by an endpoint could be sent to another one now.
-    bool can_retry_elsewhere(const running_request& request, const attempt_state& state,
-                             const chosen_endpoint& chosen, bool started_stream, time_point now);
+    // Whether a request that is being run by an endpoint could be sent to another one now. If so,
+    // counts the retry, so that no other request uses it first.
+    bool reserve_retry(const running_request& request, attempt_state& state,
+                       const chosen_endpoint& chosen, bool started_stream, time_point now);
     // Whether the time that is left, the failed attempts and a planned stop allow another attempt.
     bool may_send_again(const running_request& request, const attempt_state& state,
                         bool started_stream, time_point now) const;
-    bool may_retry(const running_request& request, const attempt_state& state,
+    bool may_retry(const running_request& request, attempt_state& state,
                    const attempt_failure& failed, bool started_stream, time_point now);
     boost::asio::awaitable<void> reject(running_request& request, response_writer& writer,
                                         unsigned status, const failure& why);
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -78,12 +78,11 @@
 class request_flow::silence_watch
 {
 public:
-    silence_watch(request_flow& flow, const running_request& request, const attempt_state& state,
+    silence_watch(request_flow& flow, const running_request& request, attempt_state& state,
                   const chosen_endpoint& chosen, const response_writer& writer, channel& connection)
         : retryable_(state.retryable), timer_(flow.context_.get_executor(), [&, this] {
-              if (!flow.can_retry_elsewhere(request, state, chosen, writer.has_started_stream(),
-                                            boot_clock::now()))
-              {
+              if (!flow.reserve_retry(request, state, chosen, writer.has_started_stream(),
+                                      boot_clock::now())) {
                   timer_.expires_after(silence_recheck);
                   return;
               }
@@ -117,9 +116,8 @@
     lazy_deadline timer_;
 };
 
-bool request_flow::can_retry_elsewhere(const running_request& request, const attempt_state& state,
-                                       const chosen_endpoint& chosen, bool started_stream,
-                                       time_point now)
+bool request_flow::reserve_retry(const running_request& request, attempt_state& state,
+                                 const chosen_endpoint& chosen, bool started_stream, time_point now)
 {
     if (!state.retryable || state.runs + 1 >= request.matched->max_attempts ||
         !may_send_again(request, state, started_stream, now) ||
@@ -130,8 +128,9 @@
     const std::string service = select_service(request);
     endpoint_requirements requirements{{}, state.tried_endpoints};
     requirements.avoid.push_back(chosen.target.id);
-    return budget_.allows_retry(service, members_.recent_size(now), now) &&
-           pools_.has_free_endpoint(view_, service, requirements, now);
+    state.retry_reserved = pools_.has_free_endpoint(view_, service, requirements, now) &&
+                           budget_.try_retry(service, members_.recent_size(now), now);
+    return state.retry_reserved;
 }
 
 std::string request_flow::request_head(const running_request& request, const attempt_state& state,
@@ -186,6 +185,7 @@
     attempt_result ended = attempt_failure{};
     state.was_sent = false;
     state.has_content = false;
+    state.retry_reserved = false;
     bool broke_off = false; // the deadline passed in the middle of a response
     if (!taken) {
         pools_.mark_unreachable(chosen, boot_clock::now());
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -411,7 +411,7 @@
            state.unreachable < max_unreachable && (started_stream || now <= latest_send(request));
 }
 
-bool request_flow::may_retry(const running_request& request, const attempt_state& state,
+bool request_flow::may_retry(const running_request& request, attempt_state& state,
                              const attempt_failure& failed, bool started_stream, time_point now)
 {
     const bool ran = failed.error.run != verdict::not_run;
@@ -421,7 +421,7 @@
     {
         return false;
     }
-    if (!state.was_sent) {
+    if (!state.was_sent || std::exchange(state.retry_reserved, false)) {
         return true;
     }
     return budget_.try_retry(select_service(request), members_.recent_size(now), now);
