Let a started stream wait for the retry budget

A stream whose endpoint broke off was cut at once when the retry budget was used up for the moment, although its share returns as the window moves on and the deadline may be far. For a request that has not started a refusal at once is right, because its caller can go elsewhere; a stream that has started cannot be refused any more.

It now waits for the budget until its deadline or the end of a stop. The budget itself is kept.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -169,8 +169,16 @@
     // Whether the time that is left, the failed attempts and a planned stop allow another attempt.
     bool may_send_again(const running_request& request, const attempt_state& state,
                         bool started_stream, time_point now) const;
-    bool may_retry(const running_request& request, attempt_state& state,
-                   const attempt_failure& failed, bool started_stream, time_point now);
+    // Whether another attempt may follow, apart from the retry budget.
+    bool may_repeat(const running_request& request, const attempt_state& state,
+                    const attempt_failure& failed, bool started_stream, time_point now) const;
+    // Whether the retry budget allows another attempt. Counts it if so.
+    bool take_retry(const running_request& request, attempt_state& state, time_point now);
+    // Returns whether another attempt follows. A stream that has started waits for the retry budget
+    // until its `latest_end`.
+    boost::asio::awaitable<bool> await_retry(const request_ptr& request, attempt_state& state,
+                                             const attempt_failure& failed,
+                                             const response_writer& writer);
     boost::asio::awaitable<void> reject(running_request& request, response_writer& writer,
                                         unsigned status, const failure& why);
     void record_outcome(const running_request& request, std::string_view outcome);
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -364,11 +364,13 @@
         if (failed.response) {
             state.last_response = std::move(failed.response);
         }
-        const time_point now = boot_clock::now();
         if (request->abort_reason()) {
             continue;
         }
-        const bool again = may_retry(*request, state, failed, writer.has_started_stream(), now);
+        const bool again = co_await await_retry(request, state, failed, writer);
+        if (request->abort_reason()) {
+            continue;
+        }
         if (!again) {
             if (state.last_response && !writer.has_started_stream()) {
                 co_return co_await send_saved_response(request, writer, state);
@@ -411,20 +413,20 @@
            state.unreachable < max_unreachable && (started_stream || now <= latest_send(request));
 }
 
-bool request_flow::may_retry(const running_request& request, attempt_state& state,
-                             const attempt_failure& failed, bool started_stream, time_point now)
+bool request_flow::may_repeat(const running_request& request, const attempt_state& state,
+                              const attempt_failure& failed, bool started_stream,
+                              time_point now) const
 {
     const bool ran = failed.error.run != verdict::not_run;
-    if (failed.error.why == reason::quarantined ||
-        !may_send_again(request, state, started_stream, now) ||
-        (ran && (!state.retryable || state.runs >= request.matched->max_attempts)))
-    {
-        return false;
-    }
-    if (!state.was_sent || std::exchange(state.retry_reserved, false)) {
-        return true;
-    }
-    return budget_.try_retry(select_service(request), members_.recent_size(now), now);
+    return failed.error.why != reason::quarantined &&
+           may_send_again(request, state, started_stream, now) &&
+           (!ran || (state.retryable && state.runs < request.matched->max_attempts));
+}
+
+bool request_flow::take_retry(const running_request& request, attempt_state& state, time_point now)
+{
+    return !state.was_sent || std::exchange(state.retry_reserved, false) ||
+           budget_.try_retry(select_service(request), members_.recent_size(now), now);
 }
 
 asio::awaitable<void> request_flow::reject(running_request& request, response_writer& writer,
--- a/libs/gateway/src/request_resume.cpp
+++ b/libs/gateway/src/request_resume.cpp
@@ -3,14 +3,20 @@
 
 #include <algorithm>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <quetzal/gateway/request_flow.hpp>
 
 namespace quetzal::gateway {
 
+namespace asio = boost::asio;
+
 namespace {
 
 // A call of a stage is expected to wait for another one at its endpoint.
 constexpr int calls_for_each_stage = 2;
+constexpr duration poll_interval = std::chrono::milliseconds(15); // of the retry budget
 // Expected duration of an attempt until the first event, besides its stages.
 constexpr duration min_resume_time = std::chrono::milliseconds(20);
 
@@ -22,6 +28,29 @@
                            : request.deadline;
 }
 
+asio::awaitable<bool> request_flow::await_retry(const request_ptr& request, attempt_state& state,
+                                                const attempt_failure& failed,
+                                                const response_writer& writer)
+{
+    asio::steady_timer timer(context_);
+    while (true) {
+        const time_point now = boot_clock::now();
+        const bool started_stream = writer.has_started_stream();
+        if (!may_repeat(*request, state, failed, started_stream, now)) {
+            co_return false;
+        }
+        if (take_retry(*request, state, now)) {
+            co_return true;
+        }
+        if (!started_stream || now >= latest_end(*request) || request->abort_reason()) {
+            co_return false;
+        }
+        timer.expires_after(poll_interval);
+        boost::system::error_code ignored; // the timer is not cancelled
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 std::optional<duration> request_flow::expected_stage_time(const running_request& request) const
 {
     const auto& stages = request.matched->stages;
