Forget failures from before the first event of a stream

An error response that an earlier endpoint had given was kept in case no later attempt succeeds. A stream that started at the next endpoint and broke off there found no free endpoint at that moment and was cut at once because of it, although nobody could be sent that response any more. In the same way three refusals or six failed connections from before the first event left no attempt for the rest of the stream, and endpoints that had been full were avoided for good.

The first event of an attempt now forgets them. The number of attempts that may have run is still bounded by the route.

The counts of refusals and connections have no test of their own.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -106,6 +106,16 @@
         // stream, or another response, was received whole.
         bool was_sent = false;
         bool has_content = false;
+
+        // Forgets what went wrong before the first event of an attempt. It says nothing about a
+        // further attempt after this one.
+        void forget_failures()
+        {
+            tried_endpoints.clear();
+            refusals = 0;
+            unreachable = 0;
+            last_response.reset();
+        }
     };
 
     // Waits until there is a configuration, if this instance has just started and can expect one.
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -448,6 +448,7 @@
                 outcome.latency = boot_clock::now() - started;
                 coordinator_.release(state.stage_ticket); // the endpoint has fetched the results
                 state.inputs_released = !request->matched->stages.empty();
+                state.forget_failures();
             }
             request->phase = request_phase::stream;
             const std::uint64_t passed = state.events.taken();
