Resume a stream at an endpoint that failed before rather than at none

A request avoids the endpoints that it was sent to before.

A stream that has started now takes any endpoint if no other one is usable.

request_resume_limits_test, every_endpoint_was_tried: failed before (held for 3 s, then cut), good now (1 of 5 tests of the file still fails).

--- a/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
+++ b/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
@@ -82,6 +82,9 @@
 
     // Whether the service has an endpoint that accepts work.
     bool has_usable_endpoint(const catalog& view, const std::string& service) const;
+    // The same without the endpoints whose ids are in `avoid`.
+    bool has_usable_endpoint(const catalog& view, const std::string& service,
+                             const std::vector<std::string>& avoid) const;
 
     // Readmits endpoints whose pause after a connection failure is over, and on probation those
     // whose ejection time is over.
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -260,7 +260,16 @@
 
 bool endpoint_pools::has_usable_endpoint(const catalog& view, const std::string& service) const
 {
-    return !view.usable_endpoints(service).empty();
+    return has_usable_endpoint(view, service, {});
+}
+
+bool endpoint_pools::has_usable_endpoint(const catalog& view, const std::string& service,
+                                         const std::vector<std::string>& avoid) const
+{
+    const auto usable = view.usable_endpoints(service);
+    return std::any_of(usable.begin(), usable.end(), [&](const endpoint* candidate) {
+        return std::find(avoid.begin(), avoid.end(), candidate->id) == avoid.end();
+    });
 }
 
 void endpoint_pools::readmit_endpoints(time_point now)
--- a/libs/gateway/src/request_endpoint.cpp
+++ b/libs/gateway/src/request_endpoint.cpp
@@ -38,6 +38,9 @@
                                       : std::min(request->target_deadline, request->deadline);
     while (true) {
         const time_point now = boot_clock::now();
+        if (started_stream && !pools_.has_usable_endpoint(view_, service, requirements.avoid)) {
+            requirements.avoid.clear(); // an endpoint that failed before is better than none
+        }
         auto chosen = pools_.start_request(view_, service, requirements, members_, now);
         if (chosen) {
             co_return std::move(*chosen);
