Ask again for the stages of a stream that has started

The coordinator refuses a job whose stages are expected to take too long, or ends it when a call fails. For a request that has not started that is right: it is refused, and its caller may go elsewhere.

A stream that has started now submits its job again after 200 ms until its deadline or the end of a stop, with a line for each refusal (stages_repeated).

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -127,6 +127,10 @@
     // may take the time until its `latest_end`.
     boost::asio::awaitable<result<std::vector<std::string>>>
     run_stages(const request_ptr& request, const response_writer& writer, std::uint64_t& ticket);
+    // Runs the stages, for a stream that has started again and again until they succeed, as long as
+    // its `latest_end` allows it.
+    boost::asio::awaitable<result<std::vector<std::string>>>
+    obtain_inputs(const request_ptr& request, const response_writer& writer, std::uint64_t& ticket);
     boost::asio::awaitable<result<void>>
     run_attempts(const request_ptr& request, response_writer& writer, attempt_state& state);
     std::string select_service(const running_request& request) const;
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -159,7 +159,7 @@
         // that expire before the endpoint fetches them.
         for (unsigned round = 0; round <= matched.max_attempts; ++round) {
             if (!matched.stages.empty()) {
-                auto inputs = co_await run_stages(request, writer, state.stage_ticket);
+                auto inputs = co_await obtain_inputs(request, writer, state.stage_ticket);
                 if (!inputs) {
                     outcome = tl::unexpected(inputs.error());
                     break;
--- a/libs/gateway/src/request_resume.cpp
+++ b/libs/gateway/src/request_resume.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/request_flow.hpp>
 
 namespace quetzal::gateway {
@@ -16,6 +17,7 @@
 
 // A call of a stage is expected to wait for another one at its endpoint.
 constexpr int calls_for_each_stage = 2;
+constexpr duration stage_retry_interval = std::chrono::milliseconds(200);
 constexpr duration poll_interval = std::chrono::milliseconds(15); // of the retry budget
 // Expected duration of an attempt until the first event, besides its stages.
 constexpr duration min_resume_time = std::chrono::milliseconds(20);
@@ -28,6 +30,28 @@
                            : request.deadline;
 }
 
+asio::awaitable<result<std::vector<std::string>>>
+request_flow::obtain_inputs(const request_ptr& request, const response_writer& writer,
+                            std::uint64_t& ticket)
+{
+    asio::steady_timer timer(context_);
+    while (true) {
+        auto inputs = co_await run_stages(request, writer, ticket);
+        if (inputs || !writer.has_started_stream() || request->abort_reason() ||
+            inputs.error().why == reason::invalid_request ||
+            boot_clock::now() + stage_retry_interval >= latest_end(*request))
+        {
+            co_return inputs;
+        }
+        log_event("stages_repeated",
+                  {{"request", request->message.id}, {"detail", inputs.error().detail}});
+        coordinator_.release(ticket);
+        timer.expires_after(stage_retry_interval);
+        boost::system::error_code ignored; // the timer is not cancelled
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 asio::awaitable<bool> request_flow::await_retry(const request_ptr& request, attempt_state& state,
                                                 const attempt_failure& failed,
                                                 const response_writer& writer)
