Refuse at once at a stopping instance what could wait elsewhere

Cause: a request that finds all places at its endpoints taken waits until latest_send of its route, the same moment for all of them, and is refused then, although the stop has been known since SIGTERM and other instances have places of their own. What was missing at the start of the wait was no knowledge, but a rule.

Change: while a planned stop shortens the time that a request may wait for a place (latest_send is before its latency target and its deadline) and another instance is ready, enforce_drain refuses it as not run, Retry-After 0. Without another ready instance, and for a request whose wait the stop does not shorten, it waits as before. A request that was sent to an endpoint that may run it is not touched.

--- a/libs/gateway/include/quetzal/gateway/caller_request.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_request.hpp
@@ -80,6 +80,7 @@
     time_point deadline;        // the caller's or the route's deadline, whichever is earlier
     time_point target_deadline; // a response until then meets the route's latency target
     request_phase phase = request_phase::endpoint;
+    bool waits_for_place = false;         // no endpoint has free capacity for it
     std::optional<time_point> sent;       // when it was first sent to one that may run it
     std::uint64_t connection_request = 1; // its position among the requests of its connection
 
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -52,9 +52,10 @@
     // expected to be complete before the end of the window; others are refused with 503 at once.
     void begin_drain(drain_window window);
 
-    // Refuses the waiting requests that can no longer be sent in time. At the end of the window
-    // ends every request whose response has not started, with an error status. Called repeatedly
-    // during a stop.
+    // Refuses the requests that can no longer be sent in time and, if another instance is ready,
+    // those for which no endpoint has free capacity while the stop shortens the time that they may
+    // wait for it. At the end of the window ends every request whose response has not started, with
+    // an error status. Called repeatedly during a stop.
     void enforce_drain(time_point now);
 
     // Logs every request being served: what it waits for, and when it was received and sent,
@@ -166,6 +167,8 @@
     // Returns the latest time at which a planned stop allows to send the request.
     time_point latest_send(const running_request& request) const;
     time_point latest_send(const running_request& request, const stream_ages& running) const;
+    // Whether an instance other than this one is ready and not stopping.
+    bool other_instance_ready(time_point now) const;
     // Returns the refusal of a request that cannot be sent in time, and when to retry it.
     failure drain_refusal(time_point now) const;
 
--- a/libs/gateway/src/request_drain.cpp
+++ b/libs/gateway/src/request_drain.cpp
@@ -53,15 +53,20 @@
     return latest_send(request, longest_streams(boot_clock::now()));
 }
 
-failure request_flow::drain_refusal(time_point now) const
+bool request_flow::other_instance_ready(time_point now) const
 {
     const auto live = members_.live(now);
-    const bool other_is_ready = std::any_of(live.begin(), live.end(), [&](const auto& member) {
+    return std::any_of(live.begin(), live.end(), [&](const auto& member) {
         return member.ready && !member.leaving && member.address != members_.self().address;
     });
+}
+
+failure request_flow::drain_refusal(time_point now) const
+{
     return {verdict::not_run, reason::stopping,
             "the instance stops before the response could be complete",
-            other_is_ready ? std::chrono::milliseconds::zero() : retry_after_without_peers};
+            other_instance_ready(now) ? std::chrono::milliseconds::zero()
+                                      : retry_after_without_peers};
 }
 
 void request_flow::enforce_drain(time_point now)
@@ -71,8 +76,15 @@
     }
     const bool ending = now >= drain_.window()->responses_end;
     const stream_ages running = longest_streams(now);
+    const bool other_is_ready = other_instance_ready(now);
+    // Whether a request that may be sent until `latest` does better to wait at another instance.
+    const auto should_wait_elsewhere = [&](const running_request& request, time_point latest) {
+        return other_is_ready && request.waits_for_place &&
+               latest < std::min(request.target_deadline, request.deadline);
+    };
     for (const request_ptr& request : std::set(running_)) {
-        if (!request->sent && (ending || now > latest_send(*request, running))) {
+        const time_point latest = latest_send(*request, running);
+        if (!request->sent && (ending || now > latest || should_wait_elsewhere(*request, latest))) {
             request->abort(drain_refusal(now));
         } else if (ending && request->phase != request_phase::stream) {
             // An error status is a complete response; a closed connection is none.
--- a/libs/gateway/src/request_endpoint.cpp
+++ b/libs/gateway/src/request_endpoint.cpp
@@ -59,7 +59,9 @@
         }
         asio::steady_timer timer(context_, poll_interval);
         boost::system::error_code ignored; // the timer is not cancelled
+        request->waits_for_place = true;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        request->waits_for_place = false;
     }
 }
 
