--- a/libs/gateway/src/request_endpoint.cpp
+++ b/libs/gateway/src/request_endpoint.cpp
@@ -66,7 +66,9 @@
         }
         asio::steady_timer timer(context_, poll_interval);
         boost::system::error_code ignored; // the timer is not cancelled
+        request->waits_for_place = true;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        request->waits_for_place = false;
     }
 }
 
