--- a/apps/quetzallever/process_end_test.cpp
+++ b/apps/quetzallever/process_end_test.cpp
@@ -21,6 +21,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <quetzal/platform/wire_names.hpp>
 #include <quetzal/testing/section.hpp>
 
 using quetzal::testing::check;
@@ -388,8 +389,9 @@
         check(connect(socket, balance_ports), "it serves");
         asio::write(socket, asio::buffer(text));
     };
-    const auto head = [](const std::string& id) {
-        return "POST / HTTP/1.1\r\nHost: h\r\nQuetzallever-Attempt-Id: " + id + "\r\n";
+    const std::string id_header = quetzal::platform::make_header_names().request_id;
+    const auto head = [&](const std::string& id) {
+        return "POST / HTTP/1.1\r\nHost: h\r\n" + id_header + ": " + id + "\r\n";
     };
     asio::ip::tcp::socket waiting(context);
     asio::ip::tcp::socket half(context);
