--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -27,8 +27,8 @@
 constexpr std::size_t max_queued_lines = 4096;     // further lines replace the oldest queued line
 constexpr std::uint32_t max_lines_per_second = 40; // for each kind of event
 // Events that tell which requests a stopping process serves, and how a request or the process
-// ended. A stopping process may write this many lines
-// of them without regard to the limit per second.
+// ended. A stopping process may write `max_end_lines` of them without regard to the limit per
+// second.
 constexpr std::array<std::string_view, 14> end_events{"request_in_stop",
                                                       "request_ended",
                                                       "request_unfinished",
