Ask for other instances only when a request waits at a stop

enforce_drain runs every 20 ms during a stop. Since requests that wait for an endpoint are refused at once, each run copied the list of all live instances and looked up the latest send of every request, sent ones too, although both matter only for a request that waits. They are looked up for it alone now. request_drain_test and request_drain_wait_test pass as before.

--- a/libs/gateway/src/request_drain.cpp
+++ b/libs/gateway/src/request_drain.cpp
@@ -76,15 +76,16 @@
     }
     const bool ending = now >= drain_.window()->responses_end;
     const stream_ages running = longest_streams(now);
-    const bool other_is_ready = other_instance_ready(now);
-    // Whether a request that may be sent until `latest` does better to wait at another instance.
-    const auto should_wait_elsewhere = [&](const running_request& request, time_point latest) {
-        return other_is_ready && request.waits_for_place &&
-               latest < std::min(request.target_deadline, request.deadline);
+    // Whether a request that has not been sent can no longer be sent in time, or does better to
+    // wait at another instance.
+    const auto should_refuse = [&](const running_request& request) {
+        const time_point latest = latest_send(request, running);
+        return now > latest || (request.waits_for_place &&
+                                latest < std::min(request.target_deadline, request.deadline) &&
+                                other_instance_ready(now));
     };
     for (const request_ptr& request : std::set(running_)) {
-        const time_point latest = latest_send(*request, running);
-        if (!request->sent && (ending || now > latest || should_wait_elsewhere(*request, latest))) {
+        if (!request->sent && (ending || should_refuse(*request))) {
             request->abort(drain_refusal(now));
         } else if (ending && request->phase != request_phase::stream) {
             // An error status is a complete response; a closed connection is none.
