Charge the retry budget in one step

Since a retry is counted before a stream is taken off its endpoint, nothing asks for the budget without charging it; allows_retry had try_retry as its only caller, which then looked the service up again. request_flow_test (12), request_resume_test (12), request_resume_limits_test (5), stage_scheduler_test (11) and bounds_test (2) pass.

--- a/libs/gateway/include/quetzal/gateway/fleet_retry_budget.hpp
+++ b/libs/gateway/include/quetzal/gateway/fleet_retry_budget.hpp
@@ -32,9 +32,6 @@
     // Counts a caller's request for the service.
     void count_request(const std::string& service, time_point now);
 
-    // Whether the budget allows a retry now. `instances` is the number of live instances.
-    bool allows_retry(const std::string& service, std::size_t instances, time_point now);
-
     // Returns whether the budget allows a retry now, and counts it if so. `instances` is the number
     // of live instances.
     bool try_retry(const std::string& service, std::size_t instances, time_point now);
--- a/libs/gateway/src/fleet_retry_budget.cpp
+++ b/libs/gateway/src/fleet_retry_budget.cpp
@@ -22,8 +22,8 @@
     record.requests.push_back(now);
 }
 
-bool fleet_retry_budget::allows_retry(const std::string& service, std::size_t instances,
-                                      time_point now)
+bool fleet_retry_budget::try_retry(const std::string& service, std::size_t instances,
+                                   time_point now)
 {
     usage& record = usage_[service];
     drop_before(record, now - options_.window);
@@ -31,16 +31,10 @@
         options_.slack * usable_slack / static_cast<double>(std::max<std::size_t>(instances, 1));
     const double allowed =
         options_.ratio * usable_ratio * static_cast<double>(record.requests.size()) + share;
-    return static_cast<double>(record.retries.size()) + 1 <= allowed;
-}
-
-bool fleet_retry_budget::try_retry(const std::string& service, std::size_t instances,
-                                   time_point now)
-{
-    if (!allows_retry(service, instances, now)) {
+    if (static_cast<double>(record.retries.size()) + 1 > allowed) {
         return false;
     }
-    usage_[service].retries.push_back(now);
+    record.retries.push_back(now);
     return true;
 }
 
