Poll with one pause in the request flow

Four loops of the request flow, two of them new, set a timer of their own and ignored its error. They call one function now. request_flow_test (12), request_resume_test (12), request_resume_limits_test (5), request_drain_test (12), request_drain_wait_test (1) and configuration_change_test (2) pass.

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -119,6 +119,8 @@
         }
     };
 
+    // Waits for the given time.
+    boost::asio::awaitable<void> pause(duration time) const;
     // Waits until there is a configuration, if this instance has just started and can expect one.
     boost::asio::awaitable<void> await_configuration(const running_request& request,
                                                      response_writer& writer);
--- a/libs/gateway/src/request_endpoint.cpp
+++ b/libs/gateway/src/request_endpoint.cpp
@@ -4,9 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <quetzal/base/hash.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/request_flow.hpp>
@@ -64,10 +61,8 @@
         if (now >= wait_until || state.last_response) {
             co_return not_run(reason::overloaded, "all endpoints are full");
         }
-        asio::steady_timer timer(context_, poll_interval);
-        boost::system::error_code ignored; // the timer is not cancelled
         request->waits_for_place = true;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause(poll_interval);
         request->waits_for_place = false;
     }
 }
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -113,6 +113,13 @@
     return std::nullopt;
 }
 
+asio::awaitable<void> request_flow::pause(duration time) const
+{
+    asio::steady_timer timer(context_, time);
+    boost::system::error_code ignored; // the timer is not cancelled
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 asio::awaitable<void> request_flow::await_configuration(const running_request& request,
                                                         response_writer& writer)
 {
@@ -122,13 +129,10 @@
             std::min<time_point>(until, request.message.received +
                                             *request.message.caller_timeout / startup_time_divisor);
     }
-    asio::steady_timer timer(context_);
     while (!view_.configured() && boot_clock::now() < until && !drain_.window() &&
            !writer.caller_disconnected())
     {
-        timer.expires_after(poll_interval);
-        boost::system::error_code ignored; // the timer is not cancelled
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause(poll_interval);
     }
 }
 
--- a/libs/gateway/src/request_resume.cpp
+++ b/libs/gateway/src/request_resume.cpp
@@ -3,9 +3,6 @@
 
 #include <algorithm>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/request_flow.hpp>
 
@@ -34,7 +31,6 @@
 request_flow::obtain_inputs(const request_ptr& request, const response_writer& writer,
                             std::uint64_t& ticket)
 {
-    asio::steady_timer timer(context_);
     while (true) {
         auto inputs = co_await run_stages(request, writer, ticket);
         if (inputs || !writer.has_started_stream() || request->abort_reason() ||
@@ -46,9 +42,7 @@
         log_event("stages_repeated",
                   {{"request", request->message.id}, {"detail", inputs.error().detail}});
         coordinator_.release(ticket);
-        timer.expires_after(stage_retry_interval);
-        boost::system::error_code ignored; // the timer is not cancelled
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause(stage_retry_interval);
     }
 }
 
@@ -56,7 +50,6 @@
                                                 const attempt_failure& failed,
                                                 const response_writer& writer)
 {
-    asio::steady_timer timer(context_);
     while (true) {
         const time_point now = boot_clock::now();
         const bool started_stream = writer.has_started_stream();
@@ -69,9 +62,7 @@
         if (!started_stream || now >= latest_end(*request) || request->abort_reason()) {
             co_return false;
         }
-        timer.expires_after(poll_interval);
-        boost::system::error_code ignored; // the timer is not cancelled
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pause(poll_interval);
     }
 }
 
