Pace of an endpoint: count how long work takes there now

Endpoints on shared machines report how long work takes at this moment as a fourth figure of their load. It was not read. endpoint_pace holds the figure, its age and the trust in it; the choice among endpoints of such a pool counts the expected duration of the call itself besides the queue. Observed durations are divided by the reported pace, so that a false report is corrected by what calls take. Stage calls prefer endpoints that are clearly faster. Pools without reports are unchanged.

--- a/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
+++ b/libs/gateway/include/quetzal/gateway/endpoint_pools.hpp
@@ -15,6 +15,7 @@
 #include <quetzal/base/random.hpp>
 #include <quetzal/gateway/catalog.hpp>
 #include <quetzal/gateway/cold_rate_limiter.hpp>
+#include <quetzal/gateway/endpoints/load_header.hpp>
 #include <quetzal/gateway/member_table.hpp>
 #include <quetzal/serving/endpoint_chooser.hpp>
 
@@ -44,6 +45,16 @@
     time_point started;
 };
 
+// The paces of the endpoints of a service as this instance knows them; 1 is the usual duration of
+// work, 2 twice that.
+struct service_pace
+{
+    std::string service;
+    double mean = 1;
+    std::size_t slow = 0;      // endpoints that are expected to be slow now
+    std::uint64_t reports = 0; // so far
+};
+
 class endpoint_pools
 {
 public:
@@ -77,8 +88,10 @@
     void mark_unreachable(const chosen_endpoint& chosen, time_point now);
 
     // Records the load that an endpoint reported in a response.
-    void report_load(const chosen_endpoint& chosen, std::uint32_t running, std::uint32_t waiting,
-                     time_point now);
+    void report_load(const chosen_endpoint& chosen, const reported_load& load, time_point now);
+
+    // Returns what is known of the paces of the services whose endpoints report one.
+    std::vector<service_pace> paces(time_point now) const;
 
     // Whether the service has an endpoint that accepts work.
     bool has_usable_endpoint(const catalog& view, const std::string& service) const;
@@ -97,6 +110,7 @@
         serving::endpoint_index index = serving::no_endpoint_index; // may be used again later
         std::uint64_t number = 0;                                   // is never used again
         endpoint value;
+        bool slow = false; // by its latest report
     };
 
     struct pool
@@ -113,6 +127,7 @@
                                                            const std::vector<std::string>& ids);
     // Returns the pool in which the chosen endpoint is still listed, or null.
     pool* pool_of(const chosen_endpoint& chosen);
+    void log_pace(pool& service_pool, const chosen_endpoint& chosen, time_point now);
     pool& pool_for(const service_definition& definition, std::uint32_t concurrency);
     std::uint32_t concurrency_limit(const service_definition& definition,
                                     std::size_t instances) const;
--- a/libs/gateway/include/quetzal/gateway/header_names.hpp
+++ b/libs/gateway/include/quetzal/gateway/header_names.hpp
@@ -29,7 +29,7 @@
     // Sent by endpoints.
     std::string signature; // authenticates the endpoint's response
     std::string not_run;   // present if the endpoint did not run the request
-    std::string load;      // "RUNNING,WAITING,SLOTS"
+    std::string load;      // "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,PACE"
     std::string leaving;   // present if the endpoint leaves and wants no further requests
 
     // Further headers that only the gateway may set; removed from callers' requests.
--- a/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_coordinator.hpp
@@ -109,7 +109,8 @@
     void schedule_dispatch(duration delay);
     void dispatch_all(time_point now);
     boost::asio::awaitable<void> run_call(stage_share share, start_call call);
-    boost::asio::awaitable<result<std::vector<piece_outcome>>> exchange(const start_call& call);
+    boost::asio::awaitable<result<std::vector<piece_outcome>>> exchange(const stage_share& share,
+                                                                        const start_call& call);
     boost::asio::awaitable<void> send_releases(stage_share share, std::string endpoint_address,
                                                std::vector<std::string> handles);
     boost::asio::awaitable<void> watch_coordinators();
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -113,6 +113,12 @@
     scheduler_actions call_ended(std::uint64_t call, const std::vector<piece_outcome>& outcomes,
                                  time_point now);
 
+    // Records the pace that an endpoint reported, see `serving::endpoint_pace`.
+    void record_pace(const endpoint& target, double pace, time_point now)
+    {
+        workers_.record_pace(target, pace, now);
+    }
+
     // Records that a call failed. `run` says whether the endpoint may have run it, and `full`
     // whether the endpoint refused it because it was full.
     scheduler_actions call_failed(std::uint64_t call, verdict run, bool full, time_point now);
--- a/libs/gateway/include/quetzal/gateway/stage_workers.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_workers.hpp
@@ -12,6 +12,7 @@
 
 #include <quetzal/base/time.hpp>
 #include <quetzal/gateway/catalog.hpp>
+#include <quetzal/serving/endpoint_pace.hpp>
 
 namespace quetzal::gateway {
 
@@ -60,6 +61,10 @@
     void record_out_of_memory(const endpoint& target, std::uint64_t size, duration result_lifetime,
                               time_point now);
 
+    // Records the pace that an endpoint reported. Endpoints that are clearly faster now are chosen
+    // first.
+    void record_pace(const endpoint& target, double pace, time_point now);
+
     // Records that an endpoint holds a result until that time.
     void add_result(const endpoint& target, const std::string& handle, std::uint64_t size,
                     time_point expires);
@@ -95,12 +100,17 @@
         time_point unaccounted_since{};
         std::map<std::string, held_result> held; // by handle
         std::uint64_t held_bytes = 0;            // sum of the sizes of `held`
+        serving::endpoint_pace pace;
     };
 
     static std::uint64_t unaccounted_memory(const worker& target, duration lifetime,
                                             time_point now);
     static std::uint64_t used_memory(const worker& target, duration lifetime, time_point now);
 
+    // Returns the expected pace in steps that are clearly different; 0 for all endpoints of a
+    // service without reports.
+    long pace_step(const worker& target, const std::string& service, time_point now) const;
+
     // Returns what is known of the listed incarnation, after dropping what is known of a former
     // one.
     worker& current_worker(const endpoint& listed);
@@ -113,6 +123,7 @@
     time_point next_expiry_{};
     std::map<std::string, worker> workers_;               // by endpoint ID
     std::map<std::string, std::string> result_endpoints_; // endpoint ID by handle
+    std::map<std::string, serving::pool_pace> paces_;     // by service
 };
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -1,8 +1,11 @@
 #include <quetzal/gateway/endpoint_pools.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include <quetzal/gateway/decision_log.hpp>
+
 namespace quetzal::gateway {
 
 namespace {
@@ -19,6 +22,7 @@
 // Share of failed responses that ejects an endpoint regardless of the other endpoints. Services
 // currently fail one in seven retryable requests, so three errors in a row occur by chance.
 constexpr double absolute_failure_bound = 0.75;
+constexpr double slow_pace = 1.5; // for the log and the metrics only
 constexpr duration unreachable_timeout = std::chrono::seconds(1);
 constexpr duration ejection_time = std::chrono::seconds(2);
 constexpr duration max_ejection_time = std::chrono::seconds(8);
@@ -245,17 +249,56 @@
     }
 }
 
-void endpoint_pools::report_load(const chosen_endpoint& chosen, std::uint32_t running,
-                                 std::uint32_t waiting, time_point now)
+void endpoint_pools::report_load(const chosen_endpoint& chosen, const reported_load& load,
+                                 time_point now)
 {
     pool* const service_pool = pool_of(chosen);
     if (service_pool == nullptr) {
         return;
     }
     serving::load_report report;
-    report.running = running;
-    report.waiting = waiting;
+    report.running = load.running;
+    report.waiting = load.waiting;
+    report.pace = load.pace;
     service_pool->chooser.report(chosen.index, report, now);
+    if (load.pace) {
+        log_pace(*service_pool, chosen, now);
+    }
+}
+
+// Logs an endpoint that is slow according to its report and was not before, or the other way round.
+void endpoint_pools::log_pace(pool& service_pool, const chosen_endpoint& chosen, time_point now)
+{
+    const serving::endpoint_pace& pace = service_pool.chooser.pace(chosen.index);
+    pool_entry& entry = service_pool.endpoints.at(chosen.target.id);
+    if (const bool slow = pace.latest() >= slow_pace; slow != entry.slow) {
+        entry.slow = slow;
+        const auto percent = [](double value) { return std::lround(value * 100); };
+        log_event("endpoint_pace",
+                  {{"endpoint", chosen.target.id},
+                   {"service", chosen.target.service},
+                   {"reported_percent", percent(pace.latest())},
+                   {"expected_percent", percent(pace.expected(service_pool.chooser.pace(), now))},
+                   {"service_percent", percent(service_pool.chooser.pace().mean())}});
+    }
+}
+
+std::vector<service_pace> endpoint_pools::paces(time_point now) const
+{
+    std::vector<service_pace> found;
+    for (const auto& [name, service_pool] : pools_) {
+        const serving::pool_pace& pace = service_pool->chooser.pace();
+        if (!pace.known()) {
+            continue;
+        }
+        service_pace& added =
+            found.emplace_back(service_pace{name, pace.mean(), 0, pace.reports()});
+        for (const auto& [id, entry] : service_pool->endpoints) {
+            const serving::endpoint_pace& known = service_pool->chooser.pace(entry.index);
+            added.slow += known.known() && known.expected(pace, now) >= slow_pace ? 1 : 0;
+        }
+    }
+    return found;
 }
 
 bool endpoint_pools::has_usable_endpoint(const catalog& view, const std::string& service) const
--- a/libs/gateway/src/endpoint_pools_test.cpp
+++ b/libs/gateway/src/endpoint_pools_test.cpp
@@ -153,6 +153,33 @@
     check(gateway.fill().size() == 2 * places, "both endpoints are used");
 }
 
+// Guards against a pace that is read from a response and reaches no choice, and against one that an
+// operator can't see.
+Test(endpoint_pools, reported_pace_counts_in_the_choice)
+{
+    instance gateway;
+    gateway.list("slow", 1);
+    gateway.list("usual", 1);
+    check(gateway.pools.paces(gateway.now).empty(), "without reports there are no paces");
+    for (const auto& request : gateway.fill()) {
+        const bool slow = request.target.id == "slow";
+        gateway.pools.report_load(request, {0, 0, slow ? 3.0 : 1.0}, gateway.now);
+        serving::attempt_outcome outcome;
+        outcome.counts = false;
+        gateway.pools.finish_request(request, outcome, gateway.now);
+    }
+    const auto first = gateway.begin();
+    check(first && first->target.id == "usual", "the endpoint with the usual pace is chosen");
+    const auto paces = gateway.pools.paces(gateway.now);
+    check(paces.size() == 1 && paces[0].service == "s" && paces[0].slow == 1 && paces[0].mean > 1 &&
+              paces[0].reports == 2 * places,
+          "the paces of the service are known");
+    section("when the endpoint restarts, the pace of the former incarnation is gone", [&] {
+        gateway.list("slow", 2);
+        check(gateway.pools.paces(gateway.now)[0].slow == 0, "no endpoint is slow");
+    });
+}
+
 // Guards against requests to an endpoint that just failed to answer: its next incarnation inherited
 // the pause of the former one, or the pause of the next one ended with that of the former.
 Test(endpoint_pools, restart_ends_the_pause_of_an_unreachable_endpoint)
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -1,11 +1,11 @@
 // One attempt of a request at one endpoint. The rest of the processing is in request_flow.cpp.
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/endpoint_announcement.hpp>
+#include <quetzal/gateway/endpoints/load_header.hpp>
 #include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/request_flow.hpp>
 
@@ -36,22 +36,6 @@
 constexpr duration stream_stall_timeout = 1500ms;
 constexpr duration silence_recheck = 50ms; // while no endpoint may take the request
 
-// Parses the running and waiting requests of "RUNNING,WAITING,SLOTS".
-std::optional<std::pair<std::uint32_t, std::uint32_t>> read_load(std::string_view text)
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    const char* const end = text.data() + text.size();
-    const auto first = std::from_chars(text.data(), end, running);
-    if (first.ec != std::errc{} || first.ptr == end || *first.ptr != ',') {
-        return std::nullopt;
-    }
-    if (std::from_chars(first.ptr + 1, end, waiting).ec != std::errc{}) {
-        return std::nullopt;
-    }
-    return std::pair(running, waiting);
-}
-
 // Records that a stream has passed on `events` events in all by `now`.
 void record_events(request_progress& progress, std::uint64_t events, time_point now)
 {
@@ -326,7 +310,8 @@
     outcome.latency = answered - started;
     const auto& headers = connection->headers();
     if (const auto load = read_load(header_value(headers, names_.load))) {
-        pools_.report_load(chosen, load->first, load->second, answered);
+        pools_.report_load(chosen, *load, answered);
+        outcome.pace = load->pace;
     }
     const bool has_signature = !header_value(headers, names_.signature).empty();
     const bool encoded = headers.find("Content-Encoding") != headers.end();
--- a/libs/gateway/src/stage_coordinator.cpp
+++ b/libs/gateway/src/stage_coordinator.cpp
@@ -9,6 +9,7 @@
 #include <quetzal/base/hash.hpp>
 #include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/endpoint_announcement.hpp>
+#include <quetzal/gateway/endpoints/load_header.hpp>
 #include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/spawn.hpp>
 
@@ -450,7 +451,7 @@
 asio::awaitable<void> stage_coordinator::run_call(stage_share share, start_call call)
 {
     const time_point started = boot_clock::now();
-    const auto outcomes = co_await exchange(call);
+    const auto outcomes = co_await exchange(share, call);
     const time_point now = boot_clock::now();
     if (outcomes && now - started > call.expected * slow_log_factor) {
         log_event("stage_call_slow", {{"service", call.target.service},
@@ -492,7 +493,7 @@
 }
 
 asio::awaitable<result<std::vector<piece_outcome>>>
-stage_coordinator::exchange(const start_call& call)
+stage_coordinator::exchange(const stage_share& share, const start_call& call)
 {
     const endpoint& target = call.target;
     auto taken = co_await channels_.acquire(target, connect_timeout);
@@ -517,6 +518,10 @@
     }
     record_announcement(view_, target, read_announcement(connection->headers(), *status, names_),
                         boot_clock::now());
+    const auto load_field = connection->headers()[names_.load];
+    if (const auto load = read_load({load_field.data(), load_field.size()}); load && load->pace) {
+        scheduler_of(share).record_pace(target, *load->pace, boot_clock::now());
+    }
     const bool refused =
         connection->headers().find(names_.not_run) != connection->headers().end() ||
         *status == http_status::misdirected;
--- a/libs/gateway/src/stage_workers.cpp
+++ b/libs/gateway/src/stage_workers.cpp
@@ -1,6 +1,7 @@
 #include <quetzal/gateway/stage_workers.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace quetzal::gateway {
@@ -12,6 +13,7 @@
 constexpr duration failure_avoidance = std::chrono::milliseconds(500); // doubles with each failure
 constexpr unsigned avoidance_doublings = 3;
 constexpr duration expiry_interval = std::chrono::milliseconds(100);
+constexpr double pace_step_size = 0.5; // smaller differences of the pace don't count
 constexpr duration full_avoidance = std::chrono::milliseconds(30); // a call may have ended then
 
 } // namespace
@@ -48,6 +50,7 @@
         const auto order = [&](const endpoint* value) {
             const worker& other = workers_[value->id];
             return std::tuple(other.failures, is_avoided ? other.avoided_until : time_point{},
+                              pace_step(other, service, now),
                               used_memory(other, capacity.result_lifetime, now));
         };
         if (slot == nullptr || order(candidate) < order(slot)) {
@@ -173,6 +176,24 @@
     }
 }
 
+void stage_workers::record_pace(const endpoint& target, double pace, time_point now)
+{
+    if (worker* const used = worker_of(target)) {
+        used->pace.record_report(pace, now);
+        paces_[target.service].record_report(pace);
+    }
+}
+
+long stage_workers::pace_step(const worker& target, const std::string& service,
+                              time_point now) const
+{
+    const auto known = paces_.find(service);
+    if (known == paces_.end()) {
+        return 0;
+    }
+    return std::lround(target.pace.expected(known->second, now) / pace_step_size);
+}
+
 void stage_workers::add_result(const endpoint& target, const std::string& handle,
                                std::uint64_t size, time_point expires)
 {
--- a/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
+++ b/libs/serving/include/quetzal/serving/endpoint_chooser.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include <quetzal/base/random.hpp>
+#include <quetzal/serving/endpoint_pace.hpp>
 #include <quetzal/serving/latency_quantiles.hpp>
 #include <quetzal/serving/prefix_cache_map.hpp>
 #include <quetzal/serving/types.hpp>
@@ -88,6 +89,7 @@
     bool counts = true; // false if cancelled or refused before running: no evidence on the endpoint
     duration latency{}; // to the first chunk of a stream, else the whole duration
     duration whole{};   // duration of the whole call
+    std::optional<double> pace; // as reported with the response, see `endpoint_pace`
     std::optional<std::uint32_t> cached_tokens; // as reported by the engine
     prompt_prefix prompt;                       // longest prefix of the prompt; 0 tokens if none
     prompt_prefix expected_prefix;              // as in the choice
@@ -177,10 +179,17 @@
     // calls that it has started there since. Negative if it has started more calls than its share.
     double quota(endpoint_index endpoint) const { return endpoints_[endpoint].quota; }
 
+    // Returns the pace of an endpoint and what is known of it in the whole pool.
+    const endpoint_pace& pace(endpoint_index endpoint) const { return endpoints_[endpoint].pace; }
+    const pool_pace& pace() const noexcept { return pace_; }
+
     // Returns whether the last report of the endpoint is recent enough for the quota to apply.
     bool has_fresh_report(endpoint_index endpoint, time_point now) const;
 
 private:
+    // Latency in ns that is assumed before the first successful call; it only scales the scores.
+    static constexpr double initial_latency = 1e8;
+
     // The members that `free_capacity_of` reads come first and share a cache line.
     struct alignas(64) endpoint_state
     {
@@ -209,6 +218,7 @@
         std::size_t usable_position = 0;
         std::uint64_t id_hash = 0;
         endpoint_id id;
+        endpoint_pace pace;
     };
 
     // Rendezvous choice for one share of all prefixes, valid for one generation of the usable list.
@@ -233,6 +243,7 @@
     endpoint_index rendezvous(std::uint64_t prefix) const noexcept;
     prompt_prefix cached_prefix(const cache_lookup& lookup, endpoint_index endpoint) const noexcept;
     double expected_cache_gain(const cache_lookup& lookup, endpoint_index endpoint) const noexcept;
+    double service_time(const endpoint_state& state, time_point now) const noexcept;
     double expected_cost(const endpoint_state& state, const choice_request& request,
                          time_point now) const noexcept;
     std::uint32_t concurrency_limit(const endpoint_state& state) const noexcept;
@@ -257,6 +268,7 @@
     double pool_mean_duration_ = 0; // mean duration of a whole successful call, ns
     double pool_mean_latency_ = 0;  // mean over successful calls at warm endpoints, ns
     double mean_other_load_ = 0;    // mean load by other instances, over reports
+    pool_pace pace_;
     prefix_cache_map cache_;
     // Results of costly scans, which are repeated only after a change.
     mutable std::vector<fallback_entry> fallbacks_;
--- a/libs/serving/include/quetzal/serving/types.hpp
+++ b/libs/serving/include/quetzal/serving/types.hpp
@@ -4,6 +4,7 @@
 // Keys and records shared by the components of the serving library.
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <quetzal/base/ids.hpp>
@@ -37,6 +38,7 @@
     duration age{};            // time since the endpoint measured its load
     std::uint64_t fence = 0;   // highest fencing token that the endpoint has seen
     std::vector<std::string> models;
+    std::optional<double> pace; // duration of work relative to the usual one, if reported
 };
 
 // A change of an engine's prefix cache. A gap in `sequence` means that events were lost.
--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -26,19 +26,9 @@
 // A pool without free capacity is not searched again for this long unless something changes. Only
 // the aging of load reports can free capacity without an event.
 constexpr duration full_pool_recheck_interval = std::chrono::milliseconds(5);
-// Latency assumed before the first successful call; it only scales the scores.
-constexpr double initial_latency = 1e8; // ns
-
-// A call may warm up a cold endpoint if it would meet its targets even with a stage duration of
-// this many times the 95th percentile.
-constexpr double min_warm_up_slowdown = 2;
 // Slowness is weaker evidence than an error: an ejection takes four consecutive slow calls instead
 // of two errors.
 constexpr double slow_failure_weight = 0.5;
-// An endpoint with calls in flight has stalled if no call has succeeded for this many times the
-// mean duration of a whole call.
-constexpr double stall_factor = 2;
-constexpr double last_resort_cost = 1e9; // ns, exceeds any acceptable expected wait
 
 double nanoseconds(duration value)
 {
@@ -162,6 +152,7 @@
     state.latency = 0;
     state.failure_rate = 0;
     state.samples = 0;
+    state.pace = {};
     state.recovery_limit = 0;
     state.late_gap_rate = 0;
     full_until_ = {};
@@ -175,6 +166,10 @@
     state.other_load = std::max(0.0, total - state.in_flight);
     state.reported_at = now - report.age;
     state.has_report = true;
+    if (report.pace) {
+        state.pace.record_report(*report.pace, state.reported_at);
+        pace_.record_report(*report.pace);
+    }
     // All instances see the same free capacity. Each uses only its share until the next report;
     // otherwise they would together exceed the capacity several times.
     const double free = std::floor(state.batch_size) - state.in_flight - state.other_load;
@@ -316,33 +311,6 @@
     return cache_.confidence(endpoint) * cached_prefix(lookup, endpoint).tokens * per_token;
 }
 
-double endpoint_chooser::expected_cost(const endpoint_state& state, const choice_request& request,
-                                       time_point now) const noexcept
-{
-    double service = state.samples > 0 ? state.latency : pool_mean_latency_;
-    if (service <= 0) {
-        service = initial_latency;
-    }
-    const double load = estimated_other_load(state, now) + state.in_flight + 1;
-    double cost = load * service / options_.concurrency;
-    cost += nanoseconds(state.in_other_zone ? options_.other_zone_cost : options_.same_zone_cost);
-    if (request.avoid_zone && *request.avoid_zone == state.zone) {
-        cost += service; // prefer any other zone to that of a failed attempt
-    }
-    const bool stalled =
-        state.in_flight > 0 && pool_mean_duration_ > 0 &&
-        nanoseconds(now - state.last_progress) > stall_factor * pool_mean_duration_;
-    if (stalled) {
-        return cost + last_resort_cost;
-    }
-    if (is_warming_up(state)) {
-        // Calls warm the endpoint up, and no other instance sends it any. It is therefore preferred
-        // for calls that tolerate the delay, and the last resort for all others.
-        return request.slowdown >= min_warm_up_slowdown ? 0 : cost + last_resort_cost;
-    }
-    return cost;
-}
-
 double endpoint_chooser::score(endpoint_index endpoint, const choice_request& request,
                                time_point now) const
 {
@@ -436,6 +404,12 @@
         pool_mean_duration_ > 0 ? (whole - pool_mean_duration_) * pool_smoothing : whole;
     const double latency = nanoseconds(outcome.latency);
     state.latency += state.latency > 0 ? (latency - state.latency) * endpoint_smoothing : latency;
+    if (outcome.pace) {
+        state.pace.record_call(latency, *outcome.pace);
+        pace_.record_call(latency, *outcome.pace);
+    } else if (!state.pace.known()) {
+        state.pace.record_call(latency, 1);
+    }
     if (state.limit < options_.concurrency) {
         return; // the latency of a cold endpoint does not count for the pool
     }
