Order documents by the store's era and revision

After a drill the store comes back from a copy: revisions go back and are given out again.

The era is appended to the messages between instances, so that former instances decode them.

--- a/libs/gateway/include/quetzal/gateway/catalog.hpp
+++ b/libs/gateway/include/quetzal/gateway/catalog.hpp
@@ -123,6 +123,7 @@
     std::string zone;
     bool leaving = false;
     time_point cold_until{};
+    std::uint64_t sequence = 0; // rises with each report of an incarnation
 
     bool same_incarnation(const endpoint& other) const noexcept
     {
--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -14,6 +14,7 @@
 
 #include <quetzal/base/random.hpp>
 #include <quetzal/base/time.hpp>
+#include <quetzal/gateway/document_position.hpp>
 #include <quetzal/gateway/suspect_record.hpp>
 
 namespace quetzal::gateway {
@@ -37,14 +38,15 @@
     std::uint32_t capacity_score = 1;
     bool settled = false;            // has run for long enough to take over roles
     std::string role;                // key of the role that it has taken, if any
-    std::uint64_t revision = 0;      // of the newest published documents that it has seen
+    document_position position;      // of the newest published documents that it has seen
     std::uint64_t configuration = 0; // version of its active configuration; 0: none
 
+    // The era of the position is appended to the whole heartbeat.
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(address, incarnation, serial, zone, caller_port, ready, leaving, settled, role,
-                capacity_score, revision, configuration, process);
+                capacity_score, position.revision, configuration, process);
     }
 };
 
@@ -72,7 +74,16 @@
     void serialize(Archive& archive)
     {
         archive(sender, others, suspects, wants_reply);
+        std::optional<std::vector<std::uint64_t>> eras(collect_eras());
+        serialize_appended(archive, eras);
+        distribute_eras(eras.value_or(std::vector<std::uint64_t>()));
     }
+
+private:
+    // Return and set the eras of the sender's position and of those of the other records, in their
+    // order. Records without one are of era 0.
+    std::vector<std::uint64_t> collect_eras() const;
+    void distribute_eras(const std::vector<std::uint64_t>& eras);
 };
 
 // Returns the relative capacity of a machine for roles, from its CPU cores (may be a fraction) and
@@ -132,7 +143,7 @@
     // Update the record of this instance.
     void set_ready(bool ready);
     void set_leaving();
-    void set_versions(std::uint64_t revision, std::uint64_t configuration);
+    void set_versions(document_position position, std::uint64_t configuration);
 
     // Merges the records that a peer sent. Of a record of this instance, only a higher incarnation
     // is used. Returns whether the sender's process is new to this table and should at once get a
@@ -215,6 +226,9 @@
     // this instance has seen.
     std::optional<member_record> most_up_to_date_peer(time_point now) const;
 
+    // Returns a live peer whose configuration is newer than that of this instance, if there is one.
+    std::optional<member_record> peer_with_newer_configuration(time_point now) const;
+
 private:
     struct known_member
     {
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -15,6 +15,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <quetzal/base/verdict.hpp>
+#include <quetzal/gateway/document_position.hpp>
 #include <quetzal/gateway/member_table.hpp>
 #include <quetzal/gateway/part_quarantine.hpp>
 #include <quetzal/gateway/stage_job.hpp>
@@ -35,16 +36,20 @@
     }
 };
 
-// All documents at one revision of the platform's store.
+// All documents at one position of the platform's store. Documents with revision 0 are of a former
+// era: the sender holds them until they are written again.
 struct document_snapshot
 {
-    std::uint64_t revision = 0;
+    document_position position; // era 0 if the sender names none
     std::vector<published_document> documents;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(revision, documents);
+        archive(position.revision, documents);
+        std::optional<std::uint64_t> era(position.era);
+        serialize_appended(archive, era);
+        position.era = era.value_or(0);
     }
 };
 
@@ -99,33 +104,37 @@
 
 struct snapshot_request
 {
-    std::uint64_t newer_than = 0; // revision that the sender has
+    named_position newer_than;                  // position that the sender has
+    std::optional<std::uint64_t> configuration; // version that the sender has; 0: none
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(newer_than);
+        archive(newer_than.revision);
+        serialize_appended(archive, newer_than.era);
+        serialize_appended(archive, configuration);
     }
 };
 
 // Sent by an instance that does not read the platform's store to one that does, to get all changes
-// after a revision. It is sent periodically, which shows each of the two that the other is alive.
+// after a position. It is sent periodically, which shows each of the two that the other is alive.
 struct document_subscription
 {
-    std::uint64_t revision = 0;
+    named_position known;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(revision);
+        archive(known.revision);
+        serialize_appended(archive, known.era);
     }
 };
 
-// Changes between two revisions, and how reliable the sender's view of the store is.
+// Changes between two revisions of one era, and how reliable the sender's view of the store is.
 struct document_changes
 {
-    std::uint64_t after = 0;
-    std::uint64_t revision = 0;
+    std::uint64_t after = 0;    // revision
+    document_position position; // with the changes; era 0 if the sender names none
     std::vector<published_document> written;
     std::vector<published_document> removed; // without values
     std::uint32_t store_silence_ms = 0;      // time since the store last answered the sender
@@ -134,7 +143,10 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(after, revision, written, removed, store_silence_ms, uncertain);
+        archive(after, position.revision, written, removed, store_silence_ms, uncertain);
+        std::optional<std::uint64_t> era(position.era);
+        serialize_appended(archive, era);
+        position.era = era.value_or(0);
     }
 };
 
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -18,6 +18,24 @@
 
 } // namespace
 
+std::vector<std::uint64_t> heartbeat::collect_eras() const
+{
+    std::vector<std::uint64_t> eras{sender.record.position.era};
+    for (const aged_record& other : others) {
+        eras.push_back(other.record.position.era);
+    }
+    return eras;
+}
+
+void heartbeat::distribute_eras(const std::vector<std::uint64_t>& eras)
+{
+    const auto era_at = [&](std::size_t index) { return index < eras.size() ? eras[index] : 0; };
+    sender.record.position.era = era_at(0);
+    for (std::size_t index = 0; index < others.size(); ++index) {
+        others[index].record.position.era = era_at(index + 1);
+    }
+}
+
 std::uint32_t machine_capacity_score(double cores, double link_mbps)
 {
     constexpr double score_per_core = 16;
@@ -81,10 +99,10 @@
     ++self_.serial;
 }
 
-void member_table::set_versions(std::uint64_t revision, std::uint64_t configuration)
+void member_table::set_versions(document_position position, std::uint64_t configuration)
 {
-    if (self_.revision != revision || self_.configuration != configuration) {
-        self_.revision = revision;
+    if (self_.position != position || self_.configuration != configuration) {
+        self_.position = position;
         self_.configuration = configuration;
         ++self_.serial;
     }
@@ -129,9 +147,16 @@
     if (update.record.incarnation > member.record.incarnation) {
         member.last_alive = seen;
     }
+    // Instances of former commits pass records on without the era. A process never returns to a
+    // lower one.
+    const std::uint64_t era =
+        update.record.incarnation == member.record.incarnation
+            ? std::max(update.record.position.era, member.record.position.era)
+            : update.record.position.era;
     if (is_newer(update.record, member.record)) {
         member.record = update.record;
     }
+    member.record.position.era = era;
     member.last_alive = std::max(member.last_alive, seen);
 }
 
@@ -441,8 +466,21 @@
 {
     std::optional<member_record> best;
     for (const auto& [address, member] : others_) {
-        if (is_alive(member, now) && member.record.revision > self_.revision &&
-            (!best || member.record.revision > best->revision))
+        if (is_alive(member, now) && member.record.position > self_.position &&
+            (!best || member.record.position > best->position))
+        {
+            best = member.record;
+        }
+    }
+    return best;
+}
+
+std::optional<member_record> member_table::peer_with_newer_configuration(time_point now) const
+{
+    std::optional<member_record> best;
+    for (const auto& [address, member] : others_) {
+        if (is_alive(member, now) && member.record.configuration > self_.configuration &&
+            (!best || member.record.configuration > best->configuration))
         {
             best = member.record;
         }
--- a/libs/gateway/src/member_table_test.cpp
+++ b/libs/gateway/src/member_table_test.cpp
@@ -46,7 +46,7 @@
         record.zone = "z";
         record.capacity_score = capacity_score;
         tables_.insert_or_assign(index, member_table({}, record, now));
-        tables_.at(index).set_versions(1, 1);
+        tables_.at(index).set_versions({0, 1}, 1);
         tables_.at(index).set_ready(true);
     }
 
