--- a/libs/gateway/src/peer_codec_test.cpp
+++ b/libs/gateway/src/peer_codec_test.cpp
@@ -59,6 +59,82 @@
           "a submission is complete");
 }
 
+namespace {
+
+template <class Message>
+Message decode_as(const std::string& bytes)
+{
+    auto message = internal::decode<peer_message>(bytes);
+    check(message && std::holds_alternative<Message>(*message), "the message is decoded");
+    return message && std::holds_alternative<Message>(*message) ? std::get<Message>(*message)
+                                                                : Message{};
+}
+
+// Returns the message as an instance of a former commit sends it: without its last fields.
+std::string without_fields(const peer_message& message, std::size_t fields)
+{
+    std::string bytes = internal::encode(message);
+    bytes.resize(bytes.size() - fields * sizeof(std::uint64_t));
+    return bytes;
+}
+
+} // namespace
+
+// Guards against a rolling replace in which instances cannot read each other's messages because
+// only some of them send the era.
+Test(peer_codec, the_era_is_appended_to_former_messages)
+{
+    document_changes changes;
+    changes.after = 3;
+    changes.position = {6, 9};
+    changes.uncertain = true;
+    const document_subscription subscription{named_position({6, 9})};
+    const snapshot_request request{named_position({6, 9}), 4};
+    const document_snapshot snapshot{{6, 9}, {{"k", "v", 2}}};
+    section("given messages with an era", [&] {
+        check(decode_as<document_changes>(internal::encode(peer_message(changes))).position ==
+                  changes.position,
+              "changes");
+        check(decode_as<document_subscription>(internal::encode(peer_message(subscription)))
+                      .known.position(1) == document_position{6, 9},
+              "a subscription");
+        const auto read = decode_as<snapshot_request>(internal::encode(peer_message(request)));
+        check(read.newer_than.position(1) == document_position{6, 9} && read.configuration == 4,
+              "a request");
+        check(decode_as<document_snapshot>(internal::encode(peer_message(snapshot))).position ==
+                  snapshot.position,
+              "a snapshot");
+    });
+    section("given messages of instances that send none", [&] {
+        const auto read = decode_as<document_changes>(without_fields(changes, 1));
+        check(read.position == document_position{0, 9} && read.uncertain, "changes");
+        check(decode_as<document_subscription>(without_fields(subscription, 1)).known.position(6) ==
+                  document_position{6, 9},
+              "a subscription is answered by its revision");
+        const auto asked = decode_as<snapshot_request>(without_fields(request, 2));
+        check(asked.newer_than.position(6) == document_position{6, 9} && !asked.configuration,
+              "so is a request");
+        const auto sent = decode_as<document_snapshot>(without_fields(snapshot, 1));
+        check(sent.position == document_position{0, 9} && sent.documents.size() == 1,
+              "a snapshot");
+    });
+    section("given heartbeats", [] {
+        heartbeat beat = sample_heartbeat();
+        beat.sender.record.position = {6, 9};
+        beat.others[31].record.position = {7, 8};
+        std::string bytes = internal::encode(beat);
+        const auto read = internal::decode<heartbeat>(bytes);
+        check(read && read->sender.record.position == document_position{6, 9} &&
+                  read->others[31].record.position == document_position{7, 8},
+              "each record has its era");
+        bytes.resize(bytes.size() - (1 + 33) * sizeof(std::uint64_t));
+        const auto former = internal::decode<heartbeat>(bytes);
+        check(former && former->others.size() == 32 && former->wants_reply &&
+                  former->sender.record.position == document_position{0, 9},
+              "one without eras is read");
+    });
+}
+
 // Guards against one datagram or message whose counts make the process allocate all its memory.
 Test(peer_codec, announced_counts_are_bounded_by_the_bytes, .timeout = 60)
 {
