--- a/apps/quetzalctl/commands.hpp
+++ b/apps/quetzalctl/commands.hpp
@@ -9,6 +9,7 @@
 
 int run_check(const options& chosen);
 int run_status(const options& chosen);
+int run_documents(const options& chosen);
 int run_explain(const options& chosen);      // asks instances
 int run_explain_logs(const options& chosen); // reads log files
 int run_drain(const options& chosen);
--- a/apps/quetzalctl/inspect.cpp
+++ b/apps/quetzalctl/inspect.cpp
@@ -1,5 +1,5 @@
-// `quetzalctl status`, `explain`, `drain` and `report burn`: the operators' interface of the
-// instances.
+// `quetzalctl status`, `documents`, `explain`, `drain` and `report burn`: the operators' interface
+// of the instances.
 
 #include <cstdio>
 
@@ -92,8 +92,54 @@
     return code;
 }
 
+// Returns the value of a metric without labels as text, or "unknown".
+std::string metric(const std::string& text, const std::string& name)
+{
+    const std::string padded = "\n" + text;
+    const std::size_t line = padded.find("\n" + name + " ");
+    if (line == std::string::npos) {
+        return "unknown";
+    }
+    const std::size_t begin = line + name.size() + 2;
+    return padded.substr(begin, padded.find('\n', begin) - begin);
+}
+
+// Names of the values that `documents` prints, and the metrics that hold them.
+constexpr std::pair<const char*, const char*> document_metrics[] = {
+    {"era", "quetzal_store_era"},
+    {"revision", "quetzal_store_revision"},
+    {"configuration", "quetzal_configuration_version"},
+    {"held", "quetzal_documents_held"},
+    {"store_silent_s", "quetzal_view_age_seconds"}};
+
 } // namespace
 
+int run_documents(const options& chosen)
+{
+    if (!require_instances(chosen)) {
+        return exit_invalid;
+    }
+    json::array all;
+    const int code =
+        for_each_instance(chosen, make_request("GET", "/metrics"), 200,
+                          [&](const std::string& instance, const std::string& body) {
+                              json::object values{{"instance", instance}};
+                              std::string line = instance + ":";
+                              for (const auto& [name, series] : document_metrics) {
+                                  values[name] = metric(body, series);
+                                  line += std::string(" ") + name + " " + metric(body, series);
+                              }
+                              all.push_back(values);
+                              if (!chosen.json) {
+                                  std::printf("%s\n", line.c_str());
+                              }
+                          });
+    if (chosen.json) {
+        std::printf("%s\n", json::serialize(all).c_str());
+    }
+    return code;
+}
+
 int run_status(const options& chosen)
 {
     if (!require_instances(chosen)) {
--- a/apps/quetzalctl/options.cpp
+++ b/apps/quetzalctl/options.cpp
@@ -14,6 +14,8 @@
 Commands:
   check FILE...             check settings (.toml), a published configuration or an instance list (.json)
   status                    state of the instances named by --instance (operator ports)
+  documents                 era and revision of the documents of the instances named by --instance
+                            (metrics ports of the users' platform)
   explain REQUEST           why a request was routed, refused or delayed, from --instance
   explain REQUEST FILE...   the same from the log files of all instances
   send [BODY]               send one request, or those of --orders, through the callers' interface
@@ -34,7 +36,7 @@
 
 bool is_known(const std::string& command)
 {
-    static const std::set<std::string> commands{"check", "status", "explain",
+    static const std::set<std::string> commands{"check", "status", "documents", "explain",
                                                 "send",  "drain",  "report"};
     return commands.contains(command);
 }
--- a/libs/gateway/src/endless_peer_message_test.cpp
+++ b/libs/gateway/src/endless_peer_message_test.cpp
@@ -101,7 +101,8 @@
         instance.run_for(milliseconds(100));
         std::fprintf(stderr, "memory grew by %zu KiB\n", growth.kib());
         check(growth.kib() < growth_limit_kib, "memory grows only with the bytes that arrive");
-        const std::string message = internal::encode(peer_message(document_subscription{named_position({0, 1})}));
+        const std::string message =
+            internal::encode(peer_message(document_subscription{named_position({0, 1})}));
         tcp::socket normal = instance.connect();
         asio::write(normal, asio::buffer(length_prefix(static_cast<std::uint32_t>(message.size())) +
                                          message));
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -149,10 +149,9 @@
     }
     // Instances of former commits pass records on without the era. A process never returns to a
     // lower one.
-    const std::uint64_t era =
-        update.record.incarnation == member.record.incarnation
-            ? std::max(update.record.position.era, member.record.position.era)
-            : update.record.position.era;
+    const std::uint64_t era = update.record.incarnation == member.record.incarnation
+                                  ? std::max(update.record.position.era, member.record.position.era)
+                                  : update.record.position.era;
     if (is_newer(update.record, member.record)) {
         member.record = update.record;
     }
--- a/libs/gateway/src/peer_codec_test.cpp
+++ b/libs/gateway/src/peer_codec_test.cpp
@@ -115,8 +115,7 @@
         check(asked.newer_than.position(6) == document_position{6, 9} && !asked.configuration,
               "so is a request");
         const auto sent = decode_as<document_snapshot>(without_fields(snapshot, 1));
-        check(sent.position == document_position{0, 9} && sent.documents.size() == 1,
-              "a snapshot");
+        check(sent.position == document_position{0, 9} && sent.documents.size() == 1, "a snapshot");
     });
     section("given heartbeats", [] {
         heartbeat beat = sample_heartbeat();
--- a/libs/gateway/src/peer_link_test.cpp
+++ b/libs/gateway/src/peer_link_test.cpp
@@ -61,7 +61,8 @@
         return socket;
     }
 
-    void send(asio::ip::tcp::socket& socket, const peer_message& message = snapshot_request{named_position({0, 1}), {}})
+    void send(asio::ip::tcp::socket& socket,
+              const peer_message& message = snapshot_request{named_position({0, 1}), {}})
     {
         const std::string bytes = internal::encode(message);
         const auto length =
