Order stage pieces by their due time while all can meet it

Cause: pieces of a stage were chosen by route priority first, so that a burst of urgent requests made less urgent ones late although the urgent ones had time to spare; equal claims were served by time alone, whoever sent them.

Change: `order_claims` keeps the strongest set of pieces that can start in time, in the order of their due times; the others follow by customer priority, the customer's share of the recent work, route priority and due time. Stage jobs carry the customer (last field of the message). Late pieces still come last.

--- a/cmake/quetzal_package.cmake
+++ b/cmake/quetzal_package.cmake
@@ -3,10 +3,10 @@
 #
 #   quetzal_package(<name> [DEPENDS <package or target>...])
 #
-# Sources are all src/*.cpp; a package without sources becomes a header-only library.
+# Sources are all src/*.cpp and src/*/*.cpp; a package without sources becomes a header-only library.
 function(quetzal_package name)
     cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
-    file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+    file(GLOB sources CONFIGURE_DEPENDS src/*.cpp src/*/*.cpp)
     set(tests ${sources})
     list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
     set(benchmarks ${sources})
--- a/libs/gateway/include/quetzal/gateway/stage_job.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_job.hpp
@@ -59,11 +59,13 @@
     std::int32_t latency_budget_ms = 0; // until the results are too late for the latency target
     std::uint32_t remaining_ms = 0;     // until the deadline
     std::string zone;                   // where the results are needed; empty: any zone
+    std::string customer;               // of the request; may be empty
 
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(request_id, piece_key, stages, priority, latency_budget_ms, remaining_ms, zone);
+        archive(request_id, piece_key, stages, priority, latency_budget_ms, remaining_ms, zone,
+                customer);
     }
 };
 
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -21,6 +21,7 @@
 #include <quetzal/gateway/stage_backlog.hpp>
 #include <quetzal/gateway/stage_plan.hpp>
 #include <quetzal/gateway/stage_workers.hpp>
+#include <quetzal/gateway/stages/place_order.hpp>
 
 namespace quetzal::gateway {
 
@@ -143,6 +144,7 @@
         std::string request_id;
         std::string piece_key;
         std::string zone;
+        std::string customer;
         std::vector<job_stage> stages;
         std::vector<duration> later_stage_times; // by stage: expected time of the later stages
         std::vector<std::uint32_t> pending;      // by stage: pieces without a result
@@ -213,6 +215,11 @@
     std::vector<called_piece> build_call(std::vector<waiting_piece>& waiting,
                                          const stage_capacity& capacity, const endpoint& target,
                                          time_point now);
+    std::vector<place_claim> claims_of(const std::vector<waiting_piece>& waiting,
+                                       const stage_capacity& capacity, const endpoint& target,
+                                       time_point now) const;
+    place_supply supply_of(const std::string& service, const stage_capacity& capacity,
+                           time_point now) const;
     // Returns the indexes of the waiting pieces that a call to the target carries.
     std::vector<std::size_t> choose_pieces(const std::vector<waiting_piece>& waiting,
                                            const stage_capacity& capacity, const endpoint& target,
@@ -225,6 +232,7 @@
     bool has_ended_pieces_ = false;                             // in `waiting_`
     stage_backlog backlog_;
     stage_workers workers_;
+    customer_usage usage_; // in seconds of endpoint time
     std::map<std::uint64_t, running_call> calls_;
     std::uint64_t next_call_ = 1;
     std::size_t schedulers_ = 1;
--- a/libs/gateway/src/request_flow.cpp
+++ b/libs/gateway/src/request_flow.cpp
@@ -231,6 +231,7 @@
     job.content.request_id = request->message.id;
     job.content.piece_key = request->message.piece_key;
     job.content.priority = request->priority;
+    job.content.customer = request->caller.customer;
     for (std::size_t index = 0; index < matched.stages.size(); ++index) {
         const stage_definition& stage = matched.stages[index];
         job.content.stages.push_back({stage.service,
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -1,11 +1,12 @@
 #include <quetzal/gateway/stage_scheduler.hpp>
 
 #include <algorithm>
-#include <numeric>
 #include <set>
-#include <tuple>
+#include <string_view>
 #include <utility>
 
+#include "request_priority.hpp"
+
 namespace quetzal::gateway {
 
 namespace {
@@ -109,6 +110,7 @@
     running_job& job = position->second;
     job.request_id = content.request_id;
     job.piece_key = content.piece_key;
+    job.customer = content.customer;
     job.zone = content.zone.empty() ? backlog_.least_loaded_zone(content) : content.zone;
     job.stages = content.stages;
     job.priority = content.priority;
@@ -245,33 +247,51 @@
     workers_.remove_results(handles);
 }
 
+std::vector<place_claim> stage_scheduler::claims_of(const std::vector<waiting_piece>& waiting,
+                                                    const stage_capacity& capacity,
+                                                    const endpoint& target, time_point now) const
+{
+    std::map<std::string_view, double> shares;
+    std::vector<place_claim> claims;
+    claims.reserve(waiting.size());
+    for (const waiting_piece& piece : waiting) {
+        const std::string& customer = jobs_.at(piece.job).customer;
+        const auto [share, added] = shares.try_emplace(customer, 0);
+        if (added) {
+            share->second = usage_.share_of(customer, now);
+        }
+        const bool same_zone = piece.zone.empty() || piece.zone == target.zone;
+        claims.push_back({piece.priority / internal::route_priority_levels,
+                          piece.priority % internal::route_priority_levels, share->second,
+                          piece.latency_deadline - capacity.call_time,
+                          same_zone ? duration::zero() : same_zone_bonus, piece.job});
+    }
+    return claims;
+}
+
+place_supply stage_scheduler::supply_of(const std::string& service, const stage_capacity& capacity,
+                                        time_point now) const
+{
+    const duration full_call = call_duration(capacity, static_cast<double>(capacity.batch));
+    const std::size_t calls = std::max<std::size_t>(workers_.active_count(service, now), 1) *
+                              std::max(capacity.slots, 1u);
+    return {capacity.batch, full_call / static_cast<duration::rep>(calls), full_call};
+}
+
 std::vector<std::size_t> stage_scheduler::choose_pieces(const std::vector<waiting_piece>& waiting,
                                                         const stage_capacity& capacity,
                                                         const endpoint& target,
                                                         time_point now) const
 {
-    const auto rank = [&](std::size_t index) {
-        const waiting_piece& piece = waiting[index];
-        const bool late = piece.latency_deadline < now + capacity.call_time;
-        const bool same_zone = piece.zone.empty() || piece.zone == target.zone;
-        return std::tuple(late, piece.priority,
-                          piece.latency_deadline + (same_zone ? duration::zero() : same_zone_bonus),
-                          piece.job, piece.stage, piece.piece);
-    };
-    // A heap, since a call carries few of the pieces that wait under load.
-    std::vector<std::size_t> candidates(waiting.size());
-    std::iota(candidates.begin(), candidates.end(), std::size_t{0});
-    const auto later = [&](std::size_t left, std::size_t right) {
-        return rank(right) < rank(left);
-    };
-    std::make_heap(candidates.begin(), candidates.end(), later);
+    const auto order = order_claims(claims_of(waiting, capacity, target, now),
+                                    supply_of(target.service, capacity, now), now);
     std::uint64_t used = workers_.used_memory(target.id, capacity.result_lifetime, now);
     const std::size_t most = workers_.call_limit(target.id, capacity);
     std::vector<std::size_t> chosen;
-    while (!candidates.empty() && chosen.size() < most) {
-        std::pop_heap(candidates.begin(), candidates.end(), later);
-        const std::size_t index = candidates.back();
-        candidates.pop_back();
+    for (const std::size_t index : order) {
+        if (chosen.size() >= most) {
+            break;
+        }
         const waiting_piece& piece = waiting[index];
         const bool fits =
             capacity.result_memory == 0 || used + piece.result_size <= capacity.result_memory;
@@ -338,6 +358,9 @@
         return;
     }
     const stage_capacity& capacity = *definition->stage;
+    const double work_of_piece =
+        std::chrono::duration<double>(capacity.piece_time + capacity.call_time / capacity.batch)
+            .count();
     std::set<job_number> late_jobs;
     for (const waiting_piece& piece : waiting) {
         if (piece.latest_finish < now + capacity.call_time) {
@@ -366,6 +389,7 @@
         call.expected = call_duration(capacity, static_cast<double>(pieces.size()));
         for (const called_piece& piece : pieces) {
             call.reserved += piece.result_size;
+            usage_.record(jobs_.at(piece.job).customer, work_of_piece, now);
         }
         workers_.call_started(*target, call.reserved);
         const std::uint64_t number = next_call_++;
