Take no reset and no odd status for an answer

When its endpoint ended its side and reset the connection later, while the kernel still held a part of the request, the read reported the end and the part was forwarded as whole. A reset alone was an error before. Statuses above 599 were forwarded or taken for a refusal; those below 200 were skipped like interim responses, so that the bytes behind them could be taken for the answer.

Change: such an end counts only when the endpoint has acknowledged the whole request and the connection has no error. A status outside 200 to 599, other than an interim one, is a failure that may have run; 101 is no interim one. The client of libs/net has the same check of the status.

--- a/libs/base/include/quetzal/testing/endless_server.hpp
+++ b/libs/base/include/quetzal/testing/endless_server.hpp
@@ -28,6 +28,7 @@
     std::string prefix;
     std::string unit;                  // repeated until the client closes; empty: nothing follows
     std::chrono::milliseconds pause{}; // before each unit; zero: at full speed
+    bool reset = false;                // the connection is reset after the prefix
 };
 
 // Listens on loopback. Every connection has its own thread.
@@ -108,6 +109,13 @@
             const auto end = received.find("\r\n\r\n") + 4;
             const endless_bytes response = respond_(received.substr(0, end), position);
             received.erase(0, end);
+            if (response.reset) {
+                send_all(connection, response.prefix);
+                const linger reset_on_close{1, 0};
+                ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset_on_close,
+                             sizeof(reset_on_close));
+                break;
+            }
             ++sending_;
             const bool open =
                 send_all(connection, response.prefix) && send_units(connection, response);
--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -44,16 +44,17 @@
     boost::asio::awaitable<result<void>> send(std::string_view head, std::string_view body,
                                               duration timeout);
 
-    // Reads the status and the headers of the next response and returns the status, which is at
-    // least 200: a few interim responses are skipped. `head_request` means that the response has no
-    // body regardless of its headers.
+    // Reads the status and the headers of the next response and returns the status, which is from
+    // 200 to 599: a few interim responses are skipped, other statuses are failures. `head_request`
+    // means that the response has no body regardless of its headers.
     boost::asio::awaitable<result<unsigned>> read_head(duration timeout, bool head_request = false);
 
     // The headers of the response; valid after `read_head`.
     const fields& headers() const { return parser_->get().base(); }
 
     // Appends the next bytes of the body to `into`. Returns false if the response is complete
-    // and no bytes were appended.
+    // and no bytes were appended. A response without a length is complete if its endpoint has ended
+    // its side of the connection, has received the whole request, and has not reset the connection.
     boost::asio::awaitable<result<bool>> read_body(std::string& into, duration timeout);
 
     // Reads the rest of the body. Fails if it is longer than `limit` bytes, if it does not end
@@ -98,6 +99,10 @@
     // Appends the next bytes of the body, without a timeout of its own.
     boost::asio::awaitable<result<bool>> read_body_part(std::string& into);
 
+    // Waits, after the end of a response without a length, until the endpoint has received the
+    // whole request. Returns an error if the connection was reset or closed before.
+    boost::asio::awaitable<boost::system::error_code> confirm_end();
+
     // Describes an error of a read; `timeout` is the one that may have expired.
     std::string read_error(std::string_view what, const boost::system::error_code& error,
                            duration timeout) const;
--- a/libs/gateway/include/quetzal/gateway/http_status.hpp
+++ b/libs/gateway/include/quetzal/gateway/http_status.hpp
@@ -19,6 +19,20 @@
 inline constexpr unsigned unavailable = 503;
 inline constexpr unsigned gateway_timeout = 504;
 
+// Whether an answer to a request may have the status.
+constexpr bool is_final(unsigned status)
+{
+    return status >= ok && status <= 599;
+}
+
+// Whether a response with the status precedes the answer to a request that asks for no other
+// protocol.
+constexpr bool is_interim(unsigned status)
+{
+    constexpr unsigned switching_protocols = 101;
+    return status >= 100 && status < ok && status != switching_protocols;
+}
+
 } // namespace quetzal::gateway::http_status
 
 #endif
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -4,13 +4,17 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <quetzal/gateway/decision_log.hpp>
 #include <quetzal/gateway/http_status.hpp>
 
 namespace quetzal::gateway {
@@ -34,6 +38,8 @@
 constexpr std::size_t max_unparsed_size = 40u << 10;
 constexpr std::size_t max_recent_bodies = 16; // hashes kept for each connection
 constexpr unsigned max_interim_responses = 8; // skipped before a response
+// How often the connection of an ended response is checked while its request is not acknowledged.
+constexpr duration acknowledgement_check = std::chrono::milliseconds(5);
 
 void set_socket_option(int socket, int level, int name, int value)
 {
@@ -145,11 +151,16 @@
                 connection_failure(read_error("the response's head", error, timeout)));
         }
         const unsigned status = parser_->get().result_int();
-        if (status >= http_status::ok) {
+        if (http_status::is_final(status)) {
             timeout_.clear();
             ++responses_;
             co_return status;
         }
+        if (!http_status::is_interim(status)) {
+            timeout_.clear();
+            co_return tl::unexpected(connection_failure("the response's status " +
+                                                        std::to_string(status) + " is invalid"));
+        }
     }
     timeout_.clear();
     co_return tl::unexpected(connection_failure(
@@ -187,9 +198,41 @@
         co_return tl::unexpected(
             connection_failure(read_error("the response's body", error, duration::zero())));
     }
+    if (parser_->is_done() && !has_length()) {
+        if (const auto reset = co_await confirm_end()) {
+            record_loss(reset);
+            co_return tl::unexpected(
+                connection_failure(read_error("the response's body", reset, duration::zero())));
+        }
+    }
     co_return into.size() > before || !parser_->is_done();
 }
 
+asio::awaitable<boost::system::error_code> channel::confirm_end()
+{
+    asio::steady_timer timer(socket_.get_executor());
+    while (socket_.is_open()) {
+        // After the end of the stream, reads do not return the error of a reset that follows it.
+        int error = 0;
+        socklen_t size = sizeof(error);
+        if (::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) != 0) {
+            error = errno;
+        }
+        int unacknowledged = 0;
+        if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
+            const std::string detail = boost::system::system_category().message(errno);
+            log_event("unacknowledged_bytes_unknown", {{"error", detail}});
+        }
+        if (error != 0 || unacknowledged == 0) {
+            co_return boost::system::error_code(error, boost::system::system_category());
+        }
+        timer.expires_after(acknowledgement_check);
+        boost::system::error_code ignored; // the timer is not cancelled
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return asio::error::operation_aborted; // by `close` or a timeout
+}
+
 asio::awaitable<result<std::string>> channel::read_whole_body(std::size_t limit, duration timeout)
 {
     std::string body;
--- a/libs/gateway/src/endless_stage_test.cpp
+++ b/libs/gateway/src/endless_stage_test.cpp
@@ -1,5 +1,5 @@
-// Tests the calls of stages against endpoints that send bytes without end, repeat responses, or
-// announce that they want no further calls.
+// Tests the calls of stages against endpoints that send bytes without end, repeat responses, reset
+// connections, send a status that is none, or announce that they want no further calls.
 
 #include <thread>
 
@@ -264,3 +264,42 @@
               "after " + std::to_string(size) + " bytes the call is made again");
     }
 }
+
+// Guards against a job that ends with the bytes that follow a status that is none, or with a part
+// of results whose endpoint reset the connection.
+Test(endless_stage, response_that_is_none_is_not_taken, .timeout = 120)
+{
+    const std::string part = head + "\r\nok-part";
+    const std::string hidden = head + "Content-Length: 9\r\n\r\nok-hidden";
+    std::vector<endless_bytes> responses{{part, {}, {}, true}};
+    for (const std::string status : {"000 Error", "099 Error", "101 Switching Protocols",
+                                     "600 Error", "999 Error", "20 OK", "2000 OK"})
+    {
+        for (const std::string& body : {std::string("ok-odd"), hidden}) {
+            const std::string bytes = "HTTP/1.1 " + status +
+                                      "\r\nContent-Length: " + std::to_string(body.size()) +
+                                      "\r\n\r\n" + body;
+            responses.push_back({bytes, {}, {}});
+        }
+    }
+    for (const endless_bytes& response : responses) {
+        std::atomic<unsigned> calls{0};
+        endless_server server([&](const std::string&, std::size_t) {
+            return calls++ == 0 ? response : endless_bytes{complete, {}, {}};
+        });
+        coordinating_instance instance({server.port()});
+        local_job job;
+        job.content.request_id = "r";
+        job.content.stages.push_back({"s", {}, 0, 1});
+        job.latency_deadline = job.deadline = boot_clock::now() + job_time;
+        std::optional<job_outcome> outcome;
+        instance.coordinator.submit(std::move(job), [&](const job_outcome& ended) {
+            outcome = ended;
+            instance.context.stop();
+        });
+        instance.context.run_for(job_time);
+        check(outcome && outcome->status == job_status::done &&
+                  outcome->results == std::vector<std::string>{"ok"} && calls == 2,
+              "the call is made again: " + response.prefix);
+    }
+}
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -26,7 +26,10 @@
 // itself limits only the head.
 constexpr std::size_t max_unparsed_size = 24u << 10;
 constexpr unsigned max_interim_responses = 8; // skipped before a response
+constexpr unsigned first_interim_status = 100;
+constexpr unsigned switching_protocols = 101; // never requested
 constexpr unsigned first_final_status = 200;
+constexpr unsigned last_final_status = 599;
 // `exchange` reads a body for at most this multiple of its timeout.
 constexpr int body_timeout_factor = 4;
 
@@ -151,7 +154,14 @@
         if (error) {
             co_return connection_failure(error);
         }
-        if (impl_->parser->get().result_int() >= first_final_status) {
+        const unsigned status = impl_->parser->get().result_int();
+        if (status < first_interim_status || status == switching_protocols ||
+            status > last_final_status) {
+            co_return may_have_run(reason::endpoint_failed, "the response's status " +
+                                                                std::to_string(status) +
+                                                                " is invalid");
+        }
+        if (status >= first_final_status) {
             break;
         }
         if (interim >= max_interim_responses) {
--- a/libs/net/src/http_client_endless_test.cpp
+++ b/libs/net/src/http_client_endless_test.cpp
@@ -1,4 +1,5 @@
-// Tests the HTTP client against servers that send bytes without end, in a head or in a body.
+// Tests the HTTP client against servers that send bytes without end, in a head or in a body, reset
+// the connection within a response, or send a status that is none.
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -133,3 +134,44 @@
     check((*played.response)->body == "1", "the response is returned");
     check(!played.reusable, "the connection is not reused");
 }
+
+// Guards against a status that no caller knows, and against the bytes after such a status that are
+// taken for the response.
+Test(http_client, invalid_statuses_are_failures)
+{
+    const std::string hidden = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhidden";
+    for (const std::string status : {"000 Error", "099 Error", "101 Switching Protocols",
+                                     "600 Error", "999 Error", "20 OK", "2000 OK"})
+    {
+        for (const std::string& body : {std::string("odd"), hidden}) {
+            endless_server server([&](const std::string&, std::size_t) {
+                return endless_bytes{"HTTP/1.1 " + status + "\r\nContent-Length: " +
+                                         std::to_string(body.size()) + "\r\n\r\n" + body,
+                                     {},
+                                     {}};
+            });
+            asio::io_context context(1);
+            played_call played;
+            asio::co_spawn(context, call(server.port(), call_timeout, played), asio::detached);
+            context.run_for(total_limit);
+            check(played.response && !*played.response && !played.reusable,
+                  "the call fails and the connection is not reused: " + status + ", " + body);
+            check(played.response->error().run == verdict::may_have_run,
+                  "it may have run: " + status);
+        }
+    }
+}
+
+// Guards against a part of a response without a length that counts as whole because the server has
+// reset the connection.
+Test(http_client, reset_is_no_end_of_a_response)
+{
+    endless_server server([&](const std::string&, std::size_t) {
+        return endless_bytes{"HTTP/1.1 200 OK\r\n\r\npart", {}, {}, true};
+    });
+    asio::io_context context(1);
+    played_call played;
+    asio::co_spawn(context, call(server.port(), call_timeout, played), asio::detached);
+    context.run_for(total_limit);
+    check(played.response && !*played.response, "the call fails");
+}
