--- a/libs/gateway/include/quetzal/gateway/document_position.hpp
+++ b/libs/gateway/include/quetzal/gateway/document_position.hpp
@@ -4,7 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
-#include <utility>
+#include <tuple>
 
 namespace quetzal::gateway {
 
@@ -16,7 +16,12 @@
     std::uint64_t era = 0;
     std::uint64_t revision = 0;
 
-    friend auto operator<=>(const document_position&, const document_position&) = default;
+    friend bool operator==(const document_position&, const document_position&) = default;
+    friend std::strong_ordering operator<=>(const document_position& first,
+                                            const document_position& second) noexcept
+    {
+        return std::tie(first.era, first.revision) <=> std::tie(second.era, second.revision);
+    }
 };
 
 // Reads or writes a field that has been appended to a message. In a message of an instance that
