Endpoint choice: spread calls over endpoints of equal cost in small pools

A pool of at most as many endpoints as candidates was compared in a fixed order, which is the same on all instances, and the first of equal costs was chosen. The comparison now begins at a random endpoint.

--- a/libs/serving/src/endpoint_chooser.cpp
+++ b/libs/serving/src/endpoint_chooser.cpp
@@ -344,8 +344,12 @@
         }
     };
     const std::size_t count = usable_.size();
+    // Of endpoints with equal costs, the first one is chosen. It must not be the same one on all
+    // instances.
+    const std::size_t first = random.below(count);
     for (std::size_t index = 0; index < std::min(count, options_.choices); ++index) {
-        consider(usable_[count <= options_.choices ? index : random.below(count)]);
+        consider(
+            usable_[count <= options_.choices ? (first + index) % count : random.below(count)]);
     }
     for (std::size_t index = 0; warming_up_ > 0 && index < count; ++index) {
         if (is_warming_up(endpoints_[usable_[index]])) {
--- a/libs/serving/src/endpoint_chooser_test.cpp
+++ b/libs/serving/src/endpoint_chooser_test.cpp
@@ -171,6 +171,19 @@
     });
 }
 
+// Guards against instances that all send their first calls to the same endpoint of a small pool:
+// without reports and calls, the endpoints of a zone cost the same.
+Test(endpoint_chooser, spreads_calls_over_endpoints_of_equal_cost)
+{
+    for (const std::size_t choices : {3, 8}) {
+        auto chooser = warm_pool(6, {.choices = choices, .other_zone_cost = 0s});
+        for (endpoint_index index = 0; index < 6; ++index) {
+            const double share = share_of(chooser, index);
+            check(share > 0.1 && share < 0.25, "each gets about a sixth");
+        }
+    }
+}
+
 // Guards against overloading an endpoint, and against unused capacity while calls wait.
 Test(endpoint_chooser, respects_the_concurrency_and_uses_all_of_it)
 {
