Let stage pieces wait for their zone while they have time

Change: a piece waits as long as an endpoint of its zone should become idle, by the zone's endpoints and the time of a full call; urgent pieces go elsewhere as before.

--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -220,6 +220,9 @@
                                        time_point now) const;
     place_supply supply_of(const std::string& service, const stage_capacity& capacity,
                            time_point now) const;
+    // Returns the time, by zone, in which one of its endpoints should become idle.
+    std::map<std::string, duration> zone_waits_of(const std::string& service,
+                                                  const stage_capacity& capacity) const;
     // Returns the indexes of the waiting pieces that a call to the target carries.
     std::vector<std::size_t> choose_pieces(const std::vector<waiting_piece>& waiting,
                                            const stage_capacity& capacity, const endpoint& target,
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -22,10 +22,11 @@
 constexpr double typical_fill = 0.6;
 // Moving results between zones takes transfer time on shared links. For an endpoint of the piece's
 // zone, the piece is ordered as if it were due earlier by this bonus than for one of another zone.
-// A piece waits this long before an endpoint of another zone may take it, unless it is urgent: less
-// than `urgent_slack` is left beyond the time of a call.
+// A piece waits until an endpoint of its zone should have become idle before one of another zone
+// may take it, at least for this time, unless it is urgent: less than `urgent_slack` is left beyond
+// the time of a call.
 constexpr duration same_zone_bonus = std::chrono::milliseconds(400);
-constexpr duration other_zone_wait = std::chrono::milliseconds(40);
+constexpr duration min_other_zone_wait = std::chrono::milliseconds(40);
 constexpr duration urgent_slack = std::chrono::milliseconds(250);
 constexpr duration max_result_hold = std::chrono::seconds(30); // of results for a request
 constexpr duration min_retry_after = std::chrono::milliseconds(200);
@@ -278,6 +279,21 @@
     return {capacity.batch, full_call / static_cast<duration::rep>(calls), full_call};
 }
 
+std::map<std::string, duration> stage_scheduler::zone_waits_of(const std::string& service,
+                                                               const stage_capacity& capacity) const
+{
+    std::map<std::string, std::uint32_t> calls;
+    for (const endpoint* value : view_.usable_endpoints(service)) {
+        calls[value->zone] += std::max(capacity.slots, 1u);
+    }
+    const duration full_call = call_duration(capacity, static_cast<double>(capacity.batch));
+    std::map<std::string, duration> waits;
+    for (const auto& [zone, count] : calls) {
+        waits[zone] = std::max(full_call / static_cast<duration::rep>(count), min_other_zone_wait);
+    }
+    return waits;
+}
+
 std::vector<std::size_t> stage_scheduler::choose_pieces(const std::vector<waiting_piece>& waiting,
                                                         const stage_capacity& capacity,
                                                         const endpoint& target,
@@ -285,6 +301,11 @@
 {
     const auto order = order_claims(claims_of(waiting, capacity, target, now),
                                     supply_of(target.service, capacity, now), now);
+    const std::map<std::string, duration> zone_waits = zone_waits_of(target.service, capacity);
+    const auto zone_wait = [&](const std::string& zone) {
+        const auto known = zone_waits.find(zone);
+        return known == zone_waits.end() ? duration::zero() : known->second;
+    };
     std::uint64_t used = workers_.used_memory(target.id, capacity.result_lifetime, now);
     const std::size_t most = workers_.call_limit(target.id, capacity);
     std::vector<std::size_t> chosen;
@@ -296,7 +317,7 @@
         const bool fits =
             capacity.result_memory == 0 || used + piece.result_size <= capacity.result_memory;
         const bool zone_allowed = piece.zone.empty() || piece.zone == target.zone ||
-                                  now - piece.queued >= other_zone_wait ||
+                                  now - piece.queued >= zone_wait(piece.zone) ||
                                   piece.latency_deadline < now + capacity.call_time + urgent_slack;
         if (fits && zone_allowed) {
             used += piece.result_size;
--- a/libs/gateway/src/stages/stage_pressure_test.cpp
+++ b/libs/gateway/src/stages/stage_pressure_test.cpp
@@ -49,3 +49,35 @@
     check(in_time(pool, urgent, spare_target) >= 1, "the urgent jobs meet their target");
     check(in_time(pool, less_urgent, short_target) >= 1, "the less urgent jobs meet theirs");
 }
+
+// Large results are needed in a zone whose only endpoint is busy. Guards against results that
+// cross zones although their request has time to wait for that endpoint.
+Test(stage_pressure, results_stay_in_their_zone)
+{
+    simulated_pool pool(3, lookup_capacity());
+    const auto submit = [&](milliseconds target) {
+        stage_job job;
+        job.request_id = "r" + std::to_string(++pool.last);
+        job.stages.push_back({"s", {}, 1'500'000, 2});
+        job.latency_budget_ms = static_cast<std::int32_t>(target.count());
+        job.remaining_ms = 6000;
+        job.zone = "a";
+        pool.submitted[pool.last] = pool.now;
+        pool.perform(pool.scheduler.add(pool.last, job, pool.now));
+    };
+    submit(milliseconds(3000));
+    pool.advance(milliseconds(10));
+    submit(milliseconds(3000));
+    pool.advance(milliseconds(150));
+    check(pool.started == 1, "the second job waits for the endpoint of the zone");
+    section("a job without time to wait", [&] {
+        submit(milliseconds(450));
+        pool.advance(milliseconds(20));
+        check(pool.started == 2, "goes to another zone at once");
+    });
+    section("when the endpoint is idle", [&] {
+        pool.advance(milliseconds(600));
+        check(pool.started == 3, "it runs the second job");
+        check(pool.count(job_status::done) == 3, "every job is done");
+    });
+}
