Gateway: one ledger for the memory of requests and responses

Cause: a body counted only once it was whole, so bodies that stop short of their end were counted nowhere; nor were heads, trailers, read buffers, responses that a caller reads slowly and messages of peers.

Change: memory_ledger decides, without I/O, who may use memory and who gives way (idle connections, requests that do not progress, the newest, the larger one; requests that run are kept). A request is read in steps, and what a step may allocate is charged before it. Responses being written, endpoints' bodies and messages of peers are charged to the same ledger. A refused request gets a 503 with Retry-After; it has not run. Peers may open 512 connections, 8 from one address.

--- a/libs/gateway/include/quetzal/gateway/body_memory.hpp
+++ b/libs/gateway/include/quetzal/gateway/body_memory.hpp
@@ -4,14 +4,20 @@
 #include <cstddef>
 #include <memory>
 
+#include <quetzal/gateway/memory_ledger.hpp>
+
 namespace quetzal::gateway {
 
-// Bounds the memory of all response bodies that are read as a whole at the same time. Not
-// thread-safe.
+// Bounds the memory of all response bodies that are read as a whole at the same time, as a part of
+// the instance's memory. Not thread-safe.
 class body_memory
 {
 public:
-    explicit body_memory(std::size_t limit) : limit_(limit) {}
+    // Without a ledger, the bodies are bounded by `limit` alone.
+    explicit body_memory(std::size_t limit, std::shared_ptr<memory_ledger> ledger = {})
+        : limit_(limit), ledger_(std::move(ledger))
+    {
+    }
 
     // The part of the memory that one body uses; returned to the others on destruction.
     class share
@@ -23,6 +29,9 @@
         {
             if (owner_) {
                 owner_->used_ -= size_;
+                if (owner_->ledger_) {
+                    owner_->ledger_->give_back(size_);
+                }
             }
         }
         share(const share&) = delete;
@@ -39,6 +48,9 @@
             if (size - size_ > owner_->limit_ - owner_->used_) {
                 return false;
             }
+            if (owner_->ledger_ && !owner_->ledger_->take(size - size_, boot_clock::now())) {
+                return false;
+            }
             owner_->used_ += size - size_;
             size_ = size;
             return true;
@@ -56,6 +68,7 @@
 private:
     std::size_t limit_;    // bytes
     std::size_t used_ = 0; // bytes
+    std::shared_ptr<memory_ledger> ledger_;
 };
 
 } // namespace quetzal::gateway
--- a/libs/gateway/include/quetzal/gateway/channel_pool.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel_pool.hpp
@@ -16,7 +16,8 @@
 class channel_pool
 {
 public:
-    explicit channel_pool(boost::asio::any_io_executor executor);
+    explicit channel_pool(boost::asio::any_io_executor executor,
+                          std::shared_ptr<memory_ledger> memory = {});
 
     // Returns an idle connection that is still usable, or opens a new one within `timeout`.
     boost::asio::awaitable<result<std::shared_ptr<channel>>> acquire(const endpoint& target,
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -15,6 +15,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <quetzal/base/verdict.hpp>
+#include <quetzal/gateway/body_memory.hpp>
 #include <quetzal/gateway/member_table.hpp>
 #include <quetzal/gateway/part_quarantine.hpp>
 #include <quetzal/gateway/stage_job.hpp>
@@ -148,6 +149,8 @@
     std::uint16_t datagram_port = 0; // the same on all instances
     std::uint16_t stream_port = 0;   // the same on all instances
     std::vector<std::string> seeds;  // addresses to discover other instances through
+    // Bounds the messages that are being received; null: only each one by itself.
+    std::shared_ptr<body_memory> memory = {};
 };
 
 class peer_link
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -17,7 +17,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
 #include <quetzal/gateway/channel.hpp>
 #include <quetzal/gateway/decision_log.hpp>
@@ -25,14 +24,16 @@
 #include <quetzal/gateway/lazy_deadline.hpp>
 #include <quetzal/gateway/spawn.hpp>
 
-#include "request_framing.hpp"
+#include "request_reader.hpp"
 
 namespace quetzal::gateway {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
+using internal::connection_memory;
 using internal::framing_error;
+using internal::read_end;
 using internal::read_failure;
 using internal::read_result;
 using internal::request_parser;
@@ -44,6 +45,8 @@
 constexpr duration accept_pause = std::chrono::milliseconds(50);   // after a failed accept
 constexpr std::size_t read_buffer_limit = 64u << 10;               // bytes
 constexpr int listen_backlog = 1024;
+constexpr read_result memory_refused{http_status::unavailable, "the memory for requests is in use",
+                                     false};
 constexpr std::size_t max_logged_id = 200; // characters of a request's id that is not read yet
 
 std::string status_line(unsigned status)
@@ -64,8 +67,17 @@
         : context(io), options(std::move(settings)), view(catalog), names(header),
           serve_request(std::move(serve)), acceptor(io)
     {
+        if (!options.memory) {
+            options.memory = std::make_shared<memory_ledger>(memory_limits{});
+        }
+        options.memory->on_give_way([this](memory_ledger::holder id) { give_way(id); });
     }
 
+    ~implementation() { options.memory->on_give_way({}); }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
     static asio::awaitable<void> accept_loop(std::shared_ptr<implementation> self);
     static asio::awaitable<void> serve(std::shared_ptr<implementation> self,
                                        std::shared_ptr<connection> caller);
@@ -73,6 +85,9 @@
     // Serves an accepted connection.
     void admit(tcp::socket socket);
 
+    // Frees the memory of a connection.
+    void give_way(memory_ledger::holder id);
+
     // Returns the requests that are being read or served.
     std::vector<request_state> open_requests() const;
 
@@ -97,8 +112,9 @@
 struct caller_server::implementation::connection final : response_writer,
                                                          std::enable_shared_from_this<connection>
 {
-    connection(tcp::socket accepted, implementation& owner)
-        : socket(std::move(accepted)), server(owner), timeout(socket.get_executor(), [this] {
+    connection(tcp::socket accepted, implementation& owner, memory_ledger::holder holder)
+        : socket(std::move(accepted)), server(owner), memory(*owner.options.memory, holder),
+          timeout(socket.get_executor(), [this] {
               if (writing && unacknowledged_bytes() < unacknowledged) {
                   limit_write();
                   return;
@@ -155,6 +171,8 @@
     {
         boost::system::error_code error;
         std::size_t written = 0;
+        // Always granted for the response of a request that has run.
+        const std::size_t charged = memory.add(bytes.capacity()) ? bytes.capacity() : 0;
         writing = true;
         while (!error && written < bytes.size()) {
             limit_write();
@@ -164,6 +182,7 @@
             written += size;
             written_bytes += size;
         }
+        memory.remove(charged);
         timeout.clear();
         writing = false;
         last_write = boot_clock::now();
@@ -197,6 +216,7 @@
         if (!head_request) {
             bytes += body;
         }
+        body = {}; // a caller may read slowly
         response_complete = true;
         co_return co_await write(std::move(bytes));
     }
@@ -302,6 +322,21 @@
         limit_wait_for_close();
     }
 
+    // Frees memory: closes the connection if it waits for a request, or refuses the request that is
+    // being received.
+    void give_way()
+    {
+        gives_way = true;
+        if (waiting_for_request) {
+            if (!send_side_closed) {
+                close_when_idle();
+            }
+            return;
+        }
+        boost::system::error_code ignored; // a read that has ended is not interrupted
+        socket.cancel(ignored);
+    }
+
     // Takes the last response for received if the caller has closed its side or sent a request, and
     // logs it otherwise.
     void confirm_close(const boost::system::error_code& wait_error)
@@ -404,6 +439,7 @@
 
     tcp::socket socket;
     implementation& server;
+    connection_memory memory;
     lazy_deadline timeout;
     boost::beast::flat_buffer buffer{read_buffer_limit};
     std::shared_ptr<running_request> current; // being served
@@ -416,6 +452,7 @@
     bool timed_out = false;
     bool writing = false;
     bool awaiting_close = false;      // by the caller, after the last response
+    bool gives_way = false;           // another request needs its memory
     bool reading = false;             // a request, whose timeout is answered
     bool awaiting_request = true;     // no request was read completely since the last response
     bool waiting_for_request = false; // for its first byte
@@ -443,11 +480,15 @@
     while (caller->persistent && caller->socket.is_open()) {
         // Copied because a new configuration may replace the limits while the connection waits.
         const caller_limits limits = self->view.limits();
-        request_parser parser;
+        std::optional<request_parser> receiving(std::in_place);
+        request_parser& parser = *receiving;
         parser.header_limit(limits.header_size);
         parser.body_limit(limits.body_size);
         boost::system::error_code error;
         if (caller->buffer.size() == 0) {
+            caller->buffer.shrink_to_fit();
+            caller->memory.set_phase(holder_phase::idle);
+            caller->memory.resize(0);
             caller->waiting_for_request = true;
             caller->timeout.expires_after(limits.idle_timeout);
             if (self->closing_idle) {
@@ -471,11 +512,16 @@
         caller->timed_out = false;
         caller->reading = true;
         caller->timeout.expires_after(limits.header_timeout);
-        co_await http::async_read_header(caller->socket, caller->buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        read_end ended = read_end::refused;
+        if (caller->memory.set_phase(holder_phase::receiving)) {
+            ended = co_await internal::read_request(caller->socket, caller->buffer, parser,
+                                                    caller->memory, false, error);
+        }
         const time_point received = boot_clock::now();
         read_result outcome;
-        if (error) {
+        if (ended == read_end::refused || caller->gives_way) {
+            outcome = memory_refused;
+        } else if (error) {
             outcome = read_failure(error, caller->timed_out, true);
         } else if (const char* problem = framing_error(parser)) {
             outcome = {http_status::bad_request, problem, false};
@@ -496,10 +542,12 @@
                 caller->reading = true;
                 caller->timeout.expires_after(limits.header_timeout);
             }
-            co_await http::async_read(caller->socket, caller->buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
+            ended = co_await internal::read_request(caller->socket, caller->buffer, parser,
+                                                    caller->memory, true, error);
             --self->active_requests;
-            if (error) {
+            if (ended == read_end::refused || (caller->gives_way && !parser.is_done())) {
+                outcome = memory_refused;
+            } else if (error) {
                 outcome = read_failure(error, caller->timed_out, true);
             }
         }
@@ -515,8 +563,9 @@
             caller->end_request(true);
             break;
         }
-        caller->persistent = outcome.rejection_status == 0 && parser.get().keep_alive();
-        caller->head_request = parser.get().method() == http::verb::head;
+        caller->persistent =
+            outcome.rejection_status == 0 && parser.get().keep_alive() && !caller->gives_way;
+        caller->head_request = parser.is_header_done() && parser.get().method() == http::verb::head;
         caller->stream_started = false;
         caller->response_complete = false;
         result<caller_request> request =
@@ -528,12 +577,16 @@
             request = read_caller_request(std::move(method), std::move(target), message.base(),
                                           std::move(message.body()), self->names, received);
         }
+        receiving.reset();
         if (!request) {
-            log_event("request_malformed", {{"detail", request.error().detail}});
-            caller->persistent = false;
             const unsigned status =
                 outcome.rejection_status == 0 ? http_status::bad_request : outcome.rejection_status;
-            co_await caller->write_response(status, {}, {});
+            const bool refused = status == http_status::unavailable;
+            log_event(refused ? "request_not_received" : "request_malformed",
+                      {{"detail", request.error().detail}});
+            caller->persistent = false;
+            std::string headers = refused ? "Retry-After: 0.5\r\n" : "";
+            co_await caller->write_response(status, std::move(headers), {});
             caller->end_request();
             caller->unconfirmed = true;
             break;
@@ -552,6 +605,7 @@
             caller->awaiting_request = caller->persistent;
             continue;
         }
+        caller->memory.set_phase(holder_phase::kept);
         self->body_bytes += body_size;
         ++self->active_requests;
         caller->current = std::make_shared<running_request>(std::move(*request));
@@ -618,12 +672,31 @@
         log_event("connection_refused", {{"open", connections.size()}});
         return; // the destructor closes the socket
     }
+    boost::system::error_code error;
+    const auto remote = socket.remote_endpoint(error); // fails if the caller has left
+    const auto holder = options.memory->open(remote.address().to_string(),
+                                             internal::connection_size, boot_clock::now());
+    if (holder == 0) {
+        log_event("connection_refused",
+                  {{"open", connections.size()}, {"detail", memory_refused.detail}});
+        return;
+    }
     configure_socket(socket);
-    auto caller = std::make_shared<connection>(std::move(socket), *this);
+    auto caller = std::make_shared<connection>(std::move(socket), *this, holder);
     connections.insert(caller.get());
     spawn(context, "serve", serve(shared_from_this(), std::move(caller)));
 }
 
+void caller_server::implementation::give_way(memory_ledger::holder id)
+{
+    const auto found =
+        std::find_if(connections.begin(), connections.end(),
+                     [&](const connection* caller) { return caller->memory.id() == id; });
+    if (found != connections.end()) {
+        (*found)->give_way();
+    }
+}
+
 std::vector<request_state> caller_server::implementation::open_requests() const
 {
     std::vector<request_state> open;
--- a/libs/gateway/src/channel_pool.cpp
+++ b/libs/gateway/src/channel_pool.cpp
@@ -21,8 +21,10 @@
 
 } // namespace
 
-channel_pool::channel_pool(boost::asio::any_io_executor executor)
-    : executor_(std::move(executor)), memory_(std::make_shared<body_memory>(max_body_memory))
+channel_pool::channel_pool(boost::asio::any_io_executor executor,
+                           std::shared_ptr<memory_ledger> memory)
+    : executor_(std::move(executor)),
+      memory_(std::make_shared<body_memory>(max_body_memory, std::move(memory)))
 {
 }
 
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -37,6 +38,10 @@
 constexpr std::size_t frame_read_size = 64u << 10;          // bytes allocated before they arrive
 constexpr duration frame_timeout = std::chrono::seconds(5); // from its length to its last byte
 constexpr std::size_t queued_bytes_limit = 8u << 20; // per peer; above, the connection is closed
+// Open connections that peers have opened, in all and from one address. A peer uses one; a restart
+// may leave others open for some time.
+constexpr std::size_t max_accepted = 512;
+constexpr std::size_t max_accepted_from_address = 8;
 constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
 // Bytes of the length before each TCP message.
 constexpr std::size_t length_prefix_size = sizeof(std::uint32_t);
@@ -218,6 +223,13 @@
         }
     }
 
+    bool may_accept(const std::string& address) const
+    {
+        const auto same = accepted.find(address);
+        return accepted_in_all < max_accepted &&
+               (same == accepted.end() || same->second < max_accepted_from_address);
+    }
+
     static asio::awaitable<void> accept_peers(std::shared_ptr<implementation> self)
     {
         while (true) {
@@ -239,15 +251,35 @@
             if (error) {
                 continue;
             }
-            auto opened =
-                std::make_shared<connection>(std::move(socket), remote.address().to_string());
+            const std::string address = remote.address().to_string();
+            if (!self->may_accept(address)) {
+                log_event("peer_connection_refused",
+                          {{"peer", address}, {"open", self->accepted_in_all}});
+                continue; // the destructor closes the socket
+            }
+            ++self->accepted_in_all;
+            ++self->accepted[address];
+            auto opened = std::make_shared<connection>(std::move(socket), address);
             configure_socket(opened->socket);
             self->greet(opened);
             self->connections.try_emplace(opened->address, opened);
-            spawn(self->context, "read_messages", read_messages(self, opened));
+            spawn(self->context, "read_messages", read_accepted(self, opened));
         }
     }
 
+    static asio::awaitable<void> read_accepted(std::shared_ptr<implementation> self,
+                                               std::shared_ptr<connection> peer)
+    {
+        const auto forget = [&self](connection* ended) {
+            --self->accepted_in_all;
+            if (--self->accepted[ended->address] == 0) {
+                self->accepted.erase(ended->address);
+            }
+        };
+        const std::unique_ptr<connection, decltype(forget)> registration(peer.get(), forget);
+        co_await read_messages(self, peer);
+    }
+
     static asio::awaitable<void> read_messages(std::shared_ptr<implementation> self,
                                                std::shared_ptr<connection> peer)
     {
@@ -273,8 +305,19 @@
             }
             timeout.expires_after(frame_timeout);
             std::string bytes;
+            body_memory::share memory(self->options.memory);
             while (!error && bytes.size() < length) {
                 const std::size_t before = bytes.size();
+                if (before + frame_read_size > bytes.capacity() &&
+                    !memory.grow(3 * before + frame_read_size)) // both during the copy
+                {
+                    log_event("peer_message_refused",
+                              {{"peer", peer->address},
+                               {"bytes", length},
+                               {"detail", "the instance's memory is in use"}});
+                    error = asio::error::no_memory;
+                    break;
+                }
                 bytes.resize(std::min<std::size_t>(length, before + frame_read_size));
                 const asio::mutable_buffer next =
                     asio::buffer(bytes.data() + before, bytes.size() - before);
@@ -454,6 +497,8 @@
     asio::steady_timer heartbeat_timer;
     random_source random;
     std::map<std::string, std::shared_ptr<connection>> connections; // by peer address
+    std::size_t accepted_in_all = 0;             // open connections that peers have opened
+    std::map<std::string, std::size_t> accepted; // the same by address; zeros are removed
     message_handler handle_message;
     loss_handler handle_loss;
     part_quarantine* quarantine = nullptr;
