--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -41,7 +41,7 @@
 // Open connections that peers have opened, in all and from one address. A peer uses one; a restart
 // may leave others open for some time.
 constexpr std::size_t max_accepted = 512;
-constexpr std::size_t max_accepted_from_address = 8;
+constexpr std::size_t max_accepted_from_address = 32;
 constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
 // Bytes of the length before each TCP message.
 constexpr std::size_t length_prefix_size = sizeof(std::uint32_t);
