Read a stream on while its caller takes earlier events

A slow caller left its endpoint's response unread, and endpoints cut such responses off.

Measured: slow_reader_test failed without the change (the endpoint cut the stream off) and passes with it. That a stream that is cut off beyond the bound does not end as complete, and that a deadline ends a request after the write in progress, held before too (never red). Not built: a choice of endpoints that counts the bytes that they hold.

--- a/libs/gateway/include/quetzal/gateway/channel_pool.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel_pool.hpp
@@ -29,6 +29,9 @@
     // in the catalog, and those that the endpoint has closed or on which it sends unexpected bytes.
     void prune(const catalog& view, time_point now);
 
+    // Returns the bound of the memory of all response bodies.
+    const std::shared_ptr<body_memory>& memory() const noexcept { return memory_; }
+
     // Returns the number of connections opened so far, including failed attempts.
     std::uint64_t opened_connections() const noexcept { return opened_; }
 
--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -29,6 +29,10 @@
 
 namespace quetzal::gateway {
 
+namespace internal {
+class stream_outbox;
+}
+
 class request_flow
 {
 public:
@@ -163,6 +167,14 @@
     relay_stream(const request_ptr& request, response_writer& writer, attempt_state& state,
                  const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
                  serving::attempt_outcome& outcome);
+    // Reads the events of a stream into the outbox, until the stream ends or fails.
+    boost::asio::awaitable<attempt_result>
+    relay_events(const request_ptr& request, response_writer& writer,
+                 internal::stream_outbox& outbox, attempt_state& state,
+                 const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
+                 serving::attempt_outcome& outcome);
+    // Aborts a request whose caller no longer takes its stream.
+    static attempt_failure fail_unread(running_request& request);
     std::string request_head(const running_request& request, const attempt_state& state,
                              const chosen_endpoint& chosen, time_point now) const;
     // Returns the refusal of a request with a part that is quarantined, if any. `sending` means
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <exception>
 #include <utility>
 
 #include <quetzal/gateway/decision_log.hpp>
@@ -9,7 +10,7 @@
 #include <quetzal/gateway/http_status.hpp>
 #include <quetzal/gateway/request_flow.hpp>
 
-#include "request_priority.hpp"
+#include "stream_outbox.hpp"
 
 namespace quetzal::gateway {
 
@@ -133,41 +134,6 @@
     return state.retry_reserved;
 }
 
-std::string request_flow::request_head(const running_request& request, const attempt_state& state,
-                                       const chosen_endpoint& chosen, time_point now) const
-{
-    const auto& message = request.message;
-    std::string head = message.method + " " + message.target + " HTTP/1.1\r\n";
-    head += message.forwarded_headers;
-    const auto add = [&](const std::string& name, const std::string& value) {
-        head += name + ": " + value + "\r\n";
-    };
-    add(names_.deadline,
-        std::to_string(std::max<std::int64_t>(whole_milliseconds(request.deadline - now), 1)));
-    add(names_.expected_endpoint, chosen.target.id);
-    if (!request.caller.customer.empty()) {
-        add(names_.customer, request.caller.customer);
-    }
-    const auto& last_id = state.events.last_id();
-    if (last_id || !message.last_event_id.empty()) {
-        add(names_.last_event_id, last_id.value_or(message.last_event_id));
-    }
-    if (!request.matched->stages.empty()) {
-        std::string inputs;
-        for (const auto& handle : state.inputs) {
-            inputs += inputs.empty() ? handle : "," + handle;
-        }
-        add(names_.inputs, inputs);
-    }
-    if (request.matched->kind == route_kind::stream) {
-        add(names_.priority, std::to_string(internal::endpoint_priority(request.priority)));
-    }
-    if (!message.body.empty() || (message.method != "GET" && message.method != "HEAD")) {
-        add("Content-Length", std::to_string(message.body.size()));
-    }
-    return head + "\r\n";
-}
-
 asio::awaitable<request_flow::attempt_result> request_flow::attempt(const request_ptr& request,
                                                                     response_writer& writer,
                                                                     attempt_state& state,
@@ -411,6 +377,41 @@
     if (!writer.has_started_stream()) {
         state.stream_headers = forwarded_response_headers(connection->headers());
     }
+    const auto outbox = std::make_shared<internal::stream_outbox>(
+        context_, writer, state.stream_headers, channels_.memory());
+    attempt_result ended = attempt_failure{};
+    std::exception_ptr thrown;
+    try {
+        ended = co_await relay_events(request, writer, *outbox, state, chosen, connection, outcome);
+    } catch (...) {
+        thrown = std::current_exception(); // rethrown when `writer` is no longer in use
+    }
+    if (thrown || request->abort_reason()) {
+        outbox->discard();
+    }
+    const bool written = co_await outbox->finish();
+    if (thrown) {
+        std::rethrow_exception(thrown);
+    }
+    if (!written && !request->abort_reason()) {
+        co_return fail_unread(*request);
+    }
+    co_return ended;
+}
+
+request_flow::attempt_failure request_flow::fail_unread(running_request& request)
+{
+    request.abort(
+        {verdict::may_have_run, reason::cancelled, "the caller closed the connection", {}});
+    return attempt_failure{*request.abort_reason()};
+}
+
+asio::awaitable<request_flow::attempt_result>
+request_flow::relay_events(const request_ptr& request, response_writer& writer,
+                           internal::stream_outbox& outbox, attempt_state& state,
+                           const chosen_endpoint& chosen, std::shared_ptr<channel> connection,
+                           serving::attempt_outcome& outcome)
+{
     state.events.discard_partial_event();
     const time_point started = boot_clock::now() - outcome.latency;
     silence_watch silence(*this, *request, state, chosen, writer, *connection);
@@ -452,15 +453,9 @@
             }
             request->phase = request_phase::stream;
             const std::uint64_t passed = state.events.taken();
-            const bool written = co_await writer.write_stream_part(200, state.stream_headers,
-                                                                   std::move(events), last);
-            if (!written) {
-                request->abort({verdict::may_have_run,
-                                reason::cancelled,
-                                "the caller closed the connection",
-                                {}});
+            if (!co_await outbox.add(std::move(events), last)) {
                 connection->close();
-                co_return attempt_failure{*request->abort_reason()};
+                co_return fail_unread(*request);
             }
             record_events(request->progress, passed, boot_clock::now());
             silence.start(stream_stall_timeout);
