Admit stage jobs by the share of their customer

Cause: a job waited, by the estimate, for all work of its priority, so that one customer's flood got the jobs of all customers refused.

Change: of another customer with the same priority, the estimate counts no more work than the job's own customer has, as the order of pieces serves customers by their shares.

Without the change stage_pressure_test fails ("95 in 100 jobs of a small customer meet the latency target").

--- a/libs/gateway/include/quetzal/gateway/stage_backlog.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_backlog.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <quetzal/base/time.hpp>
@@ -15,24 +16,30 @@
 
 namespace quetzal::gateway {
 
+// The job that needs the work.
+struct work_origin
+{
+    std::string zone; // availability zone that the job prefers; may be empty
+    std::int32_t priority = 0;
+    std::string customer; // may be empty
+};
+
 class stage_backlog
 {
 public:
     explicit stage_backlog(const catalog& view) : view_(view) {}
 
-    // Adds the work of pieces of a job, or removes it when they are done or cancelled. `zone` is
-    // the availability zone that the job prefers; it may be empty.
-    void add(const std::string& service, const std::string& zone, std::int32_t priority,
-             std::uint32_t pieces);
-    void remove(const std::string& service, const std::string& zone, std::int32_t priority,
-                std::uint32_t pieces);
+    // Adds the work of pieces of a job, or removes it when they are done or cancelled.
+    void add(const std::string& service, const work_origin& origin, std::uint32_t pieces);
+    void remove(const std::string& service, const work_origin& origin, std::uint32_t pieces);
 
     // Adds the work of an admitted job to the arrival rate.
     void record_arrival(const stage_job& content, time_point now);
 
-    // Returns the time until `workers` endpoints have finished all committed work that is at least
-    // as urgent as `priority`, while more urgent work keeps arriving.
-    duration expected_wait(const std::string& service, std::int32_t priority,
+    // Returns the time until `workers` endpoints have finished the committed work that goes before
+    // a new job's pieces, while more urgent work keeps arriving. Of another customer with the same
+    // priority, no more work goes first than the job's customer has itself, with these pieces.
+    duration expected_wait(const job_stage& stage, const stage_job& content,
                            std::size_t workers) const;
 
     // Considers the availability zones that have endpoints of all services of the job. Returns the
@@ -43,7 +50,8 @@
 private:
     struct service_state
     {
-        std::map<std::int32_t, duration> committed;        // by priority
+        // By priority and customer.
+        std::map<std::pair<std::int32_t, std::string>, duration> committed;
         std::map<std::string, duration> committed_in_zone; // by zone, of jobs that prefer one
         // By priority: work that arrives per second, smoothed.
         std::map<std::int32_t, double> arrival_rate;
@@ -51,8 +59,7 @@
     };
 
     duration work_for(const std::string& service, std::uint32_t pieces) const;
-    void adjust(const std::string& service, const std::string& zone, std::int32_t priority,
-                duration work);
+    void adjust(const std::string& service, const work_origin& origin, duration work);
 
     const catalog& view_;
     std::map<std::string, service_state> services_;
--- a/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
+++ b/libs/gateway/include/quetzal/gateway/stage_scheduler.hpp
@@ -156,6 +156,8 @@
         bool has_calls = false; // a call has carried one of its pieces
         bool finished = false;  // its results are held for the request
         time_point finished_at;
+
+        work_origin origin() const { return {zone, priority, customer}; }
     };
 
     struct waiting_piece
--- a/libs/gateway/src/stage_backlog.cpp
+++ b/libs/gateway/src/stage_backlog.cpp
@@ -23,28 +23,29 @@
     return piece * pieces / std::max(capacity.slots, 1u);
 }
 
-void stage_backlog::adjust(const std::string& service, const std::string& zone,
-                           std::int32_t priority, duration work)
+void stage_backlog::adjust(const std::string& service, const work_origin& origin, duration work)
 {
     service_state& state = services_[service];
-    duration& committed = state.committed[priority];
-    committed = std::max(committed + work, duration::zero());
-    if (!zone.empty()) {
-        duration& zone_work = state.committed_in_zone[zone];
+    const auto entry = state.committed.try_emplace({origin.priority, origin.customer}).first;
+    entry->second = std::max(entry->second + work, duration::zero());
+    if (entry->second == duration::zero()) {
+        state.committed.erase(entry);
+    }
+    if (!origin.zone.empty()) {
+        duration& zone_work = state.committed_in_zone[origin.zone];
         zone_work = std::max(zone_work + work, duration::zero());
     }
 }
 
-void stage_backlog::add(const std::string& service, const std::string& zone, std::int32_t priority,
-                        std::uint32_t pieces)
+void stage_backlog::add(const std::string& service, const work_origin& origin, std::uint32_t pieces)
 {
-    adjust(service, zone, priority, work_for(service, pieces));
+    adjust(service, origin, work_for(service, pieces));
 }
 
-void stage_backlog::remove(const std::string& service, const std::string& zone,
-                           std::int32_t priority, std::uint32_t pieces)
+void stage_backlog::remove(const std::string& service, const work_origin& origin,
+                           std::uint32_t pieces)
 {
-    adjust(service, zone, priority, -work_for(service, pieces));
+    adjust(service, origin, -work_for(service, pieces));
 }
 
 void stage_backlog::record_arrival(const stage_job& content, time_point now)
@@ -65,16 +66,26 @@
     }
 }
 
-duration stage_backlog::expected_wait(const std::string& service, std::int32_t priority,
+duration stage_backlog::expected_wait(const job_stage& stage, const stage_job& content,
                                       std::size_t workers) const
 {
-    const auto state = services_.find(service);
+    const auto state = services_.find(stage.service);
     if (state == services_.end()) {
         return duration::zero();
     }
+    const std::int32_t priority = content.priority;
+    const auto& committed = state->second.committed;
+    const auto own = committed.find({priority, content.customer});
+    const duration fair_part = (own == committed.end() ? duration::zero() : own->second) +
+                               work_for(stage.service, stage.pieces);
     duration work_ahead{};
-    for (const auto& [other, work] : state->second.committed) {
-        work_ahead += other <= priority ? work : duration::zero();
+    for (const auto& [origin, work] : committed) {
+        const auto& [other_priority, customer] = origin;
+        if (other_priority < priority) {
+            work_ahead += work;
+        } else if (other_priority == priority) {
+            work_ahead += customer == content.customer ? work : std::min(work, fair_part);
+        }
     }
     double arrival_rate = 0; // more urgent work, in seconds of endpoint time per second
     for (const auto& [other, work] : state->second.arrival_rate) {
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -75,8 +75,8 @@
         }
         // Endpoints process their committed work while earlier stages run.
         const duration begin = std::max(
-            finished[index], backlog_.expected_wait(stage.service, content.priority,
-                                                    workers_.active_count(stage.service, now)));
+            finished[index],
+            backlog_.expected_wait(stage, content, workers_.active_count(stage.service, now)));
         finished[index] = begin + own;
         last = std::max(last, finished[index]);
     }
@@ -129,7 +129,7 @@
     }
     for (const job_stage& stage : job.stages) {
         job.pending.push_back(stage.pieces);
-        backlog_.add(stage.service, job.zone, job.priority, stage.pieces);
+        backlog_.add(stage.service, job.origin(), stage.pieces);
     }
     if (job.plan.finished()) {
         end_job(number, job_status::done, now, actions);
@@ -142,7 +142,7 @@
 void stage_scheduler::remove_pending_work(const running_job& job)
 {
     for (std::size_t stage = 0; stage < job.stages.size(); ++stage) {
-        backlog_.remove(job.stages[stage].service, job.zone, job.priority, job.pending[stage]);
+        backlog_.remove(job.stages[stage].service, job.origin(), job.pending[stage]);
     }
 }
 
@@ -576,7 +576,7 @@
     running_job& job = found->second;
     if (!job.plan.has_result(piece.stage, piece.piece)) {
         --job.pending[piece.stage];
-        backlog_.remove(job.stages[piece.stage].service, job.zone, job.priority, 1);
+        backlog_.remove(job.stages[piece.stage].service, job.origin(), 1);
     }
     release_handles(job.plan.record_result(piece.stage, piece.piece, std::move(handle)), actions);
     if (job.plan.finished()) {
--- a/libs/gateway/src/stages/stage_pressure_test.cpp
+++ b/libs/gateway/src/stages/stage_pressure_test.cpp
@@ -1,3 +1,4 @@
+#include <map>
 #include <set>
 
 #include <quetzal/testing/section.hpp>
@@ -26,6 +27,32 @@
 
 } // namespace
 
+// One customer sends ten times as much as the others, and together they need twice the capacity.
+// Guards against refusals and delays of the customers that send no more than their share.
+Test(stage_pressure, customer_with_ten_times_its_share)
+{
+    constexpr milliseconds target(1200);
+    simulated_pool pool(3, lookup_capacity());
+    std::map<std::string, std::set<job_number>> jobs;
+    for (int round = 0; round < 60; ++round) { // per second: 280 pieces; capacity: 128 pieces
+        for (int number = 0; number < 10; ++number) {
+            jobs["large"].insert(pool.submit(2, priority_of_route, target, 0, seconds(6), "large"));
+        }
+        for (const char* customer : {"a", "b", "c", "d"}) {
+            jobs[customer].insert(
+                pool.submit(2, priority_of_route, target, 0, seconds(6), customer));
+        }
+        pool.advance(milliseconds(100));
+    }
+    pool.advance(milliseconds(4000));
+    for (const char* customer : {"a", "b", "c", "d"}) {
+        check(in_time(pool, jobs[customer], target) >= 0.95,
+              "95 in 100 jobs of a small customer meet the latency target");
+    }
+    check(in_time(pool, jobs["large"], target) >= 0.2,
+          "the large customer gets the rest of the capacity");
+}
+
 // Less urgent jobs wait for the next calls when a burst of urgent jobs with more time comes. Guards
 // against late jobs while the endpoints can serve all of them in time.
 Test(stage_pressure, burst_with_time_to_spare)
