Gateway: tests of the largest body in calm and of a refused body

The ledger's test of the reserve was refused by the share of the address instead of the reserve; its requests now come from two addresses.

--- a/libs/gateway/src/caller_server_test.cpp
+++ b/libs/gateway/src/caller_server_test.cpp
@@ -32,9 +32,16 @@
 // A server that responds to every request with the body of the request, and one connection to it.
 struct server_fixture
 {
-    server_fixture()
+    explicit server_fixture(std::size_t body_memory = 1u << 20,
+                            std::shared_ptr<memory_ledger> memory = {})
         : names(test_names()),
-          server(context, {{asio::ip::make_address("127.0.0.1"), 0}, 16, 1u << 20}, view, names,
+          server(context,
+                 {{asio::ip::make_address("127.0.0.1"), 0},
+                  16,
+                  body_memory,
+                  std::chrono::seconds(5),
+                  std::move(memory)},
+                 view, names,
                  [this](std::shared_ptr<running_request> request,
                         response_writer& writer) -> asio::awaitable<void> {
                      ++served;
@@ -241,3 +248,57 @@
         check(connection.server.open_connections() == 0, "the connection is closed after 2 s");
     });
 }
+
+// Guards against a ledger that refuses the largest body that the configuration allows while the
+// instance has nothing else to do, at the memory of the smallest machines.
+Test(caller_server, the_largest_body_is_served_in_calm)
+{
+    constexpr std::size_t machine_memory = 160u << 20; // bytes
+    const std::size_t size = caller_limits{}.body_size;
+    const auto answer_size = [&](const std::string& text) {
+        memory_limits limits;
+        limits.total = machine_memory / 2;
+        server_fixture connection(machine_memory / 3, std::make_shared<memory_ledger>(limits));
+        connection.caller.non_blocking(true);
+        std::size_t sent = 0;
+        std::string response;
+        for (int turn = 0; turn < 2000 && response.size() < size; ++turn) {
+            boost::system::error_code error; // nothing can be sent or read now
+            sent += connection.caller.write_some(
+                asio::buffer(text.data() + sent, text.size() - sent), error);
+            std::string part(connection.caller.available(error), '\0');
+            part.resize(connection.caller.read_some(asio::buffer(part), error));
+            response += part;
+            connection.run(std::chrono::milliseconds(2));
+        }
+        check(is_success(response), "it is served: " + response.substr(0, 100));
+    };
+    const std::string head = "POST /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\n";
+    section("given a body with a length", [&] {
+        answer_size(head + "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
+                    std::string(size, 'a'));
+    });
+    section("given chunks", [&] {
+        std::string text = head + "Transfer-Encoding: chunked\r\n\r\n";
+        for (std::size_t rest = size; rest > 0; rest -= 4096) {
+            text += "1000\r\n" + std::string(4096, 'a') + "\r\n";
+        }
+        answer_size(text + "0\r\n\r\n");
+    });
+}
+
+// Guards against a request that is read without memory for it, or whose refusal does not tell that
+// it has not run.
+Test(caller_server, a_body_without_memory_is_refused)
+{
+    memory_limits limits;
+    limits.total = 256u << 10;
+    server_fixture connection(1u << 20, std::make_shared<memory_ledger>(limits));
+    std::string text = "POST /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\n";
+    const auto response = connection.exchange(text + "Transfer-Encoding: chunked\r\n\r\n40000\r\n" +
+                                              std::string(0x40000, 'a'));
+    check(response.starts_with("HTTP/1.1 503"), response);
+    check(response.find("Retry-After: 0.5\r\n") != std::string::npos, response);
+    check(response.find("Connection: close\r\n") != std::string::npos, response);
+    check(connection.served == 0, "it has not run");
+}
--- a/libs/gateway/src/memory_ledger_test.cpp
+++ b/libs/gateway/src/memory_ledger_test.cpp
@@ -123,7 +123,7 @@
     fixture.receive(690 * kb, 0s);
     const auto small = fixture.receive(50 * kb, 100ms);
     check(small != 0 && fixture.left.empty(), "a small request has room");
-    const auto large = fixture.receive(kb, 100ms);
+    const auto large = fixture.receive(kb, 100ms, "other");
     check(!fixture.ledger.resize(large, 80 * kb, fixture.start + 100ms), "a large one has none");
 }
 
