Cold endpoints: count silent instances in the order of those that may send

An instance that heard no peer took itself for the first in the order of a cold endpoint. While all instances were cut off from each other, each sent one request per second: in a simulated fleet of 76 more than the cold rate allows.

fresh_endpoints_test fails without this change.

--- a/libs/gateway/include/quetzal/gateway/member_table.hpp
+++ b/libs/gateway/include/quetzal/gateway/member_table.hpp
@@ -193,6 +193,10 @@
     // Returns the number of live instances whose rendezvous score for the key is above this one's.
     std::size_t rank_for(std::string_view key, time_point now) const;
 
+    // The same among the instances that `recent_size` counts. For fleet-wide limits: instances that
+    // are out of touch must not all take themselves for the first.
+    std::size_t recent_rank_for(std::string_view key, time_point now) const;
+
     // Returns the address of the instance that has the role named by the key. Candidates are the
     // live instances that have a configuration, are not leaving and are not excluded after a lost
     // connection; settled ones go first, then those on the machine with the highest capacity. Among
--- a/libs/gateway/src/endpoint_pools.cpp
+++ b/libs/gateway/src/endpoint_pools.cpp
@@ -191,7 +191,7 @@
             target == nullptr || !view.accepts_work(*target) ||
             (target->cold_until > now &&
              !cold_.try_acquire(target->id, definition->cold_rate, members.recent_size(now),
-                                members.rank_for(target->id, now), now));
+                                members.recent_rank_for(target->id, now), now));
         if (refused) {
             avoid.push_back(picked->endpoint);
             continue;
--- a/libs/gateway/src/endpoints/fresh_endpoints_test.cpp
+++ b/libs/gateway/src/endpoints/fresh_endpoints_test.cpp
@@ -56,7 +56,7 @@
         time_point end;
     };
 
-    explicit fleet(std::size_t size)
+    explicit fleet(std::size_t size, bool heartbeats = true) : in_touch(heartbeats)
     {
         published_configuration configuration;
         configuration.version = 1;
@@ -80,7 +80,7 @@
         for (const auto& one : instances) {
             one->members.merge_heartbeat(all, now);
         }
-        next_heartbeat = now + seconds(1);
+        next_heartbeat = in_touch ? now + seconds(1) : time_point::max();
     }
 
     void list(std::size_t number, std::uint64_t started, time_point cold_until)
@@ -144,7 +144,8 @@
     }
 
     catalog view;
-    heartbeat all; // the records of all instances
+    heartbeat all;        // the records of all instances
+    bool in_touch = true; // heartbeats are exchanged after the start too
     time_point next_heartbeat{};
     std::vector<std::unique_ptr<instance>> instances;
     std::deque<open_call> open;
@@ -209,3 +210,23 @@
         check(most >= 6, "half of the slack-free rate is used");
     }
 }
+
+// Guards against a crash of cold endpoints while the instances are cut off from each other: each
+// took itself for the first of those that may send.
+Test(fresh_endpoints, cold_rate_holds_while_instances_are_out_of_touch)
+{
+    fleet gateways(76, false);
+    time_point now = start;
+    const time_point returned = start + seconds(5);
+    for (std::size_t number = 0; number < endpoint_count; ++number) {
+        gateways.list(number, 1, returned + cold_period);
+    }
+    gateways.refresh(now);
+    now = returned;
+    gateways.send(now, returned + cold_period, 1500);
+    for (std::size_t number = 0; number < endpoint_count; ++number) {
+        const std::size_t most =
+            gateways.most_in_a_second(number, returned, returned + cold_period);
+        check(static_cast<double>(most) <= most_per_second, "the cold rate holds");
+    }
+}
--- a/libs/gateway/src/member_table.cpp
+++ b/libs/gateway/src/member_table.cpp
@@ -281,6 +281,17 @@
         }));
 }
 
+std::size_t member_table::recent_rank_for(std::string_view key, time_point now) const
+{
+    const std::uint64_t hash = stable_hash(key);
+    const std::uint64_t own = rendezvous_score(hash, self_.address);
+    return static_cast<std::size_t>(
+        std::count_if(others_.begin(), others_.end(), [&](const auto& entry) {
+            return now - entry.second.last_alive <= options_.retention &&
+                   rendezvous_score(hash, entry.first) > own;
+        }));
+}
+
 std::vector<member_record> member_table::live(time_point now) const
 {
     std::vector<member_record> records;
