request_flow_test: expect the resumed stream at whichever endpoint comes second

The test assumed that the first endpoint of a pool is always tried first, which was the fault mended in the choice among endpoints of equal cost. It now requires one attempt at each of the two endpoints and the position of the resumed stream in exactly one of them.

--- a/libs/gateway/src/request_flow_test.cpp
+++ b/libs/gateway/src/request_flow_test.cpp
@@ -251,11 +251,13 @@
         check(response.body_.starts_with(event(0) + event(1)), "complete events are forwarded");
         check(response.body_.find("da\n") == std::string::npos,
               "the partial event is not forwarded");
-        const std::string resumed = gateway.endpoints[0]->requests().size() == 1
-                                        ? gateway.endpoints[1]->requests().front()
-                                        : std::string();
-        check(resumed.find("Last-Event-Id: 1\r\n") != std::string::npos,
-              "another endpoint resumes after the last complete event");
+        int resumed = 0;
+        for (const auto& endpoint : gateway.endpoints) {
+            check(endpoint->requests().size() == 1, "each endpoint gets one attempt");
+            const auto& request = endpoint->requests().front();
+            resumed += request.find("Last-Event-Id: 1\r\n") != std::string::npos ? 1 : 0;
+        }
+        check(resumed == 1, "another endpoint resumes after the last complete event");
     });
     section("given a stream that may not be resumed", [] {
         gateway_fixture gateway(route_kind::stream, false,
