--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -230,8 +231,8 @@
     gateway_fixture(route_kind kind, bool resumable,
                     std::vector<std::vector<scripted_response>> endpoint_responses,
                     retry_budget_options budget = {0.2, 52, std::chrono::seconds(10)},
-                    stage_protocol stages = {})
-        : members({}, self(), boot_clock::now() - std::chrono::seconds(10)), pools({"z", {}, 1}),
+                    stage_protocol stages = {}, std::uint64_t seed = 1)
+        : members({}, self(), boot_clock::now() - std::chrono::seconds(10)), pools({"z", {}, seed}),
           channels(context.get_executor()), peers(context, {"127.0.0.1", 0, 0, {}}, members),
           coordinator(context, view, channels, members, peers, names, std::move(stages), {}),
           flow(context, view, pools, channels, coordinator, members, quarantine, names, budget,
--- a/libs/gateway/src/reset_response_test.cpp
+++ b/libs/gateway/src/reset_response_test.cpp
@@ -104,8 +104,9 @@
 struct early_gateway
 {
     early_gateway(route_kind kind, const std::string& answer, ending then,
-                  const std::vector<scripted_response>& other = {})
-        : gateway(kind, kind == route_kind::stream && !other.empty(), endpoints(other)),
+                  const std::vector<scripted_response>& other = {}, std::uint64_t seed = 1)
+        : gateway(kind, kind == route_kind::stream && !other.empty(), endpoints(other),
+                  {0.2, 52, std::chrono::seconds(10)}, {}, seed),
           early(gateway.context, answer, then)
     {
         gateway.configuration.routes.front().timeout = seconds(4);
@@ -235,8 +236,10 @@
         const scripted_response interrupted{stream_response_head("1") + chunk(event(0)), true};
         const std::string rest = unframed_head + event(1);
         int resumed = 0;
-        for (int attempt = 0; attempt < 8 && resumed == 0; ++attempt) {
-            early_gateway played(route_kind::stream, rest, ending::end_then_reset, {interrupted});
+        // The seed decides which endpoint is tried first.
+        for (std::uint64_t seed = 1; seed <= 8 && resumed == 0; ++seed) {
+            early_gateway played(route_kind::stream, rest, ending::end_then_reset, {interrupted},
+                                 seed);
             const auto response = played.upload(40u << 10);
             if (played.early.requests() == 1 && response.body_.starts_with(event(0))) {
                 ++resumed;
