--- a/libs/gateway/src/request_flow_fixture.hpp
+++ b/libs/gateway/src/request_flow_fixture.hpp
@@ -4,11 +4,11 @@
 // A request flow with endpoints on raw sockets that fail in different ways. Used only by tests.
 
 #include <array>
+#include <cstdint>
 #include <cstdio>
 #include <deque>
 #include <functional>
 #include <memory>
-#include <cstdint>
 #include <string>
 #include <vector>
 
