--- a/libs/gateway/include/quetzal/gateway/event_splitter.hpp
+++ b/libs/gateway/include/quetzal/gateway/event_splitter.hpp
@@ -3,7 +3,8 @@
 
 // Splits the bytes of a server-sent event stream into complete events, so that an event cut short
 // by an endpoint, or bytes that are no event, are never forwarded. Every line of an event is a
-// field with a name, a colon and a value, or a comment.
+// field with a name, a colon and a value, or a comment, and ends with LF or CRLF. An empty line
+// ends the event.
 
 #include <cstdint>
 #include <optional>
@@ -38,9 +39,9 @@
     // Returns the number of buffered bytes.
     std::size_t pending_size() const noexcept { return pending_.size(); }
 
-    // Removes and returns the remaining bytes, for a stream that is complete but lacks the final
-    // empty line; returns nothing if they are malformed. Updates `last_id`.
-    std::string take_remainder();
+    // Removes and returns the additional empty lines after the last event of a stream that has
+    // ended outside an event; returns nothing if they are malformed.
+    std::string take_final_lines();
 
     // Discards the incomplete event before another endpoint continues the stream.
     void discard_partial_event()
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::string_view event_end = "\n\n";
-constexpr std::string_view event_end_crlf = "\r\n\r\n";
+constexpr std::string_view event_end_crlf = "\n\r\n"; // also after a line that ends with LF alone
 constexpr std::string_view id_field = "id:";
 
 std::size_t end_of_last_event(std::string_view bytes)
@@ -100,21 +100,12 @@
     return events;
 }
 
-std::string event_splitter::take_remainder()
+std::string event_splitter::take_final_lines()
 {
-    std::string remainder = std::exchange(pending_, {});
+    std::string lines = std::exchange(pending_, {});
     searched_ = 0;
-    const checked_events checked = check_lines(remainder);
-    malformed_ = malformed_ || checked.malformed;
-    if (malformed_) {
-        return {};
-    }
-    // The last event may lack its empty line.
-    const std::string_view rest = std::string_view(remainder).substr(checked.size);
-    const bool has_rest = rest.find_first_not_of("\r\n") != std::string_view::npos;
-    taken_ += checked.events + (has_rest ? 1 : 0);
-    update_last_id(remainder);
-    return remainder;
+    malformed_ = malformed_ || check_lines(lines).malformed;
+    return malformed_ ? std::string() : lines;
 }
 
 void event_splitter::update_last_id(std::string_view events)
--- a/libs/gateway/src/event_splitter_test.cpp
+++ b/libs/gateway/src/event_splitter_test.cpp
@@ -55,12 +55,19 @@
         splitter.add(events);
         check(splitter.take_complete_events() == events, "the events are returned");
     });
+    section("given line ends of both kinds", [] {
+        for (const std::string events : {"data: x\n\r\n", "data: x\r\n\n"}) {
+            event_splitter splitter;
+            splitter.add(events);
+            check(splitter.take_complete_events() == events, "the event is returned");
+        }
+    });
     section("given an empty line more than needed", [] {
         event_splitter splitter;
         splitter.add("data: x\n\n\ndata: y\n\n\n");
         check(splitter.take_complete_events() == "data: x\n\n\ndata: y\n\n",
               "the events are returned");
-        check(splitter.take_remainder() == "\n", "the empty line is returned at the end");
+        check(splitter.take_final_lines() == "\n", "the empty line is returned at the end");
     });
     section("given an id field inside a data field", [] {
         event_splitter splitter;
@@ -82,7 +89,7 @@
         splitter.add(whole + malformed + "id: 6\ndata: z\n\nid: 7");
         check(splitter.take_complete_events().starts_with(whole), "the whole event is returned");
         check(splitter.is_malformed(), "the malformed event is noticed");
-        check(splitter.take_remainder().empty(), "nothing is returned after it");
+        check(splitter.take_final_lines().empty(), "nothing is returned after it");
         check(splitter.last_id() == "4", "the last id is that of the whole event");
         section("when another endpoint continues the stream", [&] {
             splitter.discard_partial_event();
@@ -105,14 +112,14 @@
         splitter.add("data: z\n\n");
         splitter.take_complete_events();
         check(splitter.taken() == 3, "the third one counts when it is complete");
-        check(splitter.take_remainder().empty() && splitter.taken() == 3, "nothing is left");
+        check(splitter.take_final_lines().empty() && splitter.taken() == 3, "nothing is left");
     });
     section("given a last event without an empty line", [] {
         event_splitter splitter;
         splitter.add("data: x\n\ndata: y\n");
-        splitter.take_complete_events();
-        splitter.take_remainder();
-        check(splitter.taken() == 2, "both count");
+        check(splitter.take_complete_events() == "data: x\n\n" && splitter.taken() == 1,
+              "only the event before it counts");
+        check(splitter.is_inside_event(), "it is not complete");
     });
     section("given an additional empty line", [] {
         event_splitter splitter;
@@ -120,7 +127,7 @@
         splitter.take_complete_events();
         splitter.add("data: y\n\n\n");
         splitter.take_complete_events();
-        splitter.take_remainder();
+        splitter.take_final_lines();
         check(splitter.taken() == 2, "it does not count");
     });
     section("given bytes that are no event", [] {
--- a/libs/gateway/src/misplaced_response_test.cpp
+++ b/libs/gateway/src/misplaced_response_test.cpp
@@ -146,13 +146,6 @@
         check(response.body_ == event(0) + event(1) && response.complete_,
               "another endpoint continues it");
     });
-    section("given a stream with a length that lacks the last empty line", [] {
-        gateway_fixture gateway(route_kind::stream, false,
-                                {{{response_with("1", "id: 0\ndata: e0\n")}}});
-        const auto response = gateway.serve("1");
-        check(response.body_ == "id: 0\ndata: e0\n" && response.complete_,
-              "the length shows that it is complete");
-    });
     section("given an empty stream without a length", [] {
         gateway_fixture gateway(route_kind::stream, false, {{{unframed_head("1"), true}}});
         const auto response = gateway.serve("1");
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -50,6 +50,22 @@
     }
 }
 
+// Returns why the end of a response's body is not the end of its stream; empty if it is. The
+// framing of the body does not tell: a server ends it properly also when what writes the events has
+// stopped.
+std::string describe_early_end(const running_request& request, const event_splitter& events,
+                               bool has_events, const channel& connection)
+{
+    if (events.is_inside_event()) {
+        return "the stream ended inside an event";
+    }
+    // A stream that goes on after an event may have nothing to add.
+    const bool resumed = events.last_id() || !request.message.last_event_id.empty();
+    const bool may_be_empty =
+        connection.has_length() && (resumed || request.message.method == "HEAD");
+    return has_events || may_be_empty ? "" : "the stream ended before its first event";
+}
+
 std::string_view header_value(const channel::fields& headers, const std::string& name)
 {
     const auto value = headers[name];
@@ -409,16 +425,15 @@
             co_return silence.describe(more.error());
         }
         state.events.add(bytes);
-        bool last = !*more;
         std::string events = state.events.take_complete_events();
         std::string broken;
-        if (last && !connection->has_length() &&
-            (state.events.is_inside_event() || (events.empty() && !state.has_content)))
-        {
-            broken = "the connection ended inside an event or before the first one";
-            last = false;
-        } else if (last) {
-            events += state.events.take_remainder();
+        if (!*more) {
+            const bool has_events = state.has_content || !events.empty();
+            broken = describe_early_end(*request, state.events, has_events, *connection);
+        }
+        bool last = !*more && broken.empty();
+        if (last) {
+            events += state.events.take_final_lines();
         }
         if (state.events.is_malformed()) {
             broken = "the stream contains bytes that are no event";
