--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -43,6 +43,9 @@
 {
     document_position position; // era 0 if the sender names none
     std::vector<published_document> documents;
+    // How much longer entries that are missing may be listed again; none if the sender is of a
+    // former commit, 0 if nothing is missing.
+    std::optional<std::uint64_t> doubt_ms{};
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -51,6 +54,7 @@
         std::optional<std::uint64_t> era(position.era);
         serialize_appended(archive, era);
         position.era = era.value_or(0);
+        serialize_appended(archive, doubt_ms);
     }
 };
 
@@ -140,6 +144,9 @@
     std::vector<published_document> removed; // without values
     std::uint32_t store_silence_ms = 0;      // time since the store last answered the sender
     bool uncertain = false;                  // removals may be due to an outage of the store
+    // How much longer the entries that were removed may be listed again; none if the sender is of a
+    // former commit, 0 if removals are certain.
+    std::optional<std::uint64_t> doubt_ms{};
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -148,6 +155,7 @@
         std::optional<std::uint64_t> era(position.era);
         serialize_appended(archive, era);
         position.era = era.value_or(0);
+        serialize_appended(archive, doubt_ms);
     }
 };
 
--- a/libs/gateway/src/peer_codec_test.cpp
+++ b/libs/gateway/src/peer_codec_test.cpp
@@ -88,34 +88,36 @@
     changes.after = 3;
     changes.position = {6, 9};
     changes.uncertain = true;
+    changes.doubt_ms = 700;
     const document_subscription subscription{named_position({6, 9})};
     const snapshot_request request{named_position({6, 9}), 4};
-    const document_snapshot snapshot{{6, 9}, {{"k", "v", 2}}};
+    const document_snapshot snapshot{{6, 9}, {{"k", "v", 2}}, 800};
     section("given messages with an era", [&] {
-        check(decode_as<document_changes>(internal::encode(peer_message(changes))).position ==
-                  changes.position,
-              "changes");
+        const auto changed = decode_as<document_changes>(internal::encode(peer_message(changes)));
+        check(changed.position == changes.position && changed.doubt_ms == 700, "changes");
         check(decode_as<document_subscription>(internal::encode(peer_message(subscription)))
                       .known.position(1) == document_position{6, 9},
               "a subscription");
         const auto read = decode_as<snapshot_request>(internal::encode(peer_message(request)));
         check(read.newer_than.position(1) == document_position{6, 9} && read.configuration == 4,
               "a request");
-        check(decode_as<document_snapshot>(internal::encode(peer_message(snapshot))).position ==
-                  snapshot.position,
-              "a snapshot");
+        const auto all = decode_as<document_snapshot>(internal::encode(peer_message(snapshot)));
+        check(all.position == snapshot.position && all.doubt_ms == 800, "a snapshot");
     });
     section("given messages of instances that send none", [&] {
-        const auto read = decode_as<document_changes>(without_fields(changes, 1));
-        check(read.position == document_position{0, 9} && read.uncertain, "changes");
+        const auto read = decode_as<document_changes>(without_fields(changes, 2));
+        check(read.position == document_position{0, 9} && read.uncertain && !read.doubt_ms,
+              "changes");
         check(decode_as<document_subscription>(without_fields(subscription, 1)).known.position(6) ==
                   document_position{6, 9},
               "a subscription is answered by its revision");
         const auto asked = decode_as<snapshot_request>(without_fields(request, 2));
         check(asked.newer_than.position(6) == document_position{6, 9} && !asked.configuration,
               "so is a request");
-        const auto sent = decode_as<document_snapshot>(without_fields(snapshot, 1));
-        check(sent.position == document_position{0, 9} && sent.documents.size() == 1, "a snapshot");
+        const auto sent = decode_as<document_snapshot>(without_fields(snapshot, 2));
+        check(sent.position == document_position{0, 9} && sent.documents.size() == 1 &&
+                  !sent.doubt_ms,
+              "a snapshot");
     });
     section("given heartbeats", [] {
         heartbeat beat = sample_heartbeat();
