Bound the bytes that the kernel receives for an instance

What callers saw: a process that ran out of memory and took their requests with it, when clients sent many bodies to a machine with little processor time or one that was frozen.

Cause: the ledger bounds what the program holds. What the kernel receives for connections that the program does not get to was bounded by the kernel's default alone, 128 KB each and more where it grows, also for the up to 1,024 (callers) and 4,096 (other ports) connections that wait to be accepted. A suspended process can refuse nothing.

Live members keep a large buffer, for documents.

--- a/libs/gateway/include/quetzal/gateway/caller_server.hpp
+++ b/libs/gateway/include/quetzal/gateway/caller_server.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <quetzal/gateway/caller_request.hpp>
 #include <quetzal/gateway/catalog.hpp>
+#include <quetzal/gateway/listen_options.hpp>
 #include <quetzal/gateway/memory_ledger.hpp>
 #include <quetzal/gateway/stop_record.hpp>
 #include <tl/expected.hpp>
@@ -26,6 +27,7 @@
     std::size_t max_body_memory = 96u << 20; // total bytes of the bodies of requests being served
     duration write_timeout = std::chrono::seconds(5); // for a caller that reads nothing
     std::shared_ptr<memory_ledger> memory = {}; // of the instance; null: one of the server's own
+    listen_options listen = {1024};
 };
 
 class caller_server
--- a/libs/gateway/include/quetzal/gateway/channel.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel.hpp
@@ -22,6 +22,7 @@
 #include <quetzal/base/verdict.hpp>
 #include <quetzal/gateway/body_memory.hpp>
 #include <quetzal/gateway/lazy_deadline.hpp>
+#include <quetzal/gateway/listen_options.hpp>
 #include <tl/expected.hpp>
 
 namespace quetzal::gateway {
@@ -32,9 +33,13 @@
 public:
     using fields = boost::beast::http::fields;
 
+    // Bytes of a response that the kernel receives ahead, of which it may hold twice as many.
+    static constexpr int usual_receive_buffer = 32 << 10;
+
     // `memory` bounds the bodies of all channels that share it; null: only each one by itself.
     explicit channel(const boost::asio::any_io_executor& executor,
-                     std::shared_ptr<body_memory> memory = {});
+                     std::shared_ptr<body_memory> memory = {},
+                     int receive_buffer = usual_receive_buffer);
 
     // Connects. A failure is always `not_run`.
     boost::asio::awaitable<result<void>> open(boost::asio::ip::tcp::endpoint address,
@@ -113,6 +118,7 @@
     boost::asio::ip::tcp::socket socket_;
     lazy_deadline timeout_;
     std::shared_ptr<body_memory> memory_;
+    int receive_buffer_; // bytes
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
     std::vector<std::uint64_t> recent_bodies_; // hashes, the newest last
@@ -126,12 +132,10 @@
 // a timeout that close connections whose peer no longer responds.
 void configure_socket(boost::asio::ip::tcp::socket& socket);
 
-// Opens an acceptor on the address; `backlog` bounds the connections that wait to be accepted.
-// Returns an error message on failure.
-tl::expected<void, std::string>
-open_acceptor(boost::asio::ip::tcp::acceptor& acceptor,
-              const boost::asio::ip::tcp::endpoint& address,
-              int backlog = boost::asio::socket_base::max_listen_connections);
+// Opens an acceptor on the address. Returns an error message on failure.
+tl::expected<void, std::string> open_acceptor(boost::asio::ip::tcp::acceptor& acceptor,
+                                              const boost::asio::ip::tcp::endpoint& address,
+                                              listen_options options = {});
 
 // Activity of the peer on an otherwise idle connection. Detecting it consumes no bytes.
 enum class peer_activity
--- a/libs/gateway/include/quetzal/gateway/channel_pool.hpp
+++ b/libs/gateway/include/quetzal/gateway/channel_pool.hpp
@@ -16,8 +16,10 @@
 class channel_pool
 {
 public:
+    // `receive_buffer` is that of each connection, in bytes.
     explicit channel_pool(boost::asio::any_io_executor executor,
-                          std::shared_ptr<memory_ledger> memory = {});
+                          std::shared_ptr<memory_ledger> memory = {},
+                          int receive_buffer = channel::usual_receive_buffer);
 
     // Returns an idle connection that is still usable, or opens a new one within `timeout`.
     boost::asio::awaitable<result<std::shared_ptr<channel>>> acquire(const endpoint& target,
@@ -51,6 +53,7 @@
 
     boost::asio::any_io_executor executor_;
     std::shared_ptr<body_memory> memory_; // of the bodies on all connections
+    int receive_buffer_;                  // bytes
     time_point next_stale_check_{};
     std::unordered_map<std::string, idle_list> idle_; // by endpoint id
     std::uint64_t opened_ = 0;
--- a/libs/gateway/include/quetzal/gateway/peer_link.hpp
+++ b/libs/gateway/include/quetzal/gateway/peer_link.hpp
@@ -17,6 +17,7 @@
 #include <quetzal/base/verdict.hpp>
 #include <quetzal/gateway/body_memory.hpp>
 #include <quetzal/gateway/document_position.hpp>
+#include <quetzal/gateway/listen_options.hpp>
 #include <quetzal/gateway/member_table.hpp>
 #include <quetzal/gateway/part_quarantine.hpp>
 #include <quetzal/gateway/stage_job.hpp>
@@ -171,6 +172,8 @@
     std::vector<std::string> seeds;  // addresses to discover other instances through
     // Bounds the messages that are being received; null: only each one by itself.
     std::shared_ptr<body_memory> memory = {};
+    std::size_t max_accepted = 512; // open connections that others have opened
+    listen_options listen = {};
 };
 
 class peer_link
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -27,7 +27,6 @@
 namespace {
 
 constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
-constexpr int listen_backlog = 1024;
 constexpr read_result memory_refused{http_status::unavailable, "the memory for requests is in use",
                                      false};
 
@@ -293,7 +292,8 @@
 
 tl::expected<void, std::string> caller_server::start()
 {
-    if (const auto opened = open_acceptor(self_->acceptor, self_->options.address, listen_backlog);
+    if (const auto opened =
+            open_acceptor(self_->acceptor, self_->options.address, self_->options.listen);
         !opened)
     {
         return tl::unexpected("cannot listen on the port for callers: " + opened.error());
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -60,12 +60,16 @@
 }
 
 tl::expected<void, std::string> open_acceptor(asio::ip::tcp::acceptor& acceptor,
-                                              const asio::ip::tcp::endpoint& address, int backlog)
+                                              const asio::ip::tcp::endpoint& address,
+                                              listen_options options)
 {
+    const asio::socket_base::receive_buffer_size buffer(options.receive_buffer);
     boost::system::error_code error;
+    // Connections take the size of the buffer from the acceptor, also before they are accepted.
     if (acceptor.open(address.protocol(), error) ||
         acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error) ||
-        acceptor.bind(address, error) || acceptor.listen(backlog, error))
+        (options.receive_buffer > 0 && acceptor.set_option(buffer, error)) ||
+        acceptor.bind(address, error) || acceptor.listen(options.backlog, error))
     {
         return tl::unexpected(error.message());
     }
@@ -91,13 +95,14 @@
            "\r\n" + expected_header + ": " + expected_id + "\r\n\r\n";
 }
 
-channel::channel(const asio::any_io_executor& executor, std::shared_ptr<body_memory> memory)
+channel::channel(const asio::any_io_executor& executor, std::shared_ptr<body_memory> memory,
+                 int receive_buffer)
     : socket_(executor), timeout_(executor,
                                   [this] {
                                       timed_out_ = true;
                                       close();
                                   }),
-      memory_(std::move(memory)), buffer_(max_unparsed_size)
+      memory_(std::move(memory)), receive_buffer_(receive_buffer), buffer_(max_unparsed_size)
 {
 }
 
@@ -105,6 +110,15 @@
 {
     boost::system::error_code error;
     timeout_.expires_after(timeout);
+    socket_.open(address.protocol(), error);
+    if (!error) {
+        socket_.set_option(asio::socket_base::receive_buffer_size(receive_buffer_), error);
+    }
+    if (error) {
+        timeout_.clear();
+        failed_ = true;
+        co_return not_run(reason::endpoint_failed, error.message());
+    }
     co_await socket_.async_connect(address, asio::redirect_error(asio::use_awaitable, error));
     timeout_.clear();
     if (error) {
--- a/libs/gateway/src/channel_pool.cpp
+++ b/libs/gateway/src/channel_pool.cpp
@@ -22,9 +22,10 @@
 } // namespace
 
 channel_pool::channel_pool(boost::asio::any_io_executor executor,
-                           std::shared_ptr<memory_ledger> memory)
+                           std::shared_ptr<memory_ledger> memory, int receive_buffer)
     : executor_(std::move(executor)),
-      memory_(std::make_shared<body_memory>(max_body_memory, std::move(memory)))
+      memory_(std::make_shared<body_memory>(max_body_memory, std::move(memory))),
+      receive_buffer_(receive_buffer)
 {
 }
 
@@ -47,7 +48,7 @@
             }
         }
     }
-    auto opened = std::make_shared<channel>(executor_, memory_);
+    auto opened = std::make_shared<channel>(executor_, memory_, receive_buffer_);
     ++opened_;
     const auto address = target.address;
     const auto connected = co_await opened->open(address, timeout);
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -38,11 +38,13 @@
 constexpr std::size_t frame_read_size = 64u << 10;          // bytes allocated before they arrive
 constexpr duration frame_timeout = std::chrono::seconds(5); // from its length to its last byte
 constexpr std::size_t queued_bytes_limit = 8u << 20; // per peer; above, the connection is closed
-// Open connections that peers have opened, in all and from one address. A peer uses one; a restart
-// may leave others open for some time.
-constexpr std::size_t max_accepted = 512;
+// Open connections that one address has opened. A peer uses one; a restart may leave others open
+// for some time.
 constexpr std::size_t max_accepted_from_address = 32;
 constexpr duration accept_pause = std::chrono::milliseconds(50); // after a failed accept
+// Bytes that the kernel receives ahead from a live member, which is large enough for documents that
+// cross availability zones. Others have the smaller buffer of the port.
+constexpr int member_receive_buffer = 64 << 10;
 // Bytes of the length before each TCP message.
 constexpr std::size_t length_prefix_size = sizeof(std::uint32_t);
 
@@ -64,6 +66,7 @@
         std::string outgoing;      // bytes that wait for the next write
         bool writing = false;
         bool open = true;
+        bool has_small_buffer = false; // that of the port
     };
 
     implementation(asio::io_context& io, peer_link_options settings, member_table& table)
@@ -102,8 +105,10 @@
         if (error) {
             return tl::unexpected("peer datagram port: " + error.message());
         }
-        if (const auto opened = open_acceptor(acceptor, {own_address, options.stream_port});
-            !opened) {
+        if (const auto opened =
+                open_acceptor(acceptor, {own_address, options.stream_port}, options.listen);
+            !opened)
+        {
             return tl::unexpected("peer stream port: " + opened.error());
         }
         return {};
@@ -226,10 +231,27 @@
     bool may_accept(const std::string& address) const
     {
         const auto same = accepted.find(address);
-        return accepted_in_all < max_accepted &&
+        return accepted_in_all < options.max_accepted &&
                (same == accepted.end() || same->second < max_accepted_from_address);
     }
 
+    void record_message(connection& peer)
+    {
+        const time_point now = boot_clock::now();
+        members.record_contact(peer.address, now);
+        if (!peer.has_small_buffer || !members.is_live(peer.address, now)) {
+            return;
+        }
+        peer.has_small_buffer = false;
+        boost::system::error_code error;
+        peer.socket.set_option(asio::socket_base::receive_buffer_size(member_receive_buffer),
+                               error);
+        if (error) {
+            log_event("peer_buffer_not_enlarged",
+                      {{"peer", peer.address}, {"error", error.message()}});
+        }
+    }
+
     static asio::awaitable<void> accept_peers(std::shared_ptr<implementation> self)
     {
         while (true) {
@@ -260,6 +282,7 @@
             ++self->accepted_in_all;
             ++self->accepted[address];
             auto opened = std::make_shared<connection>(std::move(socket), address);
+            opened->has_small_buffer = self->options.listen.receive_buffer > 0;
             configure_socket(opened->socket);
             self->greet(opened);
             self->connections.try_emplace(opened->address, opened);
@@ -339,7 +362,7 @@
                 log_event("peer_message_malformed", {{"peer", peer->address}});
                 break;
             }
-            self->members.record_contact(peer->address, boot_clock::now());
+            self->record_message(*peer);
             if (const auto* greeting = std::get_if<peer_greeting>(&*message)) {
                 self->record_process(peer, greeting->process);
                 continue;
--- a/libs/net/include/quetzal/net/http_server.hpp
+++ b/libs/net/include/quetzal/net/http_server.hpp
@@ -28,6 +28,8 @@
     duration request_timeout = std::chrono::seconds(10); // for the complete request to arrive
     duration idle_timeout = std::chrono::seconds(60);    // between two requests on a connection
     duration write_timeout = std::chrono::seconds(30);   // for one write to the caller to complete
+    int backlog = 4096;                                  // connections that wait to be accepted
+    int receive_buffer = 0; // bytes for each connection; 0: the kernel's choice, which grows
 };
 
 // Counters of a server, exported as metrics. Thread-safe.
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -480,7 +480,8 @@
 tl::expected<std::uint16_t, std::string> http_server::listen(const std::string& address,
                                                              std::uint16_t port)
 {
-    auto bound_port = internal::listen_on(state_->acceptor, address, port);
+    auto bound_port = internal::listen_on(state_->acceptor, address, port, state_->limits.backlog,
+                                          state_->limits.receive_buffer);
     if (bound_port) {
         asio::co_spawn(state_->executor, accept_connections(state_), asio::detached);
     }
