Charge connections until they are closed

What was measured: 102 MB of resident memory against a ledger limit of 80 MB, under a crowd that comes again at once when it is refused.

Cause: a connection whose request gave way counted no longer, but it still held its read buffer (up to 64 KiB) and its own objects while it wrote the refusal and waited up to 2 s for its caller's close; meanwhile the caller came again. A connection that was refused itself stayed charged for its whole request, which pushed others out.

The request and the read buffer are now freed before the refusal is written, and the connection stays charged as an idle one until it is closed. memory_ledger_test a_connection_is_charged_until_it_is_closed needs the new `leave` and fails with the former accounting. A test that expected a ledger without charges before the connection was closed now checks that charge, and closes the connection first.

--- a/libs/gateway/include/quetzal/gateway/memory_ledger.hpp
+++ b/libs/gateway/include/quetzal/gateway/memory_ledger.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -55,9 +56,14 @@
 // Returns the stable lower-case name, e.g. "newest".
 const char* to_string(memory_refusal value) noexcept;
 
-// Charges bytes before they are allocated. Under pressure, connections give way in this order:
-// idle ones, the longest idle first; requests that do not progress, the longest without a byte
-// first; the newest of the requests being received, the larger one of two that began together.
+// Charges bytes before they are allocated. Under pressure, connections give way in this order: idle
+// ones that have sent nothing yet, the longest idle first; other idle ones in the same order;
+// requests that do not progress, the longest without a byte first; the newest of the requests being
+// received, the larger one of two that began together.
+//
+// A connection whose request has given way may still send a refusal. It stays charged as an idle
+// one until it is closed, and has to be closed at once if it gives way a second time, which happens
+// only to make room for another connection.
 class memory_ledger
 {
 public:
@@ -66,11 +72,11 @@
     explicit memory_ledger(memory_limits limits) : limits_(limits) {}
 
     // Sets the function that is called for each connection that has to give way. It must not call
-    // the ledger for other connections. A connection that gives way counts no longer, and its
-    // further charges are refused.
+    // the ledger for other connections. Further charges of such a connection are refused.
     void on_give_way(std::function<void(holder)> callback) { give_way_ = std::move(callback); }
 
-    // Adds an idle connection. Returns 0 if there is no room for it.
+    // Adds an idle connection, which uses `size` bytes itself. Returns 0 if there is no room for
+    // it.
     holder open(const std::string& address, std::size_t size, time_point now);
 
     // Removes a connection.
@@ -79,6 +85,9 @@
     // Returns false if the connection may not begin to receive a request.
     bool set_phase(holder id, holder_phase phase, time_point now);
 
+    // Records that a connection is about to be closed and no longer holds a request.
+    void leave(holder id, time_point now);
+
     // Records bytes received from a connection that receives a request.
     void record_received(holder id, std::size_t size, time_point now);
 
@@ -106,14 +115,20 @@
     struct entry
     {
         std::string address;
-        std::size_t size = 0; // bytes
+        std::size_t size = 0;      // bytes
+        std::size_t idle_size = 0; // bytes of the connection itself
         holder_phase phase = holder_phase::idle;
         time_point began{};    // the phase
         time_point progress{}; // the last byte
         std::uint64_t received = 0;
-        bool gone = false; // has given way
+        bool was_used = false; // a request has begun
+        bool leaving = false;  // has given way
+        bool gone = false;     // has given way and freed everything; counts no longer
     };
 
+    // The place of a connection in the order of giving way.
+    struct turn;
+
     struct address_use
     {
         std::size_t requests = 0;
@@ -121,9 +136,10 @@
     };
 
     bool is_slow(const entry& candidate, time_point now) const;
+    std::optional<turn> turn_of(holder id, const entry& holds, time_point now) const;
     bool make_room(std::size_t size, std::size_t limit, holder requester, time_point now,
                    bool forced = false);
-    void evict(holder id, memory_refusal why);
+    void evict(const turn& next);
     void leave_receiving(const entry& former);
     bool refuse(memory_refusal why);
     std::size_t limit_for(std::size_t size) const;
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -273,6 +273,13 @@
                           });
     }
 
+    // Frees the bytes that have been read and belong to no request that will be served.
+    void release_buffer()
+    {
+        buffer.consume(buffer.size());
+        buffer.shrink_to_fit();
+    }
+
     // Whether bytes of a request have arrived that is not read completely yet.
     bool has_unread_request()
     {
@@ -285,9 +292,12 @@
     asio::awaitable<void> linger()
     {
         boost::system::error_code error;
+        lingers = true;
+        release_buffer();
+        memory.leave();
         socket.shutdown(tcp::socket::shutdown_send, error);
         limit_wait_for_close();
-        std::array<char, 4096> discarded{};
+        std::array<char, 512> discarded{};
         while (!error) {
             co_await socket.async_read_some(asio::buffer(discarded),
                                             asio::redirect_error(asio::use_awaitable, error));
@@ -316,18 +326,20 @@
     }
 
     // Frees memory: closes the connection if it waits for a request, or refuses the request that is
-    // being received.
+    // being received. Called again, closes the connection at once.
     void give_way()
     {
-        gives_way = true;
-        if (waiting_for_request) {
-            if (!send_side_closed) {
-                close_when_idle();
-            }
-            return;
+        const bool is_leaving = std::exchange(gives_way, true) || lingers || send_side_closed;
+        boost::system::error_code error; // of a closed socket or a read that has ended
+        if (is_leaving) {
+            close();
+        } else if (!waiting_for_request) {
+            socket.cancel(error);
+        } else if (socket.available(error) == 0 && unacknowledged_bytes() == 0) {
+            close();
+        } else {
+            close_when_idle();
         }
-        boost::system::error_code ignored; // a read that has ended is not interrupted
-        socket.cancel(ignored);
     }
 
     // Takes the last response for received if the caller has closed its side or sent a request, and
@@ -446,6 +458,7 @@
     bool writing = false;
     bool awaiting_close = false;      // by the caller, after the last response
     bool gives_way = false;           // another request needs its memory
+    bool lingers = false;             // until the caller has closed it too
     bool reading = false;             // a request, whose timeout is answered
     bool awaiting_request = true;     // no request was read completely since the last response
     bool waiting_for_request = false; // for its first byte
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -148,6 +148,8 @@
             log_event(refused ? "request_not_received" : "request_malformed",
                       {{"detail", request.error().detail}});
             caller->persistent = false;
+            caller->release_buffer();
+            caller->memory.leave();
             std::string headers = refused ? "Retry-After: 0.5\r\n" : "";
             co_await caller->write_response(status, std::move(headers), {});
             caller->end_request();
--- a/libs/gateway/src/memory_ledger.cpp
+++ b/libs/gateway/src/memory_ledger.cpp
@@ -49,7 +49,7 @@
     }
     entry& added = entries_[++last_];
     added.address = address;
-    added.size = size;
+    added.size = added.idle_size = size;
     added.began = now;
     used_ += size;
     return last_;
@@ -84,12 +84,13 @@
 bool memory_ledger::set_phase(holder id, holder_phase phase, time_point now)
 {
     entry& changed = entries_.at(id);
-    if (changed.gone) {
+    if (changed.leaving) {
         return false;
     }
     leave_receiving(changed);
     changed.phase = holder_phase::idle;
     if (phase == holder_phase::receiving) {
+        changed.was_used = true;
         address_use& use = receiving_[changed.address];
         const double share = limits_.address_share * static_cast<double>(limits_.requests);
         const bool in_all = receiving_count_ < limits_.requests;
@@ -109,6 +110,21 @@
     return true;
 }
 
+void memory_ledger::leave(holder id, time_point now)
+{
+    entry& leaving = entries_.at(id);
+    if (leaving.leaving) {
+        return;
+    }
+    leave_receiving(leaving);
+    leaving.phase = holder_phase::idle;
+    leaving.began = now;
+    leaving.leaving = true;
+    const std::size_t request = leaving.size - std::min(leaving.size, leaving.idle_size);
+    used_ -= request;
+    leaving.size -= request;
+}
+
 void memory_ledger::record_received(holder id, std::size_t size, time_point now)
 {
     entry& changed = entries_.at(id);
@@ -127,15 +143,75 @@
                limits_.min_rate * std::chrono::duration<double>(time).count();
 }
 
-void memory_ledger::evict(holder id, memory_refusal why)
+struct memory_ledger::turn
 {
-    entry& leaving = entries_.at(id);
-    leave_receiving(leaving);
-    used_ -= leaving.size;
-    leaving.gone = true;
-    ++refused_.at(static_cast<std::size_t>(why));
+    enum class group
+    {
+        unused, // no request has begun
+        leaving,
+        idle,
+        slow,
+        newest
+    };
+
+    // Whether the connection gives way before another one.
+    bool operator<(const turn& other) const
+    {
+        if (of != other.of) {
+            return of < other.of;
+        }
+        if (rank != other.rank) {
+            return rank < other.rank;
+        }
+        return frees != other.frees ? frees > other.frees : id > other.id;
+    }
+
+    group of;
+    time_point rank;   // in the group; the earlier gives way first
+    std::size_t frees; // bytes
+    holder id;
+};
+
+// Returns nullopt if the connection does not give way.
+std::optional<memory_ledger::turn> memory_ledger::turn_of(holder id, const entry& holds,
+                                                          time_point now) const
+{
+    using group = turn::group;
+    if (holds.gone || holds.phase == holder_phase::kept) {
+        return std::nullopt;
+    }
+    if (holds.leaving) {
+        return turn{group::leaving, holds.began, holds.size, id};
+    }
+    if (holds.phase == holder_phase::idle) {
+        return turn{holds.was_used ? group::idle : group::unused, holds.began, holds.size, id};
+    }
+    const std::size_t request = holds.size - std::min(holds.size, holds.idle_size);
+    if (is_slow(holds, now)) {
+        return turn{group::slow, holds.progress, request, id};
+    }
+    return turn{group::newest, time_point{} + (now - holds.began), request, id};
+}
+
+void memory_ledger::evict(const turn& next)
+{
+    entry& evicted = entries_.at(next.id);
+    leave_receiving(evicted);
+    evicted.phase = holder_phase::idle;
+    if (!evicted.leaving) {
+        const memory_refusal why = next.of == turn::group::slow     ? memory_refusal::slow
+                                   : next.of == turn::group::newest ? memory_refusal::newest
+                                                                    : memory_refusal::idle;
+        ++refused_.at(static_cast<std::size_t>(why));
+    }
+    evicted.leaving = true;
+    used_ -= next.frees;
+    evicted.size -= next.frees;
+    if (evicted.size == 0) {
+        evicted.gone = true;
+    }
     if (give_way_) {
-        give_way_(id);
+        give_way_(next.id);
     }
 }
 
@@ -147,42 +223,19 @@
     if (used_ + size <= limit) {
         return true;
     }
-    struct candidate
-    {
-        memory_refusal why;
-        time_point rank; // the earlier gives way first
-        std::size_t size;
-        holder id;
-    };
-    std::vector<candidate> order;
+    std::vector<turn> order;
     for (const auto& [id, holds] : entries_) {
-        if (holds.gone || holds.phase == holder_phase::kept) {
-            continue;
-        }
-        if (holds.phase == holder_phase::idle) {
-            if (id != requester) {
-                order.push_back({memory_refusal::idle, holds.began, holds.size, id});
-            }
-        } else if (is_slow(holds, now)) {
-            order.push_back({memory_refusal::slow, holds.progress, holds.size, id});
-        } else {
-            order.push_back(
-                {memory_refusal::newest, time_point{} + (now - holds.began), holds.size, id});
+        const auto candidate = turn_of(id, holds, now);
+        const bool is_idle_requester = id == requester && holds.phase == holder_phase::idle;
+        if (candidate && candidate->of != turn::group::leaving && !is_idle_requester) {
+            order.push_back(*candidate);
         }
     }
-    std::sort(order.begin(), order.end(), [](const candidate& left, const candidate& right) {
-        if (left.why != right.why) {
-            return left.why < right.why;
-        }
-        if (left.rank != right.rank) {
-            return left.rank < right.rank;
-        }
-        return left.size != right.size ? left.size > right.size : left.id > right.id;
-    });
+    std::sort(order.begin(), order.end());
     std::size_t freed = 0;
     auto last = order.begin();
     while (last != order.end() && last->id != requester && used_ - freed + size > limit) {
-        freed += last->size;
+        freed += last->frees;
         ++last;
     }
     const bool reached = used_ - freed + size <= limit;
@@ -190,7 +243,7 @@
         return false;
     }
     for (auto leaving = order.begin(); leaving != last; ++leaving) {
-        evict(leaving->id, leaving->why);
+        evict(*leaving);
     }
     return reached;
 }
@@ -198,7 +251,7 @@
 bool memory_ledger::resize(holder id, std::size_t size, time_point now)
 {
     entry& changed = entries_.at(id);
-    if (changed.gone) {
+    if (changed.leaving) {
         return false;
     }
     const std::size_t more = size > changed.size ? size - changed.size : 0;
--- a/libs/gateway/src/memory_ledger_test.cpp
+++ b/libs/gateway/src/memory_ledger_test.cpp
@@ -158,6 +158,34 @@
     check(fixture.ledger.take(200 * kb, fixture.start), "a body gives way to responses");
     check(fixture.left == holders{body}, "the body leaves");
     check(!fixture.ledger.take(400 * kb, fixture.start), "beyond the limit it is refused");
+    check(fixture.ledger.used() == 501 * kb, "the connection itself is charged until it is closed");
+    fixture.ledger.close(body);
     fixture.ledger.give_back(500 * kb);
     check(fixture.ledger.used() == 0, "all memory is returned");
 }
+
+// Guards against memory that is used and not charged: a connection that has given way still sends a
+// refusal, and a crowd comes again at once.
+Test(memory_ledger, a_connection_is_charged_until_it_is_closed)
+{
+    ledger_fixture fixture;
+    auto& ledger = fixture.ledger;
+    const auto refused = fixture.receive(300 * kb, 0s);
+    section("when its request is refused", [&] {
+        ledger.leave(refused, fixture.start);
+        check(ledger.used() == kb, "its request is charged no longer, the connection is");
+        check(!ledger.resize(refused, 2 * kb, fixture.start), "it gets no more memory");
+    });
+    section("when its request gives way", [&] {
+        const auto evicted = fixture.receive(600 * kb, 0s);
+        const auto older = fixture.receive(90 * kb, 0s);
+        check(ledger.take(200 * kb, fixture.start), "there is room");
+        check(fixture.left == holders{evicted}, "the larger one leaves");
+        check(ledger.used() == (1 + 1 + 90 + 200) * kb, "the connection stays charged");
+        ledger.close(evicted);
+        ledger.close(older);
+    });
+    ledger.close(refused);
+    ledger.give_back(200 * kb);
+    check(ledger.used() == 0, "all memory is returned");
+}
--- a/libs/gateway/src/request_reader.cpp
+++ b/libs/gateway/src/request_reader.cpp
@@ -72,6 +72,12 @@
     ledger_.record_received(id_, size, boot_clock::now());
 }
 
+void connection_memory::leave()
+{
+    ledger_.leave(id_, boot_clock::now());
+    size_ = 0;
+}
+
 std::size_t request_size(const request_parser& parser, const boost::beast::flat_buffer& buffer)
 {
     return buffer.capacity() + parser.get().body().capacity() + fields_size(parser);
--- a/libs/gateway/src/request_reader.hpp
+++ b/libs/gateway/src/request_reader.hpp
@@ -41,6 +41,9 @@
 
     void record_received(std::size_t size);
 
+    // Records that the connection is about to be closed and no longer holds a request.
+    void leave();
+
 private:
     memory_ledger& ledger_;
     memory_ledger::holder id_;
