Let idle connections give way to further ones

What callers saw: a connection closed without an answer, for as long as others kept as many silent connections open as an instance accepts.

Cause: above its limit the port for callers closed each new connection; only the memory of idle connections gave way, not their places.

The ledger now bounds the open connections too. Above the bound, one that has sent nothing, is about to be closed, is idle or does not progress is closed for a further one, in this order; requests that run and those that progress are kept.

--- a/libs/gateway/include/quetzal/gateway/memory_ledger.hpp
+++ b/libs/gateway/include/quetzal/gateway/memory_ledger.hpp
@@ -24,7 +24,8 @@
     // The part of `total`, and of `requests`, that the requests being received from one address may
     // use. A single request may use more.
     double address_share = 0.5;
-    std::size_t requests = 2000; // that are being received at once
+    std::size_t requests = 2000;    // that are being received at once
+    std::size_t connections = 2000; // open at once; above, idle and slow ones give way
     // Under pressure, a request that is being received gives way first if it had no byte for
     // `stall_time`, or fewer bytes per second than `min_rate` since it began.
     duration stall_time = std::chrono::seconds(1);
@@ -137,6 +138,7 @@
 
     bool is_slow(const entry& candidate, time_point now) const;
     std::optional<turn> turn_of(holder id, const entry& holds, time_point now) const;
+    bool make_room_for_connection(time_point now);
     bool make_room(std::size_t size, std::size_t limit, holder requester, time_point now,
                    bool forced = false);
     void evict(const turn& next);
@@ -148,6 +150,7 @@
     std::size_t used_ = 0; // bytes
     holder last_ = 0;
     std::unordered_map<holder, entry> entries_;
+    std::size_t connections_ = 0;                  // that are not gone
     std::map<std::string, address_use> receiving_; // by address
     std::size_t receiving_count_ = 0;
     std::function<void(holder)> give_way_;
--- a/libs/gateway/src/memory_ledger.cpp
+++ b/libs/gateway/src/memory_ledger.cpp
@@ -43,7 +43,7 @@
 memory_ledger::holder memory_ledger::open(const std::string& address, std::size_t size,
                                           time_point now)
 {
-    if (!make_room(size, limit_for(size), 0, now)) {
+    if (!make_room_for_connection(now) || !make_room(size, limit_for(size), 0, now)) {
         refuse(memory_refusal::full);
         return 0;
     }
@@ -52,6 +52,7 @@
     added.size = added.idle_size = size;
     added.began = now;
     used_ += size;
+    ++connections_;
     return last_;
 }
 
@@ -77,6 +78,7 @@
     if (!found->second.gone) {
         leave_receiving(found->second);
         used_ -= found->second.size;
+        --connections_;
     }
     entries_.erase(found);
 }
@@ -209,12 +211,34 @@
     evicted.size -= next.frees;
     if (evicted.size == 0) {
         evicted.gone = true;
+        --connections_;
     }
     if (give_way_) {
         give_way_(next.id);
     }
 }
 
+// Lets a connection that is not in use give way if there are as many as there may be. Returns false
+// if there is none.
+bool memory_ledger::make_room_for_connection(time_point now)
+{
+    if (connections_ < limits_.connections) {
+        return true;
+    }
+    std::optional<turn> first;
+    for (const auto& [id, holds] : entries_) {
+        const auto candidate = turn_of(id, holds, now);
+        if (candidate && (!first || *candidate < *first)) {
+            first = candidate;
+        }
+    }
+    if (!first || first->of == turn::group::newest) {
+        return false;
+    }
+    evict(*first);
+    return true;
+}
+
 // Lets connections give way until `size` more bytes are within the limit. Returns false if that
 // cannot be reached before it is the requester's turn. Then there is no effect, unless `forced`.
 bool memory_ledger::make_room(std::size_t size, std::size_t limit, holder requester, time_point now,
--- a/libs/gateway/src/memory_ledger_test.cpp
+++ b/libs/gateway/src/memory_ledger_test.cpp
@@ -28,6 +28,7 @@
         value.total = 800 * kb;
         value.address_share = share;
         value.requests = 20;
+        value.connections = 30;
         return value;
     }
 
@@ -164,6 +165,50 @@
     check(fixture.ledger.used() == 0, "all memory is returned");
 }
 
+// Guards against ordinary callers that are closed without an answer because others have opened all
+// connections and send nothing.
+Test(memory_ledger, connections_give_way_to_further_ones)
+{
+    ledger_fixture fixture;
+    auto& ledger = fixture.ledger;
+    const auto kept = fixture.receive(kb, 0s);
+    ledger.set_phase(kept, holder_phase::kept, fixture.start);
+    const auto used = fixture.receive(kb, 0s);
+    ledger.set_phase(used, holder_phase::idle, fixture.start);
+    const auto stalled = fixture.receive(2 * kb, 0s);
+    const auto ended = ledger.open("a", kb, fixture.start);
+    ledger.leave(ended, fixture.start);
+    std::vector<memory_ledger::holder> silent;
+    while (silent.size() < 26) {
+        silent.push_back(ledger.open("a", kb, fixture.start + 1ms * silent.size()));
+    }
+    const time_point now = fixture.start + 2s;
+    const auto open_kept = [&] {
+        const auto id = ledger.open("b", kb, now);
+        check(id != 0, "another one is opened");
+        ledger.set_phase(id, holder_phase::kept, now);
+    };
+    section("first the longest silent one that has sent nothing yet", [&] {
+        open_kept();
+        check(fixture.left == holders{silent.front()}, "it leaves");
+    });
+    section("then one that is about to be closed, an idle one, and one that does not progress",
+            [&] {
+                fixture.left.clear();
+                while (fixture.left.size() < silent.size() + 2) {
+                    open_kept();
+                }
+                const holders last(fixture.left.end() - 3, fixture.left.end());
+                check(last == holders{ended, used, stalled}, "they leave in this order");
+                check(fixture.left.front() == silent[1], "after the silent ones");
+            });
+    section("then the one that does not progress is closed, and there is no room", [&] {
+        open_kept();
+        check(fixture.left.back() == stalled, "it leaves for the second time");
+        check(ledger.open("b", kb, now) == 0, "requests that run are kept");
+    });
+}
+
 // Guards against memory that is used and not charged: a connection that has given way still sends a
 // refusal, and a crowd comes again at once.
 Test(memory_ledger, a_connection_is_charged_until_it_is_closed)
