--- a/libs/net/include/quetzal/net/http_server.hpp
+++ b/libs/net/include/quetzal/net/http_server.hpp
@@ -25,6 +25,9 @@
     std::size_t header_size = 16u << 10; // bytes
     std::size_t body_size = 1u << 20;    // bytes
     std::size_t connections = 4096;      // open at once; further ones are closed immediately
+    // Whether the connection that has waited for the longest time for a complete request is closed
+    // for a further one instead.
+    bool makes_room = false;
     duration request_timeout = std::chrono::seconds(10); // for the complete request to arrive
     duration idle_timeout = std::chrono::seconds(60);    // between two requests on a connection
     duration write_timeout = std::chrono::seconds(30);   // for one write to the caller to complete
@@ -38,6 +41,7 @@
     std::atomic<std::uint64_t> accepted{0};
     std::atomic<std::uint64_t> open{0};
     std::atomic<std::uint64_t> rejected{0};  // because of the connection limit
+    std::atomic<std::uint64_t> displaced{0}; // closed to make room for another one
     std::atomic<std::uint64_t> malformed{0}; // rejected before a handler ran
     std::atomic<std::uint64_t> timed_out{0}; // requests that arrived too slowly
 };
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -1,6 +1,9 @@
 #include <quetzal/net/http_server.hpp>
 
 #include <cerrno>
+#include <list>
+#include <memory>
+#include <mutex>
 #include <variant>
 
 #include <boost/asio/co_spawn.hpp>
@@ -45,6 +48,40 @@
 
 namespace internal {
 
+// The connections whose next request is not complete, the longest waiting first. Thread-safe.
+class waiting_connections
+{
+public:
+    using place = std::list<std::weak_ptr<server_connection>>::iterator;
+
+    place add(std::weak_ptr<server_connection> connection)
+    {
+        const std::lock_guard lock(mutex_);
+        return list_.insert(list_.end(), std::move(connection));
+    }
+
+    void remove(place at)
+    {
+        const std::lock_guard lock(mutex_);
+        list_.erase(at);
+    }
+
+    // Returns the longest waiting connection, which moves to the end, or null if there is none.
+    std::shared_ptr<server_connection> next()
+    {
+        const std::lock_guard lock(mutex_);
+        if (list_.empty()) {
+            return nullptr;
+        }
+        list_.splice(list_.end(), list_, list_.begin());
+        return list_.back().lock();
+    }
+
+private:
+    std::mutex mutex_;
+    std::list<std::weak_ptr<server_connection>> list_;
+};
+
 struct server_state
 {
     server_state(asio::any_io_executor io_executor, server_limits configured_limits,
@@ -61,6 +98,7 @@
     tcp::acceptor acceptor;
     std::atomic<bool> stopping{false};
     server_counters counters;
+    waiting_connections waiting;
 };
 
 struct server_connection : std::enable_shared_from_this<server_connection>
@@ -234,6 +272,23 @@
     return std::nullopt;
 }
 
+// Counts a connection among the waiting ones during the lifetime of the object.
+class waiting_guard
+{
+public:
+    explicit waiting_guard(server_connection& connection)
+        : waiting_(connection.server->waiting), place_(waiting_.add(connection.weak_from_this()))
+    {
+    }
+    waiting_guard(const waiting_guard&) = delete;
+    waiting_guard& operator=(const waiting_guard&) = delete;
+    ~waiting_guard() { waiting_.remove(place_); }
+
+private:
+    internal::waiting_connections& waiting_;
+    internal::waiting_connections::place place_;
+};
+
 struct read_outcome
 {
     std::optional<http_request> request;
@@ -246,6 +301,7 @@
 asio::awaitable<read_outcome> read_request(Stream& stream, server_connection& connection)
 {
     const auto& limits = connection.server->limits;
+    const waiting_guard waiting(connection);
     read_outcome outcome;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_size));
@@ -381,6 +437,25 @@
     co_await shut_down(*connection);
 }
 
+// Closes a connection that waits for a request. Returns false if there is none, or if the server
+// does not make room.
+bool make_room(server_state& server)
+{
+    // Those that are being closed still count as open until their reads have ended.
+    const bool is_flooded = server.counters.open >= 2 * server.limits.connections;
+    if (!server.limits.makes_room || is_flooded) {
+        return false;
+    }
+    const auto longest = server.waiting.next();
+    if (!longest) {
+        return false;
+    }
+    ++server.counters.displaced;
+    const auto executor = longest->lowest_layer().get_executor();
+    asio::post(executor, [longest] { longest->lowest_layer().close(); });
+    return true;
+}
+
 asio::awaitable<void> accept_connections(std::shared_ptr<server_state> server)
 {
     while (!server->stopping) {
@@ -396,7 +471,7 @@
             continue;
         }
         ++server->counters.accepted;
-        if (server->counters.open >= server->limits.connections) {
+        if (server->counters.open >= server->limits.connections && !make_room(*server)) {
             ++server->counters.rejected;
             continue; // the socket closes here
         }
--- a/libs/net/src/http_test.cpp
+++ b/libs/net/src/http_test.cpp
@@ -38,11 +38,12 @@
 // A server with small limits that runs on its own thread.
 struct running_server
 {
-    running_server()
+    explicit running_server(bool makes_room = false)
         : server(context.get_executor(),
                  {.header_size = 1024,
                   .body_size = 100,
                   .connections = 4,
+                  .makes_room = makes_room,
                   .request_timeout = 300ms,
                   .idle_timeout = 2s},
                  nullptr, handle_request)
@@ -177,3 +178,28 @@
     check(running.server.counters().open <= 4, "at most four connections are open");
     check(running.server.counters().rejected >= 4, "the other connections are closed and counted");
 }
+
+// Guards against callers without an answer because others have opened all connections and send no
+// complete request.
+Test(http_server, makes_room_for_further_connections)
+{
+    running_server running(true);
+    asio::io_context client_context;
+    std::vector<asio::ip::tcp::socket> silent;
+    const auto open_silent = [&] {
+        silent.emplace_back(client_context);
+        silent.back().connect({asio::ip::make_address("127.0.0.1"), running.port});
+        std::this_thread::sleep_for(10ms);
+    };
+    while (silent.size() < 4) {
+        open_silent();
+    }
+    const auto response = running.get("/hello");
+    check(response && response->status == 200, "an ordinary caller is answered");
+    char byte = 0;
+    boost::system::error_code error;
+    silent.front().read_some(asio::buffer(&byte, 1), error);
+    check(error == asio::error::eof, "the longest silent connection is closed");
+    check(running.server.counters().displaced == 1, "one connection is closed, and counted");
+    check(running.server.counters().rejected == 0, "none is rejected");
+}
