Port for peers: silent connections give way to further ones

What callers would see: requests with stages that wait, and instances that learn of changes late, because members cannot connect: clients that open 32 connections from each of 16 addresses and send nothing used up the port for as long as they liked.

Cause: an accepted connection had no time limit before its first message, and none gave way.

At the limits, the longest open connection on which no message has arrived is closed for a further one, and counts no longer at once. Peers greet each other when they connect, so that members are not affected.

peer_link_test silent_connections_give_way fails without the change (the 33rd connection of an address is closed) and passes with it.

--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <list>
 #include <map>
 #include <set>
 #include <utility>
@@ -66,6 +67,7 @@
         std::string outgoing;      // bytes that wait for the next write
         bool writing = false;
         bool open = true;
+        bool has_sent_message = false; // the peer
         bool has_small_buffer = false; // that of the port
     };
 
@@ -235,10 +237,43 @@
                (same == accepted.end() || same->second < max_accepted_from_address);
     }
 
+    // Closes the longest open of the connections that others have opened and sent no message on, if
+    // they use up what `address` may open. Returns false if there is none.
+    bool make_room(const std::string& address)
+    {
+        const bool of_address = accepted_in_all < options.max_accepted;
+        const auto silent = std::find_if(
+            accepted_connections.begin(), accepted_connections.end(), [&](const auto& peer) {
+                return !peer->has_sent_message && (!of_address || peer->address == address);
+            });
+        if (silent == accepted_connections.end()) {
+            return false;
+        }
+        log_event("peer_connection_displaced",
+                  {{"peer", (*silent)->address}, {"open", accepted_in_all}});
+        const auto closed = *silent;
+        forget_accepted(closed);
+        close_connection(closed);
+        return true;
+    }
+
+    // Counts a connection that others have opened no longer.
+    void forget_accepted(const std::shared_ptr<connection>& ended)
+    {
+        if (accepted_connections.remove(ended) == 0) {
+            return; // it was displaced
+        }
+        --accepted_in_all;
+        if (--accepted[ended->address] == 0) {
+            accepted.erase(ended->address);
+        }
+    }
+
     void record_message(connection& peer)
     {
         const time_point now = boot_clock::now();
         members.record_contact(peer.address, now);
+        peer.has_sent_message = true;
         if (!peer.has_small_buffer || !members.is_live(peer.address, now)) {
             return;
         }
@@ -274,7 +309,7 @@
                 continue;
             }
             const std::string address = remote.address().to_string();
-            if (!self->may_accept(address)) {
+            if (!self->may_accept(address) && !self->make_room(address)) {
                 log_event("peer_connection_refused",
                           {{"peer", address}, {"open", self->accepted_in_all}});
                 continue; // the destructor closes the socket
@@ -283,6 +318,7 @@
             ++self->accepted[address];
             auto opened = std::make_shared<connection>(std::move(socket), address);
             opened->has_small_buffer = self->options.listen.receive_buffer > 0;
+            self->accepted_connections.push_back(opened);
             configure_socket(opened->socket);
             self->greet(opened);
             self->connections.try_emplace(opened->address, opened);
@@ -293,12 +329,7 @@
     static asio::awaitable<void> read_accepted(std::shared_ptr<implementation> self,
                                                std::shared_ptr<connection> peer)
     {
-        const auto forget = [&self](connection* ended) {
-            --self->accepted_in_all;
-            if (--self->accepted[ended->address] == 0) {
-                self->accepted.erase(ended->address);
-            }
-        };
+        const auto forget = [&](connection*) { self->forget_accepted(peer); };
         const std::unique_ptr<connection, decltype(forget)> registration(peer.get(), forget);
         co_await read_messages(self, peer);
     }
@@ -522,6 +553,7 @@
     std::map<std::string, std::shared_ptr<connection>> connections; // by peer address
     std::size_t accepted_in_all = 0;             // open connections that peers have opened
     std::map<std::string, std::size_t> accepted; // the same by address; zeros are removed
+    std::list<std::shared_ptr<connection>> accepted_connections; // the same, the longest open first
     message_handler handle_message;
     loss_handler handle_loss;
     part_quarantine* quarantine = nullptr;
--- a/libs/gateway/src/peer_link_test.cpp
+++ b/libs/gateway/src/peer_link_test.cpp
@@ -161,6 +161,28 @@
     });
 }
 
+// Guards against members that cannot connect because clients that send nothing use up the
+// connections of the port.
+Test(peer_link, silent_connections_give_way)
+{
+    constexpr int allowed_from_address = 32;
+    link_fixture fixture(19888);
+    auto speaking = fixture.connect();
+    fixture.send(speaking);
+    std::vector<asio::ip::tcp::socket> silent;
+    for (int count = 1; count < allowed_from_address; ++count) {
+        silent.push_back(fixture.connect());
+    }
+    section("when all connections of an address are open and it opens another one", [&] {
+        auto further = fixture.connect();
+        fixture.send(further);
+        check(fixture.messages == 2, "its messages are handled");
+        check(fixture.is_closed(silent.front()), "the longest silent one is closed");
+        check(!fixture.is_closed(silent.back()), "other silent ones stay open");
+        check(!fixture.is_closed(speaking), "one that has sent a message stays open");
+    });
+}
+
 // Guards against half a message that is taken for a whole one: its peer stopped within it and
 // closed the connection.
 Test(peer_link, message_that_ends_early)
