Let the kernel receive more of a long body ahead

Cause: with the small receive buffer of the callers' port, at most about 11 KB of a body arrive while a machine is held up.

A body above 16 KiB gets a buffer of 64 KiB, the most without window scaling, which is charged to the ledger before; not while half of the ledger is in use.

--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -106,7 +106,8 @@
                                                          std::enable_shared_from_this<connection>
 {
     connection(tcp::socket accepted, implementation& owner, memory_ledger::holder holder)
-        : socket(std::move(accepted)), server(owner), memory(*owner.options.memory, holder),
+        : socket(std::move(accepted)), server(owner),
+          memory(*owner.options.memory, holder, owner.options.listen.receive_buffer > 0),
           timeout(socket.get_executor(), [this] {
               if (writing && unacknowledged_bytes() < unacknowledged) {
                   limit_write();
--- a/libs/gateway/src/caller_server_test.cpp
+++ b/libs/gateway/src/caller_server_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <quetzal/gateway/caller_server.hpp>
+#include <quetzal/gateway/machine_budget.hpp>
 #include <quetzal/testing/section.hpp>
 
 #include "test_names.hpp"
@@ -33,14 +34,15 @@
 struct server_fixture
 {
     explicit server_fixture(std::size_t body_memory = 1u << 20,
-                            std::shared_ptr<memory_ledger> memory = {})
+                            std::shared_ptr<memory_ledger> memory = {}, listen_options listen = {})
         : names(test_names()),
           server(context,
                  {{asio::ip::make_address("127.0.0.1"), 0},
                   16,
                   body_memory,
                   std::chrono::seconds(5),
-                  std::move(memory)},
+                  std::move(memory),
+                  listen},
                  view, names,
                  [this](std::shared_ptr<running_request> request,
                         response_writer& writer) -> asio::awaitable<void> {
@@ -257,8 +259,10 @@
     const std::size_t size = caller_limits{}.body_size;
     const auto answer_size = [&](const std::string& text) {
         memory_limits limits;
-        limits.total = machine_memory / 2;
-        server_fixture connection(machine_memory / 3, std::make_shared<memory_ledger>(limits));
+        const machine_budget budget = divide_machine(machine_memory, 4100);
+        limits.total = budget.ledger;
+        server_fixture connection(machine_memory / 3, std::make_shared<memory_ledger>(limits),
+                                  {budget.callers.backlog, budget.callers.receive_buffer});
         connection.caller.non_blocking(true);
         std::size_t sent = 0;
         std::string response;
@@ -287,6 +291,32 @@
     });
 }
 
+// Guards against bytes that the kernel holds without a charge, and against long bodies that are
+// read too slowly because the kernel receives little ahead while the instance is held up.
+Test(caller_server, a_long_body_gets_a_larger_receive_buffer)
+{
+    constexpr std::size_t large_buffer = 64u << 10; // bytes
+    const auto charged_during_body = [&](std::size_t used_otherwise) {
+        memory_limits limits;
+        limits.total = 1u << 20;
+        const auto memory = std::make_shared<memory_ledger>(limits);
+        server_fixture connection(1u << 20, memory, {16, 8 << 10});
+        check(memory->take(used_otherwise, boot_clock::now()), "there is room");
+        const std::string head = "POST /a/ HTTP/1.1\r\nHost: h\r\nId: 1\r\n";
+        const std::string part = head + "Content-Length: 100000\r\n\r\n" + std::string(1000, 'a');
+        asio::write(connection.caller, asio::buffer(part));
+        connection.run(std::chrono::milliseconds(50));
+        return memory->used() - used_otherwise;
+    };
+    const std::size_t calm = charged_during_body(0);
+    section("in calm", [&] { check(calm > 100000 + large_buffer, "it is charged"); });
+    section("while half of the memory is in use", [&] {
+        const std::size_t pressed = charged_during_body(512u << 10);
+        check(pressed > 100000, "the body is read all the same");
+        check(pressed + large_buffer <= calm, "the buffer stays small");
+    });
+}
+
 // Guards against a request that is read without memory for it, or whose refusal does not tell that
 // it has not run.
 Test(caller_server, a_body_without_memory_is_refused)
--- a/libs/gateway/src/request_reader.cpp
+++ b/libs/gateway/src/request_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
+#include <quetzal/gateway/decision_log.hpp>
 
 namespace quetzal::gateway::internal {
 
@@ -13,6 +14,10 @@
 
 namespace {
 
+// Without window scaling, which the smaller buffer of the port excludes, the kernel receives no
+// more.
+constexpr int large_receive_buffer = 64 << 10;  // bytes
+constexpr std::size_t long_body = 16u << 10;    // bytes; a longer body gets that buffer
 constexpr std::size_t first_step = 512;         // bytes; most heads are small
 constexpr std::size_t largest_step = 16u << 10; // bytes
 constexpr std::size_t field_overhead = 128;     // bytes of a parsed header field besides its text
@@ -51,6 +56,12 @@
     return size;
 }
 
+// Returns the bytes of a body that have arrived or are announced, once the head is complete.
+std::size_t known_body_size(const request_parser& parser)
+{
+    return parser.get().body().size() + parser.content_length_remaining().value_or(0);
+}
+
 } // namespace
 
 bool connection_memory::set_phase(holder_phase phase)
@@ -60,7 +71,7 @@
 
 bool connection_memory::resize(std::size_t size)
 {
-    if (!ledger_.resize(id_, connection_size + size, boot_clock::now())) {
+    if (!ledger_.resize(id_, connection_size + unread_size_ + size, boot_clock::now())) {
         return false;
     }
     size_ = size;
@@ -72,6 +83,23 @@
     ledger_.record_received(id_, size, boot_clock::now());
 }
 
+void connection_memory::enlarge_receive_buffer(asio::ip::tcp::socket& socket)
+{
+    const std::size_t unread = large_receive_buffer;
+    if (!has_small_buffer_ || ledger_.used() + unread > ledger_.limit() / 2 ||
+        !ledger_.resize(id_, connection_size + unread + size_, boot_clock::now()))
+    {
+        return;
+    }
+    has_small_buffer_ = false;
+    unread_size_ = unread;
+    boost::system::error_code error;
+    socket.set_option(asio::socket_base::receive_buffer_size(large_receive_buffer), error);
+    if (error) {
+        log_event("receive_buffer_not_enlarged", {{"error", error.message()}});
+    }
+}
+
 void connection_memory::leave()
 {
     ledger_.leave(id_, boot_clock::now());
@@ -116,6 +144,9 @@
                 continue;
             }
         }
+        if (parser.is_header_done() && known_body_size(parser) > long_body) {
+            memory.enlarge_receive_buffer(socket);
+        }
         const std::size_t room = buffer.max_size() - buffer.size();
         const std::size_t step = std::min(
             room, parser.is_header_done() && text == 0 ? largest_step : std::max(first_step, text));
--- a/libs/gateway/src/request_reader.hpp
+++ b/libs/gateway/src/request_reader.hpp
@@ -22,7 +22,11 @@
 class connection_memory
 {
 public:
-    connection_memory(memory_ledger& ledger, memory_ledger::holder id) : ledger_(ledger), id_(id) {}
+    // `has_small_buffer` means that the port bounds what the kernel receives.
+    connection_memory(memory_ledger& ledger, memory_ledger::holder id, bool has_small_buffer)
+        : ledger_(ledger), id_(id), has_small_buffer_(has_small_buffer)
+    {
+    }
     ~connection_memory() { ledger_.close(id_); }
     connection_memory(const connection_memory&) = delete;
     connection_memory& operator=(const connection_memory&) = delete;
@@ -41,13 +45,20 @@
 
     void record_received(std::size_t size);
 
+    // Lets the kernel receive more of a long body ahead, unless the memory is needed otherwise. The
+    // buffer of the port suffices for a body in calm only if the instance is never held up.
+    void enlarge_receive_buffer(boost::asio::ip::tcp::socket& socket);
+
     // Records that the connection is about to be closed and no longer holds a request.
     void leave();
 
 private:
     memory_ledger& ledger_;
     memory_ledger::holder id_;
+    bool has_small_buffer_;
     std::size_t size_ = 0; // bytes, beside those of an open connection
+    std::size_t unread_size_ =
+        0; // bytes that the kernel may hold beside those of the port's buffer
 };
 
 // Whether a read ended because its memory was refused.
