Port for peers: an address that is at its limit displaces its own connections

When the places of all addresses were used up too, a further connection of an address above its limit closed a silent one of another address. The existing test of peer_link covers the limit of one address.

--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -237,11 +237,12 @@
                (same == accepted.end() || same->second < max_accepted_from_address);
     }
 
-    // Closes the longest open of the connections that others have opened and sent no message on, if
-    // they use up what `address` may open. Returns false if there is none.
+    // Closes the longest open of the connections that others have opened and sent no message on;
+    // one of `address` if that has used up its own. Returns false if there is none.
     bool make_room(const std::string& address)
     {
-        const bool of_address = accepted_in_all < options.max_accepted;
+        const auto same = accepted.find(address);
+        const bool of_address = same != accepted.end() && same->second >= max_accepted_from_address;
         const auto silent = std::find_if(
             accepted_connections.begin(), accepted_connections.end(), [&](const auto& peer) {
                 return !peer->has_sent_message && (!of_address || peer->address == address);
