Memory ledger: keep whole requests of connections that gave way

Cause, found by reading the change: a connection that gives way while the last bytes of its request are read serves the request, but the ledger still took it for one that is about to be closed, and could close it for a further connection while the request runs. One that does not progress keeps its place until it gives way again, so that the open connections exceeded their bound by one with every second new one. A connection that gave way before it began to wait stayed open until its idle timeout.

The phase `kept` is now recorded for such a connection as well; places are made until there is one; and a connection that has given way does not wait for a request. memory_ledger_test a_whole_request_is_kept fails without the change; connections_give_way_to_further_ones now requires that one without progress is closed at once.

--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -298,7 +298,7 @@
         memory.leave();
         socket.shutdown(tcp::socket::shutdown_send, error);
         limit_wait_for_close();
-        std::array<char, 512> discarded{};
+        std::array<char, 4096> discarded{};
         while (!error) {
             co_await socket.async_read_some(asio::buffer(discarded),
                                             asio::redirect_error(asio::use_awaitable, error));
--- a/libs/gateway/src/caller_server.cpp
+++ b/libs/gateway/src/caller_server.cpp
@@ -52,6 +52,9 @@
             caller->buffer.shrink_to_fit();
             caller->memory.set_phase(holder_phase::idle);
             caller->memory.resize(0);
+            if (caller->gives_way) {
+                break;
+            }
             caller->waiting_for_request = true;
             caller->timeout.expires_after(limits.idle_timeout);
             if (self->closing_idle) {
--- a/libs/gateway/src/memory_ledger.cpp
+++ b/libs/gateway/src/memory_ledger.cpp
@@ -87,6 +87,8 @@
 {
     entry& changed = entries_.at(id);
     if (changed.leaving) {
+        // A request that was whole before its connection gave way is served.
+        changed.phase = phase == holder_phase::kept ? holder_phase::kept : holder_phase::idle;
         return false;
     }
     leave_receiving(changed);
@@ -115,10 +117,9 @@
 void memory_ledger::leave(holder id, time_point now)
 {
     entry& leaving = entries_.at(id);
-    if (leaving.leaving) {
-        return;
+    if (!leaving.leaving) {
+        leave_receiving(leaving);
     }
-    leave_receiving(leaving);
     leaving.phase = holder_phase::idle;
     leaving.began = now;
     leaving.leaving = true;
@@ -218,24 +219,23 @@
     }
 }
 
-// Lets a connection that is not in use give way if there are as many as there may be. Returns false
-// if there is none.
+// Lets connections that are not in use give way until there is a place for another one. Returns
+// false if that cannot be reached.
 bool memory_ledger::make_room_for_connection(time_point now)
 {
-    if (connections_ < limits_.connections) {
-        return true;
-    }
-    std::optional<turn> first;
-    for (const auto& [id, holds] : entries_) {
-        const auto candidate = turn_of(id, holds, now);
-        if (candidate && (!first || *candidate < *first)) {
-            first = candidate;
+    while (connections_ >= limits_.connections) {
+        std::optional<turn> first;
+        for (const auto& [id, holds] : entries_) {
+            const auto candidate = turn_of(id, holds, now);
+            if (candidate && (!first || *candidate < *first)) {
+                first = candidate;
+            }
         }
+        if (!first || first->of == turn::group::newest) {
+            return false;
+        }
+        evict(*first); // a slow one keeps its place until it gives way again
     }
-    if (!first || first->of == turn::group::newest) {
-        return false;
-    }
-    evict(*first);
     return true;
 }
 
--- a/libs/gateway/src/memory_ledger_test.cpp
+++ b/libs/gateway/src/memory_ledger_test.cpp
@@ -198,15 +198,33 @@
                 while (fixture.left.size() < silent.size() + 2) {
                     open_kept();
                 }
-                const holders last(fixture.left.end() - 3, fixture.left.end());
-                check(last == holders{ended, used, stalled}, "they leave in this order");
+                const holders last(fixture.left.end() - 4, fixture.left.end());
+                const holders expected{ended, used, stalled, stalled};
+                check(last == expected, "they leave in this order, the last one at once");
                 check(fixture.left.front() == silent[1], "after the silent ones");
             });
-    section("then the one that does not progress is closed, and there is no room", [&] {
-        open_kept();
-        check(fixture.left.back() == stalled, "it leaves for the second time");
-        check(ledger.open("b", kb, now) == 0, "requests that run are kept");
-    });
+    section("then there is no room",
+            [&] { check(ledger.open("b", kb, now) == 0, "requests that run are kept"); });
+}
+
+// Guards against a request that runs and loses its connection to a further one, because the
+// connection gave way while the last bytes of the request were read.
+Test(memory_ledger, a_whole_request_is_kept)
+{
+    ledger_fixture fixture;
+    auto& ledger = fixture.ledger;
+    const auto whole = fixture.receive(600 * kb, 0s);
+    check(ledger.take(300 * kb, fixture.start), "there is room");
+    check(fixture.left == holders{whole}, "the request gives way");
+    ledger.set_phase(whole, holder_phase::kept, fixture.start);
+    for (int count = 0; count < 30; ++count) {
+        const auto id = ledger.open("b", kb, fixture.start);
+        check((id != 0) == (count < 29), "all places but one are for others");
+        if (id != 0) {
+            ledger.set_phase(id, holder_phase::kept, fixture.start);
+        }
+    }
+    check(fixture.left == holders{whole}, "it does not give way again");
 }
 
 // Guards against memory that is used and not charged: a connection that has given way still sends a
