Callers' connections: free a response's body before it is written

Cause: write_response copies the body behind the head and then assigned an empty string to the body. The standard library keeps the memory of a string in such an assignment, so each caller that did not read held two copies of its response, the first with up to twice the size and without a charge.

Now the body's memory is swapped away.

--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -210,7 +210,8 @@
         if (!head_request) {
             bytes += body;
         }
-        body = {}; // a caller may read slowly
+        // A caller may read slowly. An assignment of an empty string would keep the memory.
+        std::string().swap(body);
         response_complete = true;
         co_return co_await write(std::move(bytes));
     }
