Request flow: free an endpoint before a slow caller takes the response

Cause: an attempt wrote the whole response, or the rest of a stream, before it returned the endpoint's connection and place, although the endpoint had sent everything.

Now an attempt ends when the endpoint has sent everything, and writes what its caller has not taken yet afterwards. The new test of slow readers fails without the change (no free endpoint).

--- a/libs/gateway/include/quetzal/gateway/request_flow.hpp
+++ b/libs/gateway/include/quetzal/gateway/request_flow.hpp
@@ -72,22 +72,26 @@
 private:
     using request_ptr = std::shared_ptr<running_request>;
 
-    // Outcomes of one attempt at an endpoint.
-    struct delivered
-    {
-    };
-    // An endpoint's error response, kept in case no retry is possible.
+    // A whole response of an endpoint.
     struct saved_response
     {
         unsigned status = 0;
         std::string headers;
         std::string body;
     };
+    // Outcomes of one attempt at an endpoint.
+    struct delivered
+    {
+        // What the caller has not taken yet when the endpoint has sent everything: a response, or
+        // the rest of a stream.
+        std::optional<saved_response> response{};
+        std::shared_ptr<internal::stream_outbox> rest{};
+    };
     struct attempt_failure
     {
         failure error;
-        std::optional<saved_response> response{};
-        bool inputs_expired = false; // the stages have to run again
+        std::optional<saved_response> response{}; // sent in case no retry is possible
+        bool inputs_expired = false;              // the stages have to run again
     };
     using attempt_result = std::variant<delivered, attempt_failure>;
     class silence_watch;
@@ -153,6 +157,9 @@
     boost::asio::awaitable<attempt_result> attempt(const request_ptr& request,
                                                    response_writer& writer, attempt_state& state,
                                                    const chosen_endpoint& chosen);
+    // Writes what the caller has not taken yet. Neither the endpoint's connection nor its place is
+    // in use meanwhile. Returns false if the caller does not take the rest of a stream.
+    static boost::asio::awaitable<bool> write_rest(response_writer& writer, delivered& whole);
     // Logs an attempt that may have run and failed, with the limit that the response exceeded.
     // `broke_off` means that the deadline passed in the middle of the response.
     static void log_failed_attempt(const running_request& request, const attempt_state& state,
--- a/libs/gateway/src/request_attempt.cpp
+++ b/libs/gateway/src/request_attempt.cpp
@@ -201,9 +201,27 @@
         outcome.counts = outcome.success || broke_off;
     }
     pools_.finish_request(chosen, outcome, boot_clock::now());
+    if (auto* whole = std::get_if<delivered>(&ended)) {
+        const bool written = co_await write_rest(writer, *whole);
+        if (!written && !request->abort_reason()) {
+            co_return fail_unread(*request);
+        }
+    }
     co_return ended;
 }
 
+asio::awaitable<bool> request_flow::write_rest(response_writer& writer, delivered& whole)
+{
+    if (whole.response) {
+        co_await writer.write_response(whole.response->status, std::move(whole.response->headers),
+                                       std::move(whole.response->body));
+    }
+    if (whole.rest) {
+        co_return co_await whole.rest->finish();
+    }
+    co_return true;
+}
+
 void request_flow::log_failed_attempt(const running_request& request, const attempt_state& state,
                                       const chosen_endpoint& chosen, const attempt_result& ended,
                                       bool broke_off)
@@ -366,8 +384,9 @@
         }
         co_return failed;
     }
-    co_await writer.write_response(status, std::move(response_headers), std::move(*body));
-    co_return delivered{};
+    delivered whole;
+    whole.response = saved_response{status, std::move(response_headers), std::move(*body)};
+    co_return whole;
 }
 
 asio::awaitable<request_flow::attempt_result>
@@ -387,6 +406,10 @@
     } catch (...) {
         thrown = std::current_exception(); // rethrown when `writer` is no longer in use
     }
+    if (auto* whole = std::get_if<delivered>(&ended)) {
+        whole->rest = outbox;
+        co_return ended;
+    }
     if (thrown || request->abort_reason()) {
         outbox->discard();
     }
--- a/libs/gateway/src/slow_reader_test.cpp
+++ b/libs/gateway/src/slow_reader_test.cpp
@@ -90,6 +90,8 @@
 
     asio::awaitable<bool> write_response(unsigned status, std::string, std::string) override
     {
+        timer_.expires_after(write_time);
+        co_await timer_.async_wait(asio::use_awaitable);
         status_ = status;
         co_return true;
     }
@@ -192,3 +194,49 @@
           "the request ends after the write in progress");
     check(!played.caller.complete_ && played.caller.aborted_, "it does not look complete");
 }
+
+// Guards against callers that read slowly and thereby keep endpoints from other callers.
+Test(slow_reader, an_endpoint_is_free_when_it_has_sent_its_response, .timeout = 60)
+{
+    const auto play = [](route_kind kind, const std::vector<scripted_response>& responses) {
+        gateway_fixture gateway(kind, false, {responses});
+        gateway.configuration.routes.front().timeout = seconds(20);
+        gateway.configuration.services.front().max_connections = 2;
+        ++gateway.configuration.version;
+        gateway.view.apply(gateway.configuration);
+        gateway.pools.refresh(gateway.view, 1, boot_clock::now());
+        slow_caller first(gateway.context);
+        slow_caller second(gateway.context);
+        const auto serve = [&](const char* id, response_writer& writer) {
+            auto request =
+                std::make_shared<running_request>(gateway_fixture::make_message(id, "key", "/a/x"));
+            asio::co_spawn(gateway.context, gateway.flow.serve(request, writer), asio::detached);
+            gateway.context.run_for(milliseconds(100));
+            gateway.context.restart();
+        };
+        serve("1", first);
+        serve("2", second);
+        check(gateway.received_requests() == 2 && gateway.flow.ended() == 0, "both are written");
+        check(gateway.pools.has_free_endpoint(gateway.view, "s", {}, boot_clock::now()),
+              "the endpoint accepts a further request meanwhile");
+        const recorded_response third = gateway.serve("3");
+        check(third.status_ == 200, "which is answered");
+        check(gateway.channels.opened_connections() == 1, "on the connection of the others");
+        gateway.context.run_for(2 * write_time);
+        check(gateway.flow.ended() == 3, "the others end");
+        return first.status_ == 200 || first.complete_;
+    };
+    section("given whole responses", [&] {
+        check(
+            play(route_kind::idempotent,
+                 {{response_with("1", "a")}, {response_with("2", "b")}, {response_with("3", "c")}}),
+            "the first caller gets its response");
+    });
+    section("given streams", [&] {
+        const auto stream = [](const std::string& id) {
+            return scripted_response{stream_response_head(id) + chunk(event(1)) + "0\r\n\r\n"};
+        };
+        check(play(route_kind::stream, {stream("1"), stream("2"), stream("3")}),
+              "the first caller gets its stream");
+    });
+}
