Memory ledger: responses that are not read give way under pressure

Cause: a response was charged while it was written, and always granted, but no connection with a response ever gave way, and the first 64 KiB of an endpoint's body and of the events that wait for a caller were not charged. So callers that read slowly, and one at a kilobyte every 300 ms for as long as it likes, made the instance hold their number times the size of a response.

Now a response that does not progress gives way before requests that are received in time, and one that progresses only for bytes that are there in any case. The caller's progress is what it has acknowledged, checked every 400 ms while a write waits; its time limit is unchanged. The first bytes of bodies are charged, and still never refused.

--- a/libs/gateway/include/quetzal/gateway/body_memory.hpp
+++ b/libs/gateway/include/quetzal/gateway/body_memory.hpp
@@ -28,7 +28,7 @@
         ~share()
         {
             if (owner_) {
-                owner_->used_ -= size_;
+                owner_->used_ -= counted_;
                 if (owner_->ledger_) {
                     owner_->ledger_->give_back(size_);
                 }
@@ -38,20 +38,25 @@
         share& operator=(const share&) = delete;
 
         // Raises the share to `size` bytes. Returns false if the limit does not allow that. The
-        // first `free_size` bytes of each body do not count, so that small responses are read even
-        // when large ones use up the limit.
+        // first `free_size` bytes of each body are always granted, so that small responses are read
+        // even when large ones use up the limit.
         bool grow(std::size_t size)
         {
-            if (!owner_ || size <= free_size || size <= size_) {
+            if (!owner_ || size <= size_) {
                 return true;
             }
-            if (size - size_ > owner_->limit_ - owner_->used_) {
+            const bool is_small = size <= free_size;
+            const std::size_t counted = is_small ? 0 : size - counted_;
+            if (counted > owner_->limit_ - owner_->used_) {
                 return false;
             }
-            if (owner_->ledger_ && !owner_->ledger_->take(size - size_, boot_clock::now())) {
+            if (owner_->ledger_ && is_small) {
+                owner_->ledger_->take_always(size - size_, boot_clock::now());
+            } else if (owner_->ledger_ && !owner_->ledger_->take(size - size_, boot_clock::now())) {
                 return false;
             }
-            owner_->used_ += size - size_;
+            owner_->used_ += counted;
+            counted_ += counted;
             size_ = size;
             return true;
         }
@@ -60,7 +65,8 @@
         static constexpr std::size_t free_size = 64u << 10; // bytes
 
         std::shared_ptr<body_memory> owner_;
-        std::size_t size_ = 0;
+        std::size_t size_ = 0;    // bytes
+        std::size_t counted_ = 0; // bytes, toward the limit of all bodies
     };
 
     std::size_t limit() const noexcept { return limit_; }
--- a/libs/gateway/include/quetzal/gateway/memory_ledger.hpp
+++ b/libs/gateway/include/quetzal/gateway/memory_ledger.hpp
@@ -26,8 +26,9 @@
     double address_share = 0.5;
     std::size_t requests = 2000;    // that are being received at once
     std::size_t connections = 2000; // open at once; above, idle and slow ones give way
-    // Under pressure, a request that is being received gives way first if it had no byte for
-    // `stall_time`, or fewer bytes per second than `min_rate` since it began.
+    // Under pressure, a request that is being received, or a response that is written, gives way
+    // first if it had no byte for `stall_time`, or fewer bytes per second than `min_rate` since it
+    // began.
     duration stall_time = std::chrono::seconds(1);
     double min_rate = 1024;
 };
@@ -37,7 +38,8 @@
 {
     idle,      // waits for a request
     receiving, // a head or a body that is not whole
-    kept       // a request that runs, or a response that is written; never gives way
+    kept,      // a request that runs; never gives way
+    writing    // a response that is written; set by `begin_write` only
 };
 
 // Why connections give way or are refused, for metrics.
@@ -45,22 +47,25 @@
 {
     idle,    // closed to make room
     slow,    // received too slowly under pressure
+    unread,  // a response that its caller reads too slowly under pressure
     newest,  // newer than the others, under pressure
     address, // its address uses its share
     full     // nobody can give way
 };
 
-constexpr std::array<memory_refusal, 5> all_memory_refusals{
-    memory_refusal::idle, memory_refusal::slow, memory_refusal::newest, memory_refusal::address,
-    memory_refusal::full};
+constexpr std::array<memory_refusal, 6> all_memory_refusals{
+    memory_refusal::idle,   memory_refusal::slow,    memory_refusal::unread,
+    memory_refusal::newest, memory_refusal::address, memory_refusal::full};
 
 // Returns the stable lower-case name, e.g. "newest".
 const char* to_string(memory_refusal value) noexcept;
 
 // Charges bytes before they are allocated. Under pressure, connections give way in this order: idle
 // ones that have sent nothing yet, the longest idle first; other idle ones in the same order;
-// requests that do not progress, the longest without a byte first; the newest of the requests being
-// received, the larger one of two that began together.
+// requests that do not progress, the longest without a byte first; responses that do not progress
+// in the same order; the newest of the requests being received, the larger one of two that began
+// together. For responses that are to be written, other ones give way too, the longest written
+// first.
 //
 // A connection whose request has given way may still send a refusal. It stays charged as an idle
 // one until it is closed, and has to be closed at once if it gives way a second time, which happens
@@ -89,17 +94,25 @@
     // Records that a connection is about to be closed and no longer holds a request.
     void leave(holder id, time_point now);
 
-    // Records bytes received from a connection that receives a request.
-    void record_received(holder id, std::size_t size, time_point now);
+    // Records that a response is written to a connection whose request is kept, and that it has
+    // been written.
+    void begin_write(holder id, time_point now);
+    void end_write(holder id);
+
+    // Records bytes of a request that were received, or of a response that the caller has taken.
+    void record_progress(holder id, std::size_t size, time_point now);
 
     // Sets the number of bytes that a connection uses. Returns false, without a change, if it would
-    // have to give way itself. Connections that are kept are always granted.
+    // have to give way itself. Connections that are kept, or written to, are always granted.
     bool resize(holder id, std::size_t size, time_point now);
 
     // Charges bytes that belong to no connection, such as endpoints' responses. Returns false if
     // there is no room.
     bool take(std::size_t size, time_point now);
 
+    // The same for bytes that are there in any case: others give way if that makes room.
+    void take_always(std::size_t size, time_point now);
+
     // Returns bytes that were taken.
     void give_back(std::size_t size) noexcept { used_ -= size; }
 
@@ -119,12 +132,12 @@
         std::size_t size = 0;      // bytes
         std::size_t idle_size = 0; // bytes of the connection itself
         holder_phase phase = holder_phase::idle;
-        time_point began{};    // the phase
-        time_point progress{}; // the last byte
-        std::uint64_t received = 0;
-        bool was_used = false; // a request has begun
-        bool leaving = false;  // has given way
-        bool gone = false;     // has given way and freed everything; counts no longer
+        time_point began{};           // the phase
+        time_point progress{};        // the last byte
+        std::uint64_t progressed = 0; // bytes since the phase began
+        bool was_used = false;        // a request has begun
+        bool leaving = false;         // has given way
+        bool gone = false;            // has given way and freed everything; counts no longer
     };
 
     // The place of a connection in the order of giving way.
@@ -141,6 +154,7 @@
     bool make_room_for_connection(time_point now);
     bool make_room(std::size_t size, std::size_t limit, holder requester, time_point now,
                    bool forced = false);
+    void enter_phase(entry& changed, holder_phase phase, time_point now);
     void evict(const turn& next);
     void leave_receiving(const entry& former);
     bool refuse(memory_refusal why);
--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -37,9 +37,10 @@
 
 namespace internal {
 
-constexpr duration linger_time = std::chrono::seconds(2);          // for the caller's close
-constexpr duration recent_response_time = std::chrono::seconds(4); // may still be on its way
-constexpr std::size_t read_buffer_limit = 64u << 10;               // bytes
+constexpr duration linger_time = std::chrono::seconds(2);              // for the caller's close
+constexpr duration recent_response_time = std::chrono::seconds(4);     // may still be on its way
+constexpr duration progress_interval = std::chrono::milliseconds(400); // of what callers take
+constexpr std::size_t read_buffer_limit = 64u << 10;                   // bytes
 constexpr std::size_t max_logged_id = 200; // characters of a request's id that is not read yet
 
 inline std::string status_line(unsigned status)
@@ -109,8 +110,7 @@
         : socket(std::move(accepted)), server(owner),
           memory(*owner.options.memory, holder, owner.options.listen.receive_buffer > 0),
           timeout(socket.get_executor(), [this] {
-              if (writing && unacknowledged_bytes() < unacknowledged) {
-                  limit_write();
+              if (writing && may_still_write()) {
                   return;
               }
               if (const int rest = unacknowledged_bytes();
@@ -148,8 +148,37 @@
     // when a large part of its buffer is free, so a slow caller is noticed by what it acknowledges.
     void limit_write()
     {
-        unacknowledged = unacknowledged_bytes();
-        timeout.expires_after(server.options.write_timeout);
+        unacknowledged = untaken = unacknowledged_bytes();
+        write_limit = boot_clock::now() + server.options.write_timeout;
+        timeout.expires_after(
+            std::min<duration>(internal::progress_interval, server.options.write_timeout));
+    }
+
+    // Records what the caller has taken. Returns false if the time limit of the write is over.
+    bool may_still_write()
+    {
+        record_taken(0);
+        const duration left = write_limit - boot_clock::now();
+        if (left > duration::zero()) {
+            timeout.expires_after(std::min<duration>(internal::progress_interval, left));
+            return true;
+        }
+        if (untaken >= unacknowledged) {
+            return false;
+        }
+        limit_write();
+        return true;
+    }
+
+    // Records what the caller has taken after `written` further bytes were given to the socket.
+    void record_taken(std::size_t written)
+    {
+        const int now = unacknowledged_bytes();
+        const auto taken = static_cast<std::int64_t>(written) + untaken - now;
+        untaken = now;
+        if (taken > 0) {
+            memory.record_progress(static_cast<std::size_t>(taken));
+        }
     }
 
     // Starts the time limit for the caller to read more of the last response, or to close the
@@ -165,8 +194,7 @@
     {
         boost::system::error_code error;
         std::size_t written = 0;
-        // Always granted for the response of a request that has run.
-        const std::size_t charged = memory.add(bytes.capacity()) ? bytes.capacity() : 0;
+        const std::size_t charged = memory.begin_write(bytes.capacity());
         writing = true;
         while (!error && written < bytes.size()) {
             limit_write();
@@ -175,8 +203,9 @@
                 rest, asio::redirect_error(asio::use_awaitable, error));
             written += size;
             written_bytes += size;
+            record_taken(size);
         }
-        memory.remove(charged);
+        memory.end_write(charged);
         timeout.clear();
         writing = false;
         last_write = boot_clock::now();
@@ -184,7 +213,9 @@
             write_failed = true;
             log_event("response_not_written",
                       {{"request", current ? std::string_view(current->message.id) : ""},
-                       {"detail", timed_out ? "the caller does not read" : error.message()}});
+                       {"detail", timed_out        ? "the caller does not read"
+                                  : has_lost_write ? "its memory is needed, the caller reads slowly"
+                                                   : error.message()}});
             close();
         }
         co_return !error;
@@ -327,13 +358,14 @@
         limit_wait_for_close();
     }
 
-    // Frees memory: closes the connection if it waits for a request, or refuses the request that is
-    // being received. Called again, closes the connection at once.
+    // Frees memory: closes the connection if it waits for a request or a response is written to it,
+    // or refuses the request that is being received. Called again, closes the connection at once.
     void give_way()
     {
         const bool is_leaving = std::exchange(gives_way, true) || lingers || send_side_closed;
         boost::system::error_code error; // of a closed socket or a read that has ended
-        if (is_leaving) {
+        has_lost_write = writing;
+        if (is_leaving || writing) {
             close();
         } else if (!waiting_for_request) {
             socket.cancel(error);
@@ -474,7 +506,10 @@
     unsigned response_status = 0; // of the last request; 0 if no response has started
     std::uint64_t written_bytes = 0; // since the head of the last request
     bool write_failed = false;       // of the last request's response
+    bool has_lost_write = false;     // gave way while a response was written
     int unacknowledged = 0;          // bytes when the time limit of the write was set
+    int untaken = 0;                 // unacknowledged bytes when progress was last recorded
+    time_point write_limit{};        // when nothing was acknowledged until then
 };
 
 } // namespace quetzal::gateway
--- a/libs/gateway/src/memory_ledger.cpp
+++ b/libs/gateway/src/memory_ledger.cpp
@@ -18,6 +18,8 @@
         return "idle";
     case memory_refusal::slow:
         return "slow";
+    case memory_refusal::unread:
+        return "unread";
     case memory_refusal::newest:
         return "newest";
     case memory_refusal::address:
@@ -108,10 +110,31 @@
         ++use.requests;
         use.size += changed.size;
     }
+    enter_phase(changed, phase, now);
+    return true;
+}
+
+void memory_ledger::enter_phase(entry& changed, holder_phase phase, time_point now)
+{
     changed.phase = phase;
     changed.began = changed.progress = now;
-    changed.received = 0;
-    return true;
+    changed.progressed = 0;
+}
+
+void memory_ledger::begin_write(holder id, time_point now)
+{
+    entry& written = entries_.at(id);
+    if (written.phase == holder_phase::kept && !written.leaving) {
+        enter_phase(written, holder_phase::writing, now);
+    }
+}
+
+void memory_ledger::end_write(holder id)
+{
+    entry& written = entries_.at(id);
+    if (written.phase == holder_phase::writing) {
+        written.phase = holder_phase::kept;
+    }
 }
 
 void memory_ledger::leave(holder id, time_point now)
@@ -128,10 +151,10 @@
     leaving.size -= request;
 }
 
-void memory_ledger::record_received(holder id, std::size_t size, time_point now)
+void memory_ledger::record_progress(holder id, std::size_t size, time_point now)
 {
     entry& changed = entries_.at(id);
-    changed.received += size;
+    changed.progressed += size;
     changed.progress = now;
 }
 
@@ -142,7 +165,7 @@
         return false;
     }
     return now - candidate.progress >= limits_.stall_time ||
-           static_cast<double>(candidate.received) <
+           static_cast<double>(candidate.progressed) <
                limits_.min_rate * std::chrono::duration<double>(time).count();
 }
 
@@ -154,7 +177,9 @@
         leaving,
         idle,
         slow,
-        newest
+        unread,
+        newest,
+        written // only for responses that are to be written
     };
 
     // Whether the connection gives way before another one.
@@ -169,6 +194,24 @@
         return frees != other.frees ? frees > other.frees : id > other.id;
     }
 
+    memory_refusal refusal() const
+    {
+        switch (of) {
+        case group::unused:
+        case group::leaving:
+        case group::idle:
+            return memory_refusal::idle;
+        case group::slow:
+            return memory_refusal::slow;
+        case group::unread:
+        case group::written:
+            return memory_refusal::unread;
+        case group::newest:
+            break;
+        }
+        return memory_refusal::newest;
+    }
+
     group of;
     time_point rank;   // in the group; the earlier gives way first
     std::size_t frees; // bytes
@@ -190,6 +233,10 @@
         return turn{holds.was_used ? group::idle : group::unused, holds.began, holds.size, id};
     }
     const std::size_t request = holds.size - std::min(holds.size, holds.idle_size);
+    if (holds.phase == holder_phase::writing) {
+        return is_slow(holds, now) ? turn{group::unread, holds.progress, request, id}
+                                   : turn{group::written, holds.began, request, id};
+    }
     if (is_slow(holds, now)) {
         return turn{group::slow, holds.progress, request, id};
     }
@@ -202,10 +249,7 @@
     leave_receiving(evicted);
     evicted.phase = holder_phase::idle;
     if (!evicted.leaving) {
-        const memory_refusal why = next.of == turn::group::slow     ? memory_refusal::slow
-                                   : next.of == turn::group::newest ? memory_refusal::newest
-                                                                    : memory_refusal::idle;
-        ++refused_.at(static_cast<std::size_t>(why));
+        refuse(next.refusal());
     }
     evicted.leaving = true;
     used_ -= next.frees;
@@ -231,7 +275,7 @@
                 first = candidate;
             }
         }
-        if (!first || first->of == turn::group::newest) {
+        if (!first || first->of >= turn::group::newest) {
             return false;
         }
         evict(*first); // a slow one keeps its place until it gives way again
@@ -251,7 +295,9 @@
     for (const auto& [id, holds] : entries_) {
         const auto candidate = turn_of(id, holds, now);
         const bool is_idle_requester = id == requester && holds.phase == holder_phase::idle;
-        if (candidate && candidate->of != turn::group::leaving && !is_idle_requester) {
+        const bool has_turn = candidate && candidate->of != turn::group::leaving &&
+                              (forced || candidate->of != turn::group::written);
+        if (has_turn && !is_idle_requester) {
             order.push_back(*candidate);
         }
     }
@@ -279,7 +325,7 @@
         return false;
     }
     const std::size_t more = size > changed.size ? size - changed.size : 0;
-    if (changed.phase == holder_phase::kept) {
+    if (changed.phase == holder_phase::kept || changed.phase == holder_phase::writing) {
         make_room(more, limits_.total, id, now, true); // granted in any case
     } else if (more > 0) {
         if (changed.phase == holder_phase::receiving) {
@@ -303,6 +349,12 @@
     return true;
 }
 
+void memory_ledger::take_always(std::size_t size, time_point now)
+{
+    make_room(size, limits_.total, 0, now, true);
+    used_ += size;
+}
+
 bool memory_ledger::take(std::size_t size, time_point now)
 {
     if (!make_room(size, limits_.total, 0, now)) {
--- a/libs/gateway/src/memory_ledger_test.cpp
+++ b/libs/gateway/src/memory_ledger_test.cpp
@@ -36,7 +36,7 @@
     {
         const auto id = ledger.open(address, kb, start + at);
         check(id != 0 && ledger.set_phase(id, holder_phase::receiving, start + at), "it begins");
-        ledger.record_received(id, size, start + at);
+        ledger.record_progress(id, size, start + at);
         check(ledger.resize(id, size, start + at), "it has room");
         return id;
     }
@@ -77,7 +77,7 @@
     const auto idle = ledger.open("b", 60 * kb, fixture.start);
     const auto idle_later = ledger.open("b", 40 * kb, fixture.start + 1s);
     const time_point now = fixture.start + 1500ms;
-    ledger.record_received(older, 10 * kb, now);
+    ledger.record_progress(older, 10 * kb, now);
     section("first the longest idle connection", [&] {
         check(ledger.resize(older, 190 * kb, now), "there is room");
         check(fixture.left == holders{idle}, "the longest idle leaves");
@@ -111,8 +111,8 @@
     check(fixture.ledger.resize(slow, 300 * kb, fixture.start), "it has room");
     const auto steady = fixture.receive(300 * kb, 100ms);
     const time_point now = fixture.start + 2s;
-    fixture.ledger.record_received(slow, 10, now); // the last byte is recent
-    fixture.ledger.record_received(steady, 10, now);
+    fixture.ledger.record_progress(slow, 10, now); // the last byte is recent
+    fixture.ledger.record_progress(steady, 10, now);
     check(fixture.ledger.resize(steady, 410 * kb, now), "there is room");
     check(fixture.left == holders{slow}, "the slow sender leaves");
 }
@@ -252,3 +252,41 @@
     ledger.give_back(200 * kb);
     check(ledger.used() == 0, "all memory is returned");
 }
+
+// Guards against callers that read their responses slowly or not at all, and thereby make the
+// instance hold more than its memory, or keep it from others.
+Test(memory_ledger, responses_that_are_not_read_give_way)
+{
+    ledger_fixture fixture;
+    auto& ledger = fixture.ledger;
+    const auto write = [&](std::size_t size, duration at) {
+        const auto id = fixture.receive(kb, at);
+        ledger.set_phase(id, holder_phase::kept, fixture.start + at);
+        ledger.begin_write(id, fixture.start + at);
+        check(ledger.resize(id, size, fixture.start + at), "it is granted");
+        return id;
+    };
+    const auto running = fixture.receive(kb, 0s);
+    ledger.set_phase(running, holder_phase::kept, fixture.start);
+    const auto unread = write(300 * kb, 0s);
+    const auto read = write(300 * kb, 0s);
+    const time_point now = fixture.start + 2s;
+    ledger.record_progress(read, 10 * kb, now);
+    const auto receiving = fixture.receive(50 * kb, 2s);
+    section("one that does not progress, for a request that is received", [&] {
+        check(ledger.resize(receiving, 250 * kb, now), "there is room");
+        check(fixture.left == holders{unread}, "the unread one leaves");
+        check(ledger.refused(memory_refusal::unread) == 1, "counted");
+    });
+    section("one that progresses only for another response", [&] {
+        check(!ledger.resize(receiving, 600 * kb, now), "not for a request that is received");
+        const auto next = write(450 * kb, 2s);
+        check((fixture.left == holders{unread, receiving}), "the request that is received leaves");
+        ledger.take_always(60 * kb, now);
+        check((fixture.left == holders{unread, receiving, read}), "the longest written one leaves");
+        check(ledger.used() <= ledger.limit(), "the limit holds");
+        ledger.end_write(next);
+        check(ledger.resize(running, 700 * kb, now) && fixture.left.size() == 3,
+              "a request that runs, and one that is written, are kept");
+    });
+}
--- a/libs/gateway/src/request_reader.cpp
+++ b/libs/gateway/src/request_reader.cpp
@@ -78,9 +78,22 @@
     return true;
 }
 
-void connection_memory::record_received(std::size_t size)
+void connection_memory::record_progress(std::size_t size)
 {
-    ledger_.record_received(id_, size, boot_clock::now());
+    ledger_.record_progress(id_, size, boot_clock::now());
+}
+
+std::size_t connection_memory::begin_write(std::size_t size)
+{
+    ledger_.begin_write(id_, boot_clock::now());
+    // Refused only to a connection that is about to be closed.
+    return add(size) ? size : 0;
+}
+
+void connection_memory::end_write(std::size_t size)
+{
+    remove(size);
+    ledger_.end_write(id_);
 }
 
 void connection_memory::enlarge_receive_buffer(asio::ip::tcp::socket& socket)
@@ -163,7 +176,7 @@
         const std::size_t size = co_await socket.async_read_some(
             space, asio::redirect_error(asio::use_awaitable, error));
         buffer.commit(size);
-        memory.record_received(size);
+        memory.record_progress(size);
         if (error == asio::error::eof) {
             error = {};
             if (parser.got_some()) {
--- a/libs/gateway/src/request_reader.hpp
+++ b/libs/gateway/src/request_reader.hpp
@@ -43,7 +43,13 @@
     bool add(std::size_t size) { return resize(size_ + size); }
     void remove(std::size_t size) { resize(size_ - size); }
 
-    void record_received(std::size_t size);
+    // Records bytes of the request that were received, or of the response that the caller has
+    // taken.
+    void record_progress(std::size_t size);
+
+    // Adds the bytes of a response that is written. Returns how many `end_write` has to return.
+    std::size_t begin_write(std::size_t size);
+    void end_write(std::size_t size);
 
     // Lets the kernel receive more of a long body ahead, unless the memory is needed otherwise. The
     // buffer of the port suffices for a body in calm only if the instance is never held up.
