--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -203,7 +203,9 @@
                 rest, asio::redirect_error(asio::use_awaitable, error));
             written += size;
             written_bytes += size;
-            record_taken(size);
+            if (written < bytes.size()) {
+                record_taken(size);
+            }
         }
         memory.end_write(charged);
         timeout.clear();
