--- a/libs/gateway/include/quetzal/gateway/body_memory.hpp
+++ b/libs/gateway/include/quetzal/gateway/body_memory.hpp
@@ -71,6 +71,14 @@
 
     std::size_t limit() const noexcept { return limit_; }
 
+    // Whether others have probably given way for the latest bytes. They free their memory when
+    // their coroutines go on.
+    bool is_scarce() const noexcept
+    {
+        constexpr std::size_t part = 8; // of the ledger's limit
+        return ledger_ && ledger_->used() > ledger_->limit() - ledger_->limit() / part;
+    }
+
 private:
     std::size_t limit_;    // bytes
     std::size_t used_ = 0; // bytes
--- a/libs/gateway/src/channel.cpp
+++ b/libs/gateway/src/channel.cpp
@@ -9,6 +9,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -273,6 +274,9 @@
                                                             std::to_string(memory_->limit()) +
                                                             " bytes"));
             }
+            if (memory_ && memory_->is_scarce()) {
+                co_await asio::post(socket_.get_executor(), asio::use_awaitable);
+            }
             std::string larger; // `reserve` of a string with content allocates up to twice the size
             larger.reserve(size);
             larger.append(body);
