--- a/libs/gateway/src/caller_connection.hpp
+++ b/libs/gateway/src/caller_connection.hpp
@@ -367,12 +367,12 @@
         const bool is_leaving = std::exchange(gives_way, true) || lingers || send_side_closed;
         boost::system::error_code error; // of a closed socket or a read that has ended
         has_lost_write = writing;
-        if (is_leaving || writing) {
+        const bool is_unused =
+            waiting_for_request && socket.available(error) == 0 && unacknowledged_bytes() == 0;
+        if (is_leaving || writing || is_unused) {
             close();
         } else if (!waiting_for_request) {
             socket.cancel(error);
-        } else if (socket.available(error) == 0 && unacknowledged_bytes() == 0) {
-            close();
         } else {
             close_when_idle();
         }
